--- /dev/null
+++ b/src/include/fescueledge/websockettransport.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "fescueledge/peertransport.h"
+
+#include <memory>
+
+namespace fescueledge {
+
+class Loop;
+
+/// Calls between daemons as CBOR in binary websocket messages.
+///
+/// Each node keeps one outgoing connection to every node that it calls; replies come back on it. Connections open on
+/// demand and are closed after a failure. Calls made while a connection opens wait for it, up to their timeout.
+/// setReceiver(), call() and the handlers belong to the loop given.
+class WebsocketTransport : public PeerTransport
+{
+public:
+    /// Finds the address (`ip:port`) of a node; empty if unknown. Called on the loop.
+    using AddressLookup = std::function<std::string(const NodeId &)>;
+
+    /// Listens on @p listenAddress (`ip:port`). Peers must present @p token.
+    /// @throws Error of kind InvalidSettings if the address can't be listened on.
+    WebsocketTransport(Loop *loop, const NodeId &self, const std::string &listenAddress, const std::string &token);
+    ~WebsocketTransport() override;
+    WebsocketTransport(const WebsocketTransport &) = delete;
+    WebsocketTransport &operator=(const WebsocketTransport &) = delete;
+
+    /// Sets how addresses are found; before it is set only calls to the node itself get through.
+    void setAddressLookup(AddressLookup lookup);
+    void call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler) override;
+    void setReceiver(const std::string &kind, Receiver receiver) override;
+
+    /// Bytes sent to other nodes so far. Thread-safe.
+    std::uint64_t bytesSent() const;
+    /// Messages sent to other nodes so far. Thread-safe.
+    std::uint64_t messagesSent() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libpeer/websockettransport.cpp
@@ -0,0 +1,316 @@
+#include "fescueledge/websockettransport.h"
+
+#include "fescueledge/digest.h"
+#include "fescueledge/error.h"
+#include "fescueledge/loop.h"
+#include "peercalls_pvt.h"
+#include "peerframe_pvt.h"
+
+#include <atomic>
+#include <glog/logging.h>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace fescueledge {
+
+namespace {
+
+using WsServer = websocketpp::server<websocketpp::config::asio>;
+using WsClient = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+
+constexpr const char *tokenHeader = "X-Fescueledge-Peer-Token";
+constexpr std::size_t maxMessageBytes = 32U << 20U;
+constexpr std::size_t maxWaitingFrames = 4096;
+constexpr int openTimeoutMs = 1000;
+
+/// Splits `ip:port`.
+std::pair<std::string, std::string> splitAddress(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        throw Error(ErrorKind::InvalidSettings, "address '" + address + "' is not of the form ip:port");
+    }
+    return {address.substr(0, colon), address.substr(colon + 1)};
+}
+
+template<typename Endpoint>
+void configure(Endpoint *endpoint, asio::io_context *io)
+{
+    endpoint->clear_access_channels(websocketpp::log::alevel::all);
+    endpoint->clear_error_channels(websocketpp::log::elevel::all);
+    endpoint->init_asio(io);
+    endpoint->set_max_message_size(maxMessageBytes);
+    endpoint->set_tcp_pre_init_handler([](const Handle &) {});
+}
+
+} // namespace
+
+/// All websocketpp calls run on one network thread; calls and receivers on the loop.
+class WebsocketTransport::Impl : public std::enable_shared_from_this<WebsocketTransport::Impl>
+{
+public:
+    Impl(Loop *loop, NodeId self, std::string token)
+        : m_loop(loop)
+        , m_self(std::move(self))
+        , m_token(std::move(token))
+        , m_calls(std::make_shared<PeerCalls>())
+    {
+    }
+
+    void listen(const std::string &address)
+    {
+        configure(&m_server, &m_io);
+        configure(&m_client, &m_io);
+        m_server.set_reuse_addr(true);
+        m_client.set_open_handshake_timeout(openTimeoutMs);
+        m_server.set_validate_handler([this](const Handle &handle) {
+            const WsServer::connection_ptr connection = m_server.get_con_from_hdl(handle);
+            return equalSecrets(connection->get_request_header(tokenHeader), m_token);
+        });
+        m_server.set_open_handler([this](const Handle &handle) {
+            setNoDelay(m_server.get_con_from_hdl(handle)->get_raw_socket());
+        });
+        m_server.set_message_handler([this](const Handle &handle, const WsServer::message_ptr &message) {
+            onServerMessage(handle, message->get_payload());
+        });
+        const auto [host, port] = splitAddress(address);
+        websocketpp::lib::error_code ec;
+        m_server.listen(host, port, ec);
+        if (ec) {
+            throw Error(ErrorKind::InvalidSettings, "cannot listen for peers on " + address + ": " + ec.message());
+        }
+        m_server.start_accept();
+        m_work = std::make_unique<Work>(asio::make_work_guard(m_io));
+        m_thread = std::thread([this] {
+            m_io.run();
+        });
+    }
+
+    void stop()
+    {
+        m_io.stop();
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        m_work.reset();
+    }
+
+    void call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler)
+    {
+        const std::uint64_t id = m_calls->add(timeout, std::move(handler), m_loop, m_calls);
+        if (to == m_self) {
+            callSelf(id, message);
+            return;
+        }
+        const std::string address = m_lookup ? m_lookup(to) : std::string();
+        if (address.empty()) {
+            return;
+        }
+        const std::string bytes = encodeFrame(PeerFrame{id, false, m_self, message});
+        const std::shared_ptr<Impl> self = shared_from_this();
+        asio::post(m_io, [self, address, bytes] {
+            self->sendTo(address, bytes);
+        });
+    }
+
+    void setLookup(AddressLookup lookup)
+    {
+        m_lookup = std::move(lookup);
+    }
+
+    PeerCalls *calls()
+    {
+        return m_calls.get();
+    }
+
+    std::atomic<std::uint64_t> bytesSent{0};
+    std::atomic<std::uint64_t> messagesSent{0};
+
+private:
+    using Work = asio::executor_work_guard<asio::io_context::executor_type>;
+
+    /// An outgoing connection; frames wait in it until it is open. Used on the network thread only.
+    struct Link
+    {
+        WsClient::connection_ptr connection;
+        bool open = false;
+        std::vector<std::string> waiting;
+    };
+
+    template<typename Socket>
+    static void setNoDelay(Socket &socket)
+    {
+        asio::error_code ec;
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    }
+
+    void callSelf(std::uint64_t id, const PeerMessage &message)
+    {
+        const std::shared_ptr<PeerCalls> calls = m_calls;
+        Loop *loop = m_loop;
+        const NodeId self = m_self;
+        loop->post([calls, loop, self, id, message] {
+            calls->deliver(self, message, [calls, loop, id](const PeerMessage &reply) {
+                loop->post([calls, id, reply] {
+                    calls->finish(id, PeerResult{true, reply});
+                });
+            });
+        });
+    }
+
+    void sendTo(const std::string &address, const std::string &bytes)
+    {
+        Link &link = m_links[address];
+        if (!link.connection) {
+            openLink(address, &link);
+        }
+        if (link.open) {
+            write(&m_client, link.connection->get_handle(), bytes);
+        } else if (link.waiting.size() < maxWaitingFrames) {
+            link.waiting.push_back(bytes);
+        }
+    }
+
+    void openLink(const std::string &address, Link *link)
+    {
+        websocketpp::lib::error_code ec;
+        const WsClient::connection_ptr connection = m_client.get_connection("ws://" + address + "/peer", ec);
+        if (ec) {
+            LOG(WARNING) << "peer_link_failed address=" << address << " detail=" << ec.message();
+            return;
+        }
+        link->connection = connection;
+        connection->append_header(tokenHeader, m_token);
+        connection->set_open_handler([this, address](const Handle &) {
+            onOpen(address);
+        });
+        connection->set_fail_handler([this, address](const Handle &) {
+            m_links.erase(address);
+        });
+        connection->set_close_handler([this, address](const Handle &) {
+            m_links.erase(address);
+        });
+        connection->set_message_handler([this](const Handle &, const WsClient::message_ptr &message) {
+            onReply(message->get_payload());
+        });
+        m_client.connect(connection);
+    }
+
+    void onOpen(const std::string &address)
+    {
+        const auto it = m_links.find(address);
+        if (it == m_links.end()) {
+            return;
+        }
+        Link &link = it->second;
+        setNoDelay(link.connection->get_raw_socket());
+        link.open = true;
+        std::vector<std::string> waiting;
+        waiting.swap(link.waiting);
+        for (const std::string &bytes : waiting) {
+            write(&m_client, link.connection->get_handle(), bytes);
+        }
+    }
+
+    template<typename Endpoint>
+    void write(Endpoint *endpoint, const Handle &handle, const std::string &bytes)
+    {
+        websocketpp::lib::error_code ec;
+        endpoint->send(handle, bytes, websocketpp::frame::opcode::binary, ec);
+        if (!ec) {
+            bytesSent += bytes.size();
+            ++messagesSent;
+        }
+    }
+
+    void onReply(const std::string &bytes)
+    {
+        PeerFrame frame;
+        if (!decodeFrame(bytes, &frame) || !frame.isReply) {
+            return;
+        }
+        const std::shared_ptr<PeerCalls> calls = m_calls;
+        m_loop->post([calls, frame] {
+            calls->finish(frame.id, PeerResult{true, frame.message});
+        });
+    }
+
+    void onServerMessage(const Handle &handle, const std::string &bytes)
+    {
+        PeerFrame frame;
+        if (!decodeFrame(bytes, &frame) || frame.isReply) {
+            return;
+        }
+        const std::shared_ptr<Impl> self = shared_from_this();
+        const std::uint64_t id = frame.id;
+        const Responder respond = [self, handle, id](const PeerMessage &reply) {
+            const std::string out = encodeFrame(PeerFrame{id, true, self->m_self, reply});
+            asio::post(self->m_io, [self, handle, out] {
+                self->write(&self->m_server, handle, out);
+            });
+        };
+        m_loop->post([self, frame, respond] {
+            self->m_calls->deliver(frame.from, frame.message, respond);
+        });
+    }
+
+    Loop *m_loop;
+    NodeId m_self;
+    std::string m_token;
+    std::shared_ptr<PeerCalls> m_calls;
+    AddressLookup m_lookup;
+
+    asio::io_context m_io;
+    std::unique_ptr<Work> m_work;
+    WsServer m_server;
+    WsClient m_client;
+    std::map<std::string, Link> m_links;
+    std::thread m_thread;
+};
+
+WebsocketTransport::WebsocketTransport(Loop *loop, const NodeId &self, const std::string &listenAddress,
+                                       const std::string &token)
+    : m_impl(std::make_shared<Impl>(loop, self, token))
+{
+    m_impl->listen(listenAddress);
+}
+
+WebsocketTransport::~WebsocketTransport()
+{
+    m_impl->stop();
+}
+
+void WebsocketTransport::setAddressLookup(AddressLookup lookup)
+{
+    m_impl->setLookup(std::move(lookup));
+}
+
+void WebsocketTransport::call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler)
+{
+    m_impl->call(to, message, timeout, std::move(handler));
+}
+
+void WebsocketTransport::setReceiver(const std::string &kind, Receiver receiver)
+{
+    m_impl->calls()->setReceiver(kind, std::move(receiver));
+}
+
+std::uint64_t WebsocketTransport::bytesSent() const
+{
+    return m_impl->bytesSent;
+}
+
+std::uint64_t WebsocketTransport::messagesSent() const
+{
+    return m_impl->messagesSent;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libpeer/websockettransport_test.cpp
@@ -0,0 +1,102 @@
+#include "fescueledge/websockettransport.h"
+
+#include "fescueledge/error.h"
+#include "fescueledge/eventloop.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+using namespace fescueledge;
+
+namespace {
+
+/// A node whose receiver for `echo` returns what it got.
+struct EchoNode
+{
+    EchoNode(const std::string &name, int port, const std::string &token)
+        : address("127.0.0.1:" + std::to_string(port))
+        , transport(&loop, name, address, token)
+    {
+        transport.setReceiver(
+            "echo", [](const NodeId &from, const PeerMessage &message, const PeerTransport::Responder &respond) {
+                respond(PeerMessage{"echo", {{"from", from}, {"body", message.body}}});
+            });
+    }
+
+    PeerResult call(const NodeId &to, const nlohmann::json &body, Milliseconds timeout)
+    {
+        std::promise<PeerResult> promise;
+        loop.post([this, &promise, to, body, timeout] {
+            transport.call(to, PeerMessage{"echo", body}, timeout, [&promise](const PeerResult &result) {
+                promise.set_value(result);
+            });
+        });
+        return promise.get_future().get();
+    }
+
+    void connectTo(const std::string &peerAddress)
+    {
+        transport.setAddressLookup([peerAddress](const NodeId &) {
+            return peerAddress;
+        });
+    }
+
+    std::string address;
+    EventLoop loop;
+    WebsocketTransport transport;
+};
+
+constexpr Milliseconds longTimeout{5000};
+constexpr Milliseconds shortTimeout{300};
+
+} // namespace
+
+TEST_CASE("a call reaches another node and its reply comes back")
+{
+    EchoNode a("a", 42601, "secret");
+    EchoNode b("b", 42602, "secret");
+    a.connectTo(b.address);
+
+    for (int i = 0; i < 20; ++i) {
+        const PeerResult result = a.call("b", i, longTimeout);
+        REQUIRE(result.answered);
+        CHECK(result.reply.body == nlohmann::json({{"from", "a"}, {"body", i}}));
+    }
+    CHECK(a.transport.messagesSent() == 20);
+}
+
+TEST_CASE("a node may call itself")
+{
+    EchoNode a("a", 42603, "secret");
+    CHECK(a.call("a", "hello", longTimeout).answered);
+}
+
+TEST_CASE("a call to a node that is not there ends at its timeout, and a later one gets through")
+{
+    EchoNode a("a", 42604, "secret");
+    a.connectTo("127.0.0.1:42605");
+    CHECK_FALSE(a.call("b", 1, shortTimeout).answered);
+
+    EchoNode b("b", 42605, "secret");
+    CHECK(a.call("b", 2, longTimeout).answered);
+}
+
+TEST_CASE("a peer with a wrong token is not served")
+{
+    EchoNode a("a", 42606, "guess");
+    EchoNode b("b", 42607, "secret");
+    a.connectTo(b.address);
+    CHECK_FALSE(a.call("b", 1, shortTimeout).answered);
+}
+
+TEST_CASE("an address in use is a typed error")
+{
+    EchoNode a("a", 42608, "secret");
+    EventLoop loop;
+    try {
+        WebsocketTransport second(&loop, "b", "127.0.0.1:42608", "secret");
+        FAIL("listened twice");
+    } catch (const Error &error) {
+        CHECK(error.kind() == ErrorKind::InvalidSettings);
+    }
+}
