libmember: add the public headers and the VM list poller

ControlRegister is a class of its own that NodeAuthority is given: the audit trail, the proposals and the apply hooks are needed without the ownership of shards. Weighed against one class for both, which would have grown past a screenful of members.

--- /dev/null
+++ b/src/include/fescueledge/controlchange.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescueledge {
+
+/// What operators decide, before it has a version.
+struct ControlContent
+{
+    std::string routesText;
+    std::string poolsText;
+    std::set<DataCentreId> dataCentresOut;
+
+    /// The SHA-256 of the whole content, in hexadecimal. Two contents have one digest only if they are equal.
+    std::string digest() const;
+    bool operator==(const ControlContent &other) const;
+};
+
+/// A change that an operator proposes.
+struct ControlChange
+{
+    std::string who; ///< Name of the operator, from the token.
+    std::string why; ///< Reason given by the operator.
+    ControlVersion expectedVersion = 0; ///< The version that the change was made against.
+    std::string expectedDigest; ///< Digest of the content that was reviewed.
+    ControlContent content; ///< The whole new content.
+};
+
+/// What became of a proposed change.
+struct ControlOutcome
+{
+    enum class Status {
+        InForce, ///< Accepted, and no node acts on an older version any more.
+        Waiting, ///< Accepted; some nodes may still act on an older version.
+        Conflict, ///< The change was made against a version that is not the current one. Nothing was written.
+        DigestMismatch, ///< The content is not the one that was reviewed. Nothing was written.
+        Invalid, ///< The parser refused the tables. Nothing was written.
+        NotFound, ///< No such data centre. Nothing was written.
+        StoreUnavailable, ///< The store did not answer. Nothing was written.
+        StoreOutcomeUnknown, ///< The store's answer was lost: the change may have been accepted as `version`.
+    };
+
+    Status status = Status::StoreUnavailable;
+    ControlVersion version = 0; ///< The accepted version, or the current one on a conflict.
+    std::vector<NodeId> waitingFor; ///< Nodes that may still act on an older version.
+    std::string message; ///< For people; never parsed.
+};
+
+/// One accepted change, as the audit trail keeps it.
+struct ControlHistoryEntry
+{
+    ControlVersion version = 0;
+    std::string who;
+    std::string why;
+    std::chrono::system_clock::time_point when;
+    ControlContent before;
+    ControlContent after;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/controlparser.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+namespace fescueledge {
+
+struct ControlState;
+
+/// Turns the texts of the tables into routes, pools and quotas.
+class ControlParser
+{
+public:
+    virtual ~ControlParser() = default;
+
+    /// Fills the routes, pools and teams of @p state from its texts. Throws Error with InvalidSettings.
+    virtual void parse(ControlState *state) const = 0;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/controlregister.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "fescueledge/commitresolver.h"
+#include "fescueledge/controlchange.h"
+#include "fescueledge/leasetimings.h"
+#include "fescueledge/peertransport.h"
+#include "fescueledge/random.h"
+#include "fescueledge/types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fescueledge {
+
+class ControlParser;
+class InForceTracker;
+class Loop;
+class TableService;
+class VmDirectory;
+struct ControlState;
+struct ReadResult;
+struct Row;
+
+/// The register of everything that operators decide: one value with one version, kept in the table service.
+///
+/// Holds the newest version that this node has loaded, and knows the newest that it has heard of. All calls on the
+/// control loop; the object must outlive the loop's last event.
+class ControlRegister
+{
+public:
+    using WallClock = std::function<std::chrono::system_clock::time_point()>;
+    using OutcomeHandler = std::function<void(const ControlOutcome &)>;
+    using ApplyHook = std::function<void(const std::shared_ptr<const ControlState> &)>;
+    /// @p available is false when the store did not answer; then the entries are empty.
+    using HistoryHandler = std::function<void(bool available, const std::vector<ControlHistoryEntry> &entries)>;
+
+    ControlRegister(Loop *loop, TableService *table, const VmDirectory *vms, PeerTransport *transport,
+                    const ControlParser *parser, const NodeId &self, const LeaseTimings &timings, WallClock wallClock,
+                    std::uint64_t seed);
+    ~ControlRegister();
+    ControlRegister(const ControlRegister &) = delete;
+    ControlRegister &operator=(const ControlRegister &) = delete;
+
+    /// Adds a function that applies each new version. It runs before this node acknowledges the version, and at once
+    /// with the present one if there is one.
+    void addApplyHook(ApplyHook hook);
+
+    /// The version that this node has loaded. Never null.
+    std::shared_ptr<const ControlState> current() const;
+    /// The digest of the loaded content; empty at version 0.
+    const std::string &currentDigest() const;
+    /// True if no newer version is known than the loaded one. A node that is not up to date may not act.
+    bool upToDate() const;
+    /// Tells that @p from holds @p version. Loads it, from that node or from the store, if it is newer.
+    void noteVersion(ControlVersion version, const std::string &digest, const NodeId &from);
+    /// Reads the current version from the store. The handler gets true once the version read is loaded.
+    void refresh(std::function<void(bool loaded)> handler);
+    /// Asks the entry VMs of the VM list for the current version; for a node that starts while the store is down.
+    void fetchFromPeers();
+    /// Sets the incarnation that acknowledgements name.
+    void setIncarnation(Incarnation incarnation);
+
+    /// Makes a change. The handler runs once: when the change is in force, refused, or not in force in time.
+    void propose(const ControlChange &change, OutcomeHandler handler);
+    /// Takes a data centre out of service, on top of whatever version is current.
+    void takeOut(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
+                 OutcomeHandler handler);
+    /// Brings a data centre back into service, on top of whatever version is current.
+    void bringBack(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
+                   OutcomeHandler handler);
+    /// Waits until @p version, which was accepted, is in force. Gives InForce or Waiting.
+    void awaitInForce(ControlVersion version, OutcomeHandler handler);
+    /// Reads the last @p limit accepted changes, newest first: the audit trail.
+    void history(std::size_t limit, HistoryHandler handler);
+
+private:
+    struct Proposal;
+    struct CentreChange;
+
+    void setReceivers();
+    void onProposalRead(const std::shared_ptr<Proposal> &proposal, const ReadResult &result);
+    void commitProposal(const std::shared_ptr<Proposal> &proposal, const Row *currentRow);
+    void onProposalCommitted(const std::shared_ptr<Proposal> &proposal, const CommitResult &result);
+    void changeCentre(const std::shared_ptr<CentreChange> &change);
+    void onCentreRead(const std::shared_ptr<CentreChange> &change, const ReadResult &result);
+    void onHistoryHead(std::size_t limit, const HistoryHandler &handler, const ReadResult &head);
+
+    bool load(const std::string &rowValue);
+    void install(const std::shared_ptr<const ControlState> &state, const std::string &digest,
+                 const std::string &rowValue);
+    void loadMissing();
+    void onFetched(const PeerResult &result);
+    void retryLoadLater();
+
+    Loop *m_loop;
+    TableService *m_table;
+    const VmDirectory *m_vms;
+    PeerTransport *m_transport;
+    const ControlParser *m_parser;
+    NodeId m_self;
+    LeaseTimings m_timings;
+    WallClock m_wallClock;
+    Random m_random;
+    CommitResolver m_resolver;
+    std::unique_ptr<InForceTracker> m_tracker;
+    std::vector<ApplyHook> m_hooks;
+    std::shared_ptr<const ControlState> m_state;
+    std::string m_digest;
+    std::string m_rowValue;
+    Incarnation m_incarnation = 0;
+    ControlVersion m_knownVersion = 0;
+    std::string m_knownDigest;
+    NodeId m_knownFrom;
+    bool m_loading = false;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/nodeidentity.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <string>
+
+namespace fescueledge {
+
+/// Who this daemon is, from its settings.
+struct NodeIdentity
+{
+    NodeId id;
+    DataCentreId dataCentre;
+    std::string peerAddress; ///< `ip:port` of the listener for other daemons.
+    std::string httpAddress; ///< `ip:port` of the listener for callers and operators.
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/vmpoller.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "fescueledge/vmdirectory.h"
+
+#include <map>
+
+namespace fescueledge {
+
+class Loop;
+class VmList;
+struct VmListResult;
+
+/// Reads the platform's VM list once a second and keeps the last answer. All calls on the control loop; the object
+/// must outlive the loop's last event.
+class VmPoller : public VmDirectory
+{
+public:
+    VmPoller(Loop *loop, VmList *list);
+
+    /// Starts to poll; the first question is sent at once.
+    void start();
+    /// Sends no more questions.
+    void stop();
+
+    const std::vector<VmEntry> &entries() const override;
+    const VmEntry *find(const std::string &name) const override;
+    std::optional<TimePoint> vanishedAt(const std::string &name) const override;
+    std::optional<TimePoint> lastRefresh() const override;
+
+private:
+    void poll();
+    void onAnswer(TimePoint askedAt, const VmListResult &result);
+
+    Loop *m_loop;
+    VmList *m_list;
+    bool m_running = false;
+    std::vector<VmEntry> m_entries;
+    std::map<std::string, TimePoint> m_vanished;
+    std::optional<TimePoint> m_lastRefresh;
+};
+
+} // namespace fescueledge
