libmember: add membership, the right to act, ownership of shards and the control register

Cause: only the interfaces stood. Now NodeAuthority and ControlRegister work over the fakes: registration, leases, grants, takeover, claims, planned hand-over, drain, proposals, the wait until a version is in force, and the audit trail.

Weighed against the design while writing it, and closed: - A group change took effect when its write was acknowledged. A write whose answer is lost left a time in which the holder counted the old group and takers the new one, so both could act. From the moment such a write is sent until the control state was read after it, a majority of both groups is needed. - A refusal that binds for good would cut a live node off from a grantor after one failed takeover. It binds up to the row version that it was asked for: a holder that shows a newer committed version has made that takeover impossible. - A grantor that deregistered counts as lapsed; it waits out its grants first. - A VM counts as vanished only after it was missing for absenceLimit, at the address in its row. The row says itself that the VM was listed, so that a fleet that was replaced as a whole still gets the old nodes' shards. - A node without a group in its row has no right yet, so nobody waits for it. - Shard rows are read before node rows: an owner that is missing from the later read is really gone.

Ruled out: a counter row for incarnations. All nodes contend for it when they start together; the version of the registering write is as good.

Two tests pass over six nodes: all shards get owners, and a drain hands them over.

--- /dev/null
+++ b/src/libmember/controlcodec_pvt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "fescueledge/controlchange.h"
+
+#include <string>
+
+namespace fescueledge {
+
+/// The row `control/current`: the newest accepted content.
+struct ControlRow
+{
+    ControlVersion version = 0;
+    ControlContent content;
+};
+
+/// Key of the row with the newest accepted content.
+constexpr const char *currentControlKey = "control/current";
+/// Key of the immutable row that tells how @p version came about.
+std::string historyKey(ControlVersion version);
+
+std::string encodeControlRow(const ControlRow &row);
+/// Reads a control row. Throws Error with DigestMismatch if the content is not what was written.
+ControlRow decodeControlRow(const std::string &value);
+
+std::string encodeHistoryEntry(const ControlHistoryEntry &entry);
+ControlHistoryEntry decodeHistoryEntry(const std::string &value);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libmember/grantholder_pvt.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "fescueledge/leasetimings.h"
+#include "grantorgroup_pvt.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace fescueledge {
+
+class ControlRegister;
+class Loop;
+class NodeTable;
+class PeerTransport;
+class StoreLease;
+struct PeerResult;
+
+/// Asks the grantors of this node's groups for grants, and knows how long the grants held let it act.
+class GrantHolder
+{
+public:
+    GrantHolder(Loop *loop, PeerTransport *transport, const StoreLease *lease, NodeTable *nodes,
+                ControlRegister *controlRegister, const NodeId &self, const LeaseTimings &timings);
+
+    void start();
+    void stop();
+    /// The time until which a majority of each group has granted; the far future for a lone node.
+    TimePoint heldUntil() const;
+    /// Forgets all grants; for a new incarnation.
+    void clear();
+
+private:
+    void tick();
+    void request(const Grantor &grantor);
+    void onReply(const Grantor &grantor, Incarnation self, TimePoint sentAt, const PeerResult &result);
+    TimePoint heldUntil(const GrantorGroup &group) const;
+    TimePoint grantedUntil(const Grantor &grantor) const;
+
+    Loop *m_loop;
+    PeerTransport *m_transport;
+    const StoreLease *m_lease;
+    NodeTable *m_nodes;
+    ControlRegister *m_control;
+    NodeId m_self;
+    LeaseTimings m_timings;
+    bool m_running = false;
+    std::map<Grantor, TimePoint> m_grants;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libmember/grantledger.cpp
@@ -0,0 +1,46 @@
+#include "grantledger_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge {
+
+GrantLedger::GrantLedger(const LeaseTimings &timings)
+    : m_timings(timings)
+{
+}
+
+bool GrantLedger::grant(const Grantor &holder, RowVersion rowVersion, TimePoint now)
+{
+    Entry &entry = m_entries[holder];
+    if (m_closed || rowVersion <= entry.refusedVersion) {
+        return false;
+    }
+    entry.lapsesAt = now + m_timings.withDrift(m_timings.grant);
+    return true;
+}
+
+bool GrantLedger::refuse(const Grantor &holder, RowVersion rowVersion, TimePoint now)
+{
+    Entry &entry = m_entries[holder];
+    if (now < entry.lapsesAt) {
+        return false;
+    }
+    entry.refusedVersion = std::max(entry.refusedVersion, rowVersion);
+    return true;
+}
+
+void GrantLedger::close()
+{
+    m_closed = true;
+}
+
+TimePoint GrantLedger::allLapsedAt() const
+{
+    TimePoint latest = TimePoint::min();
+    for (const auto &[holder, entry] : m_entries) {
+        latest = std::max(latest, entry.lapsesAt);
+    }
+    return latest;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libmember/nodeauthority_test.cpp
@@ -0,0 +1,52 @@
+#include "clusterfixture_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+namespace {
+
+constexpr std::chrono::seconds settleLimit{20};
+
+} // namespace
+
+TEST_CASE("six nodes share all shards, and racks stay in their data centre")
+{
+    ClusterFixture cluster(1);
+    const bool settled = cluster.runUntil(
+        [&cluster] {
+            return cluster.allOwned();
+        },
+        settleLimit);
+    REQUIRE(settled);
+    cluster.run(std::chrono::seconds(60));
+    CHECK(cluster.violations.empty());
+    CHECK(cluster.allOwned());
+    for (const DataCentreId dataCentre : {"a", "b", "c"}) {
+        const std::optional<int> owner = cluster.actorOf(rackShard(dataCentre, "r0"));
+        REQUIRE(owner.has_value());
+        CHECK(cluster.node(*owner).identity.dataCentre == dataCentre);
+    }
+    CHECK(cluster.node(0).authority.liveNodes().size() == 6);
+}
+
+TEST_CASE("a drained node hands its shards over and deregisters")
+{
+    ClusterFixture cluster(2);
+    cluster.run(settleLimit);
+    REQUIRE(cluster.allOwned());
+    bool done = false;
+    cluster.node(0).authority.drain([&done] {
+        done = true;
+    });
+    const bool drained = cluster.runUntil(
+        [&done] {
+            return done;
+        },
+        settleLimit);
+    CHECK(drained);
+    CHECK(cluster.rows.read({"node/n0"}).rows.empty());
+    cluster.run(std::chrono::seconds(2));
+    CHECK(cluster.allOwned());
+    CHECK(cluster.violations.empty());
+}
--- /dev/null
+++ b/src/libmember/shardsystem_pvt.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "fescueledge/leasetimings.h"
+#include "fescueledge/random.h"
+#include "fescueledge/transaction.h"
+#include "shardassigner_pvt.h"
+#include "shardtable_pvt.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace fescueledge {
+
+class Loop;
+class NodeTable;
+class PeerTransport;
+class StoreLease;
+class TableService;
+class VmDirectory;
+struct CommitResult;
+struct ReadResult;
+
+/// Claims free shards that this node should own, and hands shards over to the nodes that should.
+class ShardSystem
+{
+public:
+    ShardSystem(Loop *loop, TableService *table, PeerTransport *transport, const VmDirectory *vms,
+                const StoreLease *lease, const NodeTable *nodes, ShardTable *shards, const NodeId &self,
+                const LeaseTimings &timings, std::uint64_t seed, std::function<bool()> mayAct);
+
+    void setReleaseCheck(std::function<bool(const ShardId &)> check);
+    /// Claims no more and hands everything over.
+    void setDraining();
+    /// Takes in a read of shard rows.
+    void onShards(const ReadResult &rows);
+    /// Claims and hands over according to what was just read.
+    void run();
+    /// True if this node owns no shard.
+    bool ownsNothing() const;
+
+private:
+    /// A shard that is being handed over.
+    struct Move
+    {
+        TimePoint startedAt;
+        bool uncertain = false; ///< A release was sent whose answer was lost.
+    };
+
+    void addKnownShards();
+    void considerClaim(const ShardId &shard, ShardEntry *entry);
+    bool isFree(const ShardEntry &entry) const;
+    void claim(const ShardId &shard, const ShardEntry &entry);
+    void considerMove(const ShardId &shard, const ShardEntry &entry);
+    bool isSettled(const NodeId &node) const;
+    NodeId targetFor(const ShardId &shard) const;
+    void pollMove(const ShardId &shard);
+    void abandonMove(const ShardId &shard);
+    void release(const ShardId &shard, const ShardEntry &entry);
+    void onReleased(const ShardId &shard, const ShardRow &row, const CommitResult &result);
+    void takeIn(const ShardId &shard, const ShardRow &row, RowVersion version);
+    void onHandedOver(const ShardId &shard);
+    Transaction makeWrite(const ShardId &shard, RowVersion expected, const ShardRow &row);
+
+    Loop *m_loop;
+    TableService *m_table;
+    PeerTransport *m_transport;
+    const VmDirectory *m_vms;
+    const StoreLease *m_lease;
+    const NodeTable *m_nodes;
+    ShardTable *m_shards;
+    NodeId m_self;
+    LeaseTimings m_timings;
+    Random m_random;
+    std::function<bool()> m_mayAct;
+    std::function<bool(const ShardId &)> m_releaseCheck;
+    ShardAssigner m_assigner;
+    bool m_draining = false;
+    std::map<ShardId, Move> m_moves;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libmember/takeoversystem.cpp
@@ -0,0 +1,188 @@
+#include "takeoversystem_pvt.h"
+
+#include "fescueledge/digest.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+#include "fescueledge/tableservice.h"
+#include "membermessages_pvt.h"
+#include "nodetable_pvt.h"
+#include "storelease_pvt.h"
+
+#include <glog/logging.h>
+#include <utility>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds tickInterval{250};
+/// Nodes begin to fence a silent node this long after one another, so that usually one does.
+constexpr Milliseconds rankDelay{400};
+
+} // namespace
+
+TakeoverSystem::TakeoverSystem(Loop *loop, TableService *table, PeerTransport *transport, const StoreLease *lease,
+                               const NodeTable *nodes, const NodeId &self, const LeaseTimings &timings,
+                               std::uint64_t seed, std::function<void()> onFenced)
+    : m_loop(loop)
+    , m_table(table)
+    , m_transport(transport)
+    , m_lease(lease)
+    , m_nodes(nodes)
+    , m_self(self)
+    , m_timings(timings)
+    , m_random(seed)
+    , m_onFenced(std::move(onFenced))
+{
+}
+
+void TakeoverSystem::start()
+{
+    m_running = true;
+    tick();
+}
+
+void TakeoverSystem::stop()
+{
+    m_running = false;
+}
+
+void TakeoverSystem::tick()
+{
+    if (!m_running) {
+        return;
+    }
+    if (m_lease->isReady() && m_nodes->isFresh(m_loop->now(), 2 * m_timings.directoryInterval)) {
+        run();
+    }
+    m_loop->postAfter(tickInterval, [this] {
+        tick();
+    });
+}
+
+void TakeoverSystem::run()
+{
+    for (const auto &[node, entry] : m_nodes->entries()) {
+        if (node == m_self) {
+            continue;
+        }
+        if (entry.row.fenced) {
+            m_attempts.erase(node);
+            removeIfVanished(entry);
+        } else if (isSilent(entry)) {
+            Attempt &attempt = attemptFor(entry);
+            askGrantors(entry, attempt);
+            fenceIfReleased(entry, &attempt);
+        }
+    }
+}
+
+bool TakeoverSystem::isSilent(const NodeEntry &entry) const
+{
+    const Duration silence = m_loop->now() - entry.versionSeen;
+    return silence > m_timings.withDrift(m_timings.storeLease) + rankFor(entry.row.identity.id) * rankDelay;
+}
+
+/// The place of this node among the nodes that could fence @p node.
+int TakeoverSystem::rankFor(const NodeId &node) const
+{
+    const std::uint64_t own = fastHash(node + "|" + m_self);
+    int rank = 0;
+    for (const auto &[other, entry] : m_nodes->entries()) {
+        const bool renews = m_loop->now() - entry.versionSeen < m_timings.storeLease;
+        const bool isRival = other != m_self && other != node && !entry.row.fenced && renews;
+        if (isRival && fastHash(node + "|" + other) > own) {
+            ++rank;
+        }
+    }
+    return rank;
+}
+
+TakeoverSystem::Attempt &TakeoverSystem::attemptFor(const NodeEntry &entry)
+{
+    Attempt &attempt = m_attempts[entry.row.identity.id];
+    if (attempt.version != entry.version) {
+        attempt = Attempt();
+        attempt.version = entry.version;
+    }
+    return attempt;
+}
+
+void TakeoverSystem::askGrantors(const NodeEntry &entry, const Attempt &attempt)
+{
+    const Grantor holder = entry.row.grantor();
+    for (const Grantor &grantor : entry.row.group) {
+        if (grantor == holder || attempt.refused.count(grantor) != 0) {
+            continue;
+        }
+        const RefusalRequest request{holder, entry.version, grantor.incarnation};
+        m_transport->call(grantor.node, PeerMessage{RefusalRequest::kind, request}, m_timings.peerTimeout,
+                          [this, node = holder.node, version = entry.version, grantor](const PeerResult &result) {
+                              onRefusal(node, version, grantor, result);
+                          });
+    }
+}
+
+void TakeoverSystem::onRefusal(const NodeId &node, RowVersion version, const Grantor &grantor, const PeerResult &result)
+{
+    if (!result.answered || !result.reply.body.get<RefusalReply>().refused) {
+        return;
+    }
+    const NodeEntry *entry = m_nodes->find(node);
+    const auto it = m_attempts.find(node);
+    if (entry == nullptr || entry->version != version || it == m_attempts.end() || it->second.version != version) {
+        return;
+    }
+    it->second.refused.insert(grantor);
+    fenceIfReleased(*entry, &it->second);
+}
+
+void TakeoverSystem::fenceIfReleased(const NodeEntry &entry, Attempt *attempt)
+{
+    const TimePoint now = m_loop->now();
+    const auto lapsed = [this, attempt, now](const Grantor &grantor) {
+        return attempt->refused.count(grantor) != 0 || m_nodes->hasLapsed(grantor, now);
+    };
+    const bool released = isReleased(entry.row.group, entry.row.grantor(), lapsed) || m_nodes->hasVanished(entry);
+    if (released && !attempt->committing) {
+        attempt->committing = true;
+        fence(entry);
+    }
+}
+
+void TakeoverSystem::fence(const NodeEntry &entry)
+{
+    const NodeId node = entry.row.identity.id;
+    NodeRow row = entry.row;
+    row.fenced = true;
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions = {{nodeKey(node), entry.version}};
+    transaction.puts = {{nodeKey(node), encodeNodeRow(row)}};
+    const Incarnation incarnation = row.incarnation;
+    m_table->commit(transaction, [this, node, incarnation](const CommitResult &result) {
+        const auto it = m_attempts.find(node);
+        if (it != m_attempts.end()) {
+            it->second.committing = false;
+        }
+        if (result.status == CommitStatus::Committed) {
+            LOG(INFO) << "node_taken_over node=" << node << " incarnation=" << incarnation << " by=" << m_self;
+            m_onFenced();
+        }
+    });
+}
+
+/// Clears away the row of a fenced node whose VM is gone for good.
+void TakeoverSystem::removeIfVanished(const NodeEntry &entry)
+{
+    if (!m_nodes->hasVanished(entry) || rankFor(entry.row.identity.id) != 0) {
+        return;
+    }
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions = {{nodeKey(entry.row.identity.id), entry.version}};
+    transaction.removals = {nodeKey(entry.row.identity.id)};
+    m_table->commit(transaction, [](const CommitResult &) {});
+}
+
+} // namespace fescueledge
