Name the origin of a change in one struct and give changes an id

Cause: the command line must find out what became of a change whose answer was lost; the audit trail had no id to look for. Change: ChangeOrigin (who, why, change id) replaces two loose strings.

--- a/src/include/fescueledge/controlchange.h
+++ b/src/include/fescueledge/controlchange.h
@@ -21,11 +21,18 @@
     bool operator==(const ControlContent &other) const;
 };
 
+/// Where a change comes from, for the audit trail.
+struct ChangeOrigin
+{
+    std::string who; ///< Name of the operator.
+    std::string why; ///< Reason given by the operator.
+    std::string changeId = {}; ///< Chosen by the operator's program; finds the change again after a lost answer.
+};
+
 /// A change that an operator proposes.
 struct ControlChange
 {
-    std::string who; ///< Name of the operator, from the token.
-    std::string why; ///< Reason given by the operator.
+    ChangeOrigin origin;
     ControlVersion expectedVersion = 0; ///< The version that the change was made against.
     std::string expectedDigest; ///< Digest of the content that was reviewed.
     ControlContent content; ///< The whole new content.
@@ -55,8 +62,7 @@
 struct ControlHistoryEntry
 {
     ControlVersion version = 0;
-    std::string who;
-    std::string why;
+    ChangeOrigin origin;
     std::chrono::system_clock::time_point when;
     ControlContent before;
     ControlContent after;
--- a/src/include/fescueledge/controlregister.h
+++ b/src/include/fescueledge/controlregister.h
@@ -66,11 +66,9 @@
     /// Makes a change. The handler runs once: when the change is in force, refused, or not in force in time.
     void propose(const ControlChange &change, OutcomeHandler handler);
     /// Takes a data centre out of service, on top of whatever version is current.
-    void takeOut(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
-                 OutcomeHandler handler);
+    void takeOut(const DataCentreId &dataCentre, const ChangeOrigin &origin, OutcomeHandler handler);
     /// Brings a data centre back into service, on top of whatever version is current.
-    void bringBack(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
-                   OutcomeHandler handler);
+    void bringBack(const DataCentreId &dataCentre, const ChangeOrigin &origin, OutcomeHandler handler);
     /// Waits until @p version, which was accepted, is in force. Gives InForce or Waiting.
     void awaitInForce(ControlVersion version, OutcomeHandler handler);
     /// Reads the last @p limit accepted changes, newest first: the audit trail.
--- a/src/libmember/controlcodec.cpp
+++ b/src/libmember/controlcodec.cpp
@@ -76,8 +76,9 @@
 {
     const auto when = std::chrono::duration_cast<Milliseconds>(entry.when.time_since_epoch());
     const nlohmann::json json = {{"version", entry.version},
-                                 {"who", entry.who},
-                                 {"why", entry.why},
+                                 {"change_id", entry.origin.changeId},
+                                 {"who", entry.origin.who},
+                                 {"why", entry.origin.why},
                                  {"when_ms", when.count()},
                                  {"before", contentToJson(entry.before)},
                                  {"after", contentToJson(entry.after)}};
@@ -89,8 +90,9 @@
     const nlohmann::json json = nlohmann::json::parse(value);
     ControlHistoryEntry entry;
     json.at("version").get_to(entry.version);
-    json.at("who").get_to(entry.who);
-    json.at("why").get_to(entry.why);
+    json.at("change_id").get_to(entry.origin.changeId);
+    json.at("who").get_to(entry.origin.who);
+    json.at("why").get_to(entry.origin.why);
     entry.when = SystemTime(Milliseconds(json.at("when_ms").get<std::int64_t>()));
     entry.before = contentFromJson(json.at("before"));
     entry.after = contentFromJson(json.at("after"));
--- a/src/libmember/controlregister.cpp
+++ b/src/libmember/controlregister.cpp
@@ -255,7 +255,7 @@
     const ControlVersion version = change.expectedVersion + 1;
     const ControlContent before =
         currentRow == nullptr ? ControlContent() : decodeControlRow(currentRow->value).content;
-    const ControlHistoryEntry entry{version, change.who, change.why, m_wallClock(), before, change.content};
+    const ControlHistoryEntry entry{version, change.origin, m_wallClock(), before, change.content};
     proposal->rowValue = encodeControlRow(ControlRow{version, change.content});
     Transaction transaction;
     transaction.writeId = m_random.uniqueId();
@@ -272,7 +272,7 @@
     const ControlVersion version = proposal->change.expectedVersion + 1;
     switch (result.status) {
     case CommitStatus::Committed:
-        LOG(INFO) << "control_accepted version=" << version << " who=" << proposal->change.who;
+        LOG(INFO) << "control_accepted version=" << version << " who=" << proposal->change.origin.who;
         load(proposal->rowValue);
         m_tracker->await(version, proposal->handler);
         return;
@@ -293,26 +293,21 @@
 {
     DataCentreId dataCentre;
     bool out = false;
-    std::string who;
-    std::string why;
+    ChangeOrigin origin;
     OutcomeHandler handler;
     TimePoint giveUpAt;
 };
 
-void ControlRegister::takeOut(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
-                              OutcomeHandler handler)
+void ControlRegister::takeOut(const DataCentreId &dataCentre, const ChangeOrigin &origin, OutcomeHandler handler)
 {
     const TimePoint giveUpAt = m_loop->now() + m_timings.storePatience;
-    changeCentre(
-        std::make_shared<CentreChange>(CentreChange{dataCentre, true, who, why, std::move(handler), giveUpAt}));
+    changeCentre(std::make_shared<CentreChange>(CentreChange{dataCentre, true, origin, std::move(handler), giveUpAt}));
 }
 
-void ControlRegister::bringBack(const DataCentreId &dataCentre, const std::string &who, const std::string &why,
-                                OutcomeHandler handler)
+void ControlRegister::bringBack(const DataCentreId &dataCentre, const ChangeOrigin &origin, OutcomeHandler handler)
 {
     const TimePoint giveUpAt = m_loop->now() + m_timings.storePatience;
-    changeCentre(
-        std::make_shared<CentreChange>(CentreChange{dataCentre, false, who, why, std::move(handler), giveUpAt}));
+    changeCentre(std::make_shared<CentreChange>(CentreChange{dataCentre, false, origin, std::move(handler), giveUpAt}));
 }
 
 void ControlRegister::changeCentre(const std::shared_ptr<CentreChange> &change)
@@ -330,7 +325,7 @@
     }
     const Row *row = result.find(currentControlKey);
     const ControlRow current = row == nullptr ? ControlRow() : decodeControlRow(row->value);
-    ControlChange proposal{change->who, change->why, current.version, {}, current.content};
+    ControlChange proposal{change->origin, current.version, {}, current.content};
     if (change->out) {
         proposal.content.dataCentresOut.insert(change->dataCentre);
     } else {
--- a/src/libtesting/testmain.cpp
+++ b/src/libtesting/testmain.cpp
@@ -1,2 +1,12 @@
-#define CATCH_CONFIG_MAIN
+#define CATCH_CONFIG_RUNNER
 #include <catch2/catch.hpp>
+
+#include <glog/logging.h>
+
+int main(int argc, char **argv)
+{
+    // Simulated runs log thousands of events; only errors help to read a failed test.
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = google::GLOG_ERROR;
+    return Catch::Session().run(argc, argv);
+}
