Add libconfig: settings and tables, all findings in one go

Settings and tables were only structs: nothing read or checked a file. parseSettings and parseTables read them through one schema table per section (name, type, range, default, meaning, and where the value goes), which the help and the documentation use too. Each refuses with a SettingsError that carries every finding: file, line, section, key, what is wrong and what would be right. diffTables lists typed changes; tablesDigest is what an operator reviews.

inih as Debian builds it reports neither line numbers, empty sections, nor any error after the first, and cuts lines at 200 bytes. So each line goes to it alone, a header with a probe key below it, and its buffer is set to 8 KB. INIReader was ruled out for the same reasons and since it hides twice-given keys.

Routes are put in order of match by how specific they are (host, longer path, methods), so that the order in the file means nothing and "match the same requests" is decidable: equal host and path, and methods that meet.

Checks across keys: grant < store, table-timeout < store, (store + grant) with drift + table-timeout < 8 s, worker lease longer than a takeover, slots <= connections, no worker in two pools by name or prefix.

Seen to fail with the mechanism removed: without the route tie check "the same requests as route order on line 1" and without the lease checks "not shorter than the store lease" failed (2 of 15 cases).

--- /dev/null
+++ b/src/include/fescueledge/settingsschema.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// The tables that say which sections and keys the settings and table files have. Parsing, the help and the
+/// documentation all use them.
+namespace fescueledge {
+
+/// How the value of a key is written.
+enum class ValueType {
+    Name, ///< Lowercase letters, digits and hyphens.
+    Host, ///< A host name.
+    UrlPath, ///< A path that starts with `/`.
+    FilePath, ///< A path in the file system.
+    Secret, ///< At least 16 printable characters without spaces.
+    Address, ///< `ip:port`.
+    Duration, ///< A whole number with `ms`, `s` or `min`.
+    Size, ///< A whole number with `MB` or `GB`.
+    Decimal, ///< A number with at most three decimals.
+    Integer, ///< A whole number.
+    Percent, ///< A whole number with `%`.
+    Boolean, ///< `yes` or `no`.
+    LogLevel, ///< `info`, `warning` or `error`.
+    MethodList, ///< HTTP methods, separated by commas.
+    WorkerList, ///< Names of workers, or prefixes of names that end in `*`, separated by commas.
+};
+
+/// One key of a section.
+struct SettingsKey
+{
+    const char *name;
+    ValueType type;
+    bool required; ///< True if the file must give it.
+    const char *defaultText; ///< Value when the file does not give it, as it would be written; empty for none.
+    std::int64_t min; ///< Least number, in ms, MB, thousandths, percent or units, by type.
+    std::int64_t max; ///< Greatest number, in the same unit.
+    const char *doc; ///< One sentence in Markdown.
+};
+
+/// One kind of section.
+struct SectionSchema
+{
+    std::string kind; ///< First word in the brackets.
+    bool named = false; ///< True if a name follows it and there may be several: `[route NAME]`.
+    std::string doc;
+    std::vector<SettingsKey> keys;
+};
+
+/// Sections of the daemon's settings file.
+const std::vector<SectionSchema> &daemonSchema();
+/// Sections of the table of routes.
+const std::vector<SectionSchema> &routesSchema();
+/// Sections of the table of pools.
+const std::vector<SectionSchema> &poolsSchema();
+
+/// How a value of @p type is written, in a few words.
+std::string valueFormat(ValueType type);
+/// The range of @p key as it would be written, or an empty string if its type has none.
+std::string rangeText(const SettingsKey &key);
+/// @p number as a value of @p type is written: `250ms`, `2GB`, `1.5`.
+std::string numberText(ValueType type, std::int64_t number);
+
+/// A Markdown table of each section in @p schema.
+std::string schemaMarkdown(const std::vector<SectionSchema> &schema);
+/// The same as plain text for a terminal.
+std::string schemaHelp(const std::vector<SectionSchema> &schema);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/tableparser.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "fescueledge/controlstate.h"
+
+#include <string>
+
+namespace fescueledge {
+
+/// Names of the two tables in findings.
+struct TableFileNames
+{
+    std::string routes = "routes.ini";
+    std::string pools = "pools.ini";
+};
+
+/// Parses and checks the table of routes and the table of pools together. The result has both texts byte for byte,
+/// version 0 and no data centre out. Routes are in order of match: those with a host first, then longer paths first,
+/// then those with methods first.
+/// @throws SettingsError with everything that is wrong in both.
+ControlState parseTables(const std::string &routesText, const std::string &poolsText,
+                         const TableFileNames &names = TableFileNames());
+
+/// The digest that an operator reviews: SHA-256 in hexadecimal of the routes, a line `--` and the pools.
+std::string tablesDigest(const std::string &routesText, const std::string &poolsText);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libconfig/daemonkeys.cpp
@@ -0,0 +1,178 @@
+#include "daemonkeys_pvt.h"
+
+namespace fescueledge {
+
+// Each row: name, type, required, default, least, greatest, meaning; then where the value goes.
+
+const std::vector<KeyBinding<NodeSettings>> &nodeKeys()
+{
+    static const std::vector<KeyBinding<NodeSettings>> keys{
+        {{"name", ValueType::Name, true, "", 0, 0, "Name of this node, unique among all live nodes."},
+         [](NodeSettings &target, const SettingValue &value) {
+             target.name = value.text;
+         }},
+        {{"data-centre", ValueType::Name, true, "", 0, 0, "Data centre that this node runs in."},
+         [](NodeSettings &target, const SettingValue &value) {
+             target.dataCentre = value.text;
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<ListenSettings>> &listenKeys()
+{
+    static const std::vector<KeyBinding<ListenSettings>> keys{
+        {{"caller", ValueType::Address, true, "", 0, 0,
+          "Listener for callers: requests, jobs, `/metrics`, `/healthz`."},
+         [](ListenSettings &target, const SettingValue &value) {
+             target.caller = value.text;
+         }},
+        {{"operator", ValueType::Address, true, "", 0, 0, "Listener for operators; every request needs the token."},
+         [](ListenSettings &target, const SettingValue &value) {
+             target.operatorAddress = value.text;
+         }},
+        {{"peer", ValueType::Address, true, "", 0, 0, "Listener for the other nodes."},
+         [](ListenSettings &target, const SettingValue &value) {
+             target.peer = value.text;
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<PlatformSettings>> &platformKeys()
+{
+    static const std::vector<KeyBinding<PlatformSettings>> keys{
+        {{"table-service", ValueType::Address, true, "", 0, 0, "The platform's transactional table service."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.tableService = value.text;
+         }},
+        {{"object-store", ValueType::Address, true, "", 0, 0, "The platform's object store."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.objectStore = value.text;
+         }},
+        {{"vm-list", ValueType::Address, true, "", 0, 0, "The platform's list of VMs."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.vmList = value.text;
+         }},
+        {{"table-timeout", ValueType::Duration, false, "1s", 50, 10000,
+          "Wait for an answer of the table service; after it the outcome of a write is unknown."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.tableTimeout = Milliseconds(value.number);
+         }},
+        {{"object-timeout", ValueType::Duration, false, "5s", 50, 60000, "Wait for an answer of the object store."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.objectTimeout = Milliseconds(value.number);
+         }},
+        {{"vm-list-timeout", ValueType::Duration, false, "1s", 50, 10000, "Wait for an answer of the VM list."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.vmListTimeout = Milliseconds(value.number);
+         }},
+        {{"vm-list-interval", ValueType::Duration, false, "500ms", 50, 5000, "Time between two reads of the VM list."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.vmListInterval = Milliseconds(value.number);
+         }},
+        {{"worker-timeout", ValueType::Duration, false, "500ms", 50, 5000,
+          "Wait for an answer of the agent on a worker."},
+         [](PlatformSettings &target, const SettingValue &value) {
+             target.workerTimeout = Milliseconds(value.number);
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<OperatorSettings>> &operatorKeys()
+{
+    static const std::vector<KeyBinding<OperatorSettings>> keys{
+        {{"token", ValueType::Secret, false, "", 0, 0, "Bearer token of operators. Give either this or `token-file`."},
+         [](OperatorSettings &target, const SettingValue &value) {
+             target.token = value.text;
+         }},
+        {{"token-file", ValueType::FilePath, false, "", 0, 0, "File with the token on its first line, read at start."},
+         [](OperatorSettings &target, const SettingValue &value) {
+             target.tokenFile = value.text;
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<LeaseSettings>> &leaseKeys()
+{
+    static const std::vector<KeyBinding<LeaseSettings>> keys{
+        {{"store", ValueType::Duration, false, "3s", 500, 6000,
+          "How long a node may act after it renewed its row in the table service. The same on all nodes."},
+         [](LeaseSettings &target, const SettingValue &value) {
+             target.store = Milliseconds(value.number);
+         }},
+        {{"grant", ValueType::Duration, false, "2s", 200, 5000,
+          "How long a grant of another node lets a node act. Shorter than `store`. The same on all nodes."},
+         [](LeaseSettings &target, const SettingValue &value) {
+             target.grant = Milliseconds(value.number);
+         }},
+        {{"worker", ValueType::Duration, false, "20s", 1000, 600000,
+          "How long tasks on a worker run on without a message of the worker's owner. Longer than a takeover."},
+         [](LeaseSettings &target, const SettingValue &value) {
+             target.worker = Milliseconds(value.number);
+         }},
+        {{"drift-percent", ValueType::Percent, false, "2%", 0, 20,
+          "Difference between the clock rates of two VMs, at most."},
+         [](LeaseSettings &target, const SettingValue &value) {
+             target.driftPercent = static_cast<int>(value.number);
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<LimitSettings>> &limitKeys()
+{
+    static const std::vector<KeyBinding<LimitSettings>> keys{
+        {{"threads", ValueType::Integer, false, "32", 1, 1024, "Threads that serve connections, for each listener."},
+         [](LimitSettings &target, const SettingValue &value) {
+             target.threads = static_cast<int>(value.number);
+         }},
+        {{"body-size", ValueType::Size, false, "4MB", 1, 256, "Size of a request's body, at most."},
+         [](LimitSettings &target, const SettingValue &value) {
+             target.bodyMb = static_cast<int>(value.number);
+         }},
+        {{"drain", ValueType::Duration, false, "30s", 0, 600000,
+          "How long a shutdown waits for requests in flight, at most."},
+         [](LimitSettings &target, const SettingValue &value) {
+             target.drain = Milliseconds(value.number);
+         }},
+    };
+    return keys;
+}
+
+const std::vector<KeyBinding<LogSettings>> &logKeys()
+{
+    static const std::vector<KeyBinding<LogSettings>> keys{
+        {{"directory", ValueType::FilePath, false, "", 0, 0, "Directory for log files; none are written without it."},
+         [](LogSettings &target, const SettingValue &value) {
+             target.directory = value.text;
+         }},
+        {{"level", ValueType::LogLevel, false, "info", 0, 0, "Least severity that is logged."},
+         [](LogSettings &target, const SettingValue &value) {
+             target.level = value.text;
+         }},
+        {{"to-stderr", ValueType::Boolean, false, "yes", 0, 0, "Whether log lines go to standard error."},
+         [](LogSettings &target, const SettingValue &value) {
+             target.toStderr = value.number != 0;
+         }},
+    };
+    return keys;
+}
+
+const std::vector<SectionSchema> &daemonSchema()
+{
+    static const std::vector<SectionSchema> schema{
+        makeSection("node", false, "Who this node is.", nodeKeys()),
+        makeSection("listen", false, "Where this node listens.", listenKeys()),
+        makeSection("platform", false, "Where the platform's services are.", platformKeys()),
+        makeSection("operator", false, "How operators prove who they are.", operatorKeys()),
+        makeSection("leases", false, "Times of the right to act.", leaseKeys()),
+        makeSection("limits", false, "Bounds on what this node takes on.", limitKeys()),
+        makeSection("log", false, "Where log lines go.", logKeys()),
+    };
+    return schema;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libconfig/daemonkeys_pvt.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "keybinding_pvt.h"
+
+#include "fescueledge/daemonsettings.h"
+
+#include <vector>
+
+namespace fescueledge {
+
+/// The keys of each section of the daemon's settings.
+const std::vector<KeyBinding<NodeSettings>> &nodeKeys();
+const std::vector<KeyBinding<ListenSettings>> &listenKeys();
+const std::vector<KeyBinding<PlatformSettings>> &platformKeys();
+const std::vector<KeyBinding<OperatorSettings>> &operatorKeys();
+const std::vector<KeyBinding<LeaseSettings>> &leaseKeys();
+const std::vector<KeyBinding<LimitSettings>> &limitKeys();
+const std::vector<KeyBinding<LogSettings>> &logKeys();
+
+} // namespace fescueledge
