Add request routing, retries, forwards and keyed requests

librequest takes a caller's request from the route table to an endpoint: limits, slots and connections counted exactly by the owner, a queue that refuses at once what would wait past its deadline, choice by expected latency, ejection of endpoints that fail everything, retries and hedges within the pool's budget, one forward to another owner by lagging notices, and the durable record of keyed requests that are not idempotent.

Weighed: forwarding along a chain of owners finds a slot more often but can circle, so a forward is never handed on; the node that the caller asked decides about the next attempt. A send whose answer is lost keeps its slot until one second after its timeout, since the endpoint may still run it.

A claim of a key whose fate stays unknown is withdrawn by replacing the version it was conditioned on, so that a late effect fails and the answer 'not run' stays true.

--- /dev/null
+++ b/src/include/fescueledge/testing/requestworld.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "fescueledge/authority.h"
+#include "fescueledge/controlstate.h"
+#include "fescueledge/endpointdirectory.h"
+#include "fescueledge/requestdispatcher.h"
+#include "fescueledge/testing/fakeendpoints.h"
+#include "fescueledge/testing/fakenetwork.h"
+#include "fescueledge/testing/fakepeertransport.h"
+#include "fescueledge/testing/faketableservice.h"
+#include "fescueledge/testing/memorytable.h"
+#include "fescueledge/testing/simloop.h"
+#include "fescueledge/testing/simworld.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fescueledge {
+
+/// Who owns which shard, as every simulated node sees it at once. Tests write it directly.
+struct RequestOwnership
+{
+    struct Shard
+    {
+        NodeId owner; ///< Empty if every node owns it, which only baselines do.
+        Epoch epoch = 1;
+    };
+
+    std::map<ShardId, Shard> shards;
+    std::vector<EndpointEntry> endpoints;
+    std::shared_ptr<ControlState> control = std::make_shared<ControlState>();
+    std::set<NodeId> live;
+    std::set<NodeId> mayNotAct;
+    std::map<WorkerId, int> inherited;
+};
+
+/// The rights of one simulated node, and the endpoints that they cover.
+class RequestRights : public Authority, public EndpointDirectory
+{
+public:
+    RequestRights(const RequestOwnership *ownership, const Loop *loop, const NodeId &self, Incarnation incarnation);
+
+    NodeId self() const override;
+    Incarnation incarnation() const override;
+    TimePoint actUntil() const override;
+    std::optional<Epoch> ownedEpoch(const ShardId &shard) const override;
+    std::optional<RowVersion> ownedRowVersion(const ShardId &shard) const override;
+    std::vector<ShardId> ownedShards() const override;
+    NodeId ownerOf(const ShardId &shard) const override;
+    std::shared_ptr<const ControlState> control() const override;
+    std::vector<NodeId> liveNodes() const override;
+    std::vector<EndpointEntry> endpointsOf(const std::string &pool) const override;
+
+private:
+    const RequestOwnership *m_ownership;
+    const Loop *m_loop;
+    NodeId m_self;
+    Incarnation m_incarnation;
+};
+
+/// One simulated node with the real request dispatcher. Its process can be killed.
+struct RequestNode
+{
+    RequestNode(class RequestWorld *world, const NodeId &name, Incarnation incarnation, const RequestPolicy &policy,
+                std::uint64_t seed);
+
+    void dispatch(const ServiceRequest &request, RequestDispatcher::Handler handler);
+
+    NodeId name;
+    SimLoop loop;
+    FakePeerTransport transport;
+    FakeTableService table;
+    FakeEndpointClient client;
+    RequestRights rights;
+    RequestDispatcher dispatcher;
+};
+
+/// Several nodes, endpoints, a table service and links in virtual time. One seed gives one run.
+class RequestWorld
+{
+public:
+    explicit RequestWorld(std::uint64_t seed);
+
+    /// Adds a rack with @p workers endpoints named `<rack>w<n>` in pool `shop`, owned by @p owner.
+    void addRack(const std::string &rack, int workers, const NodeId &owner, const DataCentreId &dataCentre = "a");
+    RequestNode &addNode(const NodeId &name, const RequestPolicy &policy = RequestPolicy());
+    /// Kills the process of @p name; its events are dropped. Other nodes see it as gone.
+    void kill(const NodeId &name);
+    /// Kills the process if it runs and starts a new one with the next incarnation.
+    RequestNode &restart(const NodeId &name);
+    RequestNode &node(const NodeId &name);
+    /// Gives @p shard to @p owner with the next epoch; @p inherited requests may run on each of its workers.
+    void moveShard(const ShardId &shard, const NodeId &owner, int inherited);
+    Route &route(const std::string &name);
+    Pool &pool();
+
+    SimWorld world;
+    FakeNetwork network;
+    FakeEndpoints endpoints;
+    MemoryTable rows;
+    RequestOwnership ownership;
+    FakeTableService::Faults storeFaults; ///< For nodes added later.
+
+private:
+    std::uint64_t m_seed;
+    std::uint64_t m_nodesStarted = 0;
+    std::map<NodeId, std::unique_ptr<RequestNode>> m_nodes;
+    std::vector<std::unique_ptr<RequestNode>> m_dead; ///< Kept, as late events may still name them.
+};
+
+/// A request to the idempotent route `get` of a RequestWorld.
+ServiceRequest previewRequest(const std::string &body);
+/// A request to its non-idempotent route `order`.
+ServiceRequest orderRequest(const std::string &body, const std::string &key);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/capacitynotice_pvt.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "localattempt_pvt.h"
+
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+namespace fescueledge {
+
+/// `endpoint-capacity`: the load on the endpoints that a node owns. Lagging by nature.
+struct EndpointCapacityNotice
+{
+    Incarnation incarnation = 0;
+    std::uint64_t sequence = 0; ///< Grows with each notice of one incarnation.
+    DataCentreId dataCentre; ///< Of the node; empty if it does not know.
+    std::map<std::string, PoolLoad> pools;
+};
+
+void to_json(nlohmann::json &json, const EndpointCapacityNotice &notice);
+void from_json(const nlohmann::json &json, EndpointCapacityNotice &notice);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/endpointchoice.cpp
@@ -0,0 +1,170 @@
+#include "fescueledge/endpointchoice.h"
+
+#include "fescueledge/random.h"
+
+#include <algorithm>
+#include <map>
+
+namespace fescueledge {
+
+namespace {
+
+double ownLoad(const EndpointCandidate &candidate)
+{
+    return static_cast<double>(candidate.inFlight) / std::max(1, candidate.slots);
+}
+
+class RandomChoice : public EndpointChoice
+{
+public:
+    const char *measure() const override
+    {
+        return "random";
+    }
+    double cost(const EndpointCandidate &) const override
+    {
+        return 0;
+    }
+    std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        return random.below(candidates.size());
+    }
+};
+
+class RoundRobinChoice : public EndpointChoice
+{
+public:
+    const char *measure() const override
+    {
+        return "round_robin";
+    }
+    double cost(const EndpointCandidate &) const override
+    {
+        return 0;
+    }
+    std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &) override
+    {
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            if (candidates[n].worker > m_last) {
+                m_last = candidates[n].worker;
+                return n;
+            }
+        }
+        m_last = candidates.front().worker;
+        return 0;
+    }
+
+private:
+    WorkerId m_last;
+};
+
+class TwoRandomChoice : public EndpointChoice
+{
+public:
+    const char *measure() const override
+    {
+        return "own_load_of_two";
+    }
+    double cost(const EndpointCandidate &candidate) const override
+    {
+        return ownLoad(candidate);
+    }
+    std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        const std::size_t a = random.below(candidates.size());
+        const std::size_t b = random.below(candidates.size());
+        return cost(candidates[b]) < cost(candidates[a]) ? b : a;
+    }
+};
+
+/// Weight plus carry, as in section "Meta Partition Creation" of the CubeFS paper.
+class WeightCarryChoice : public EndpointChoice
+{
+public:
+    const char *measure() const override
+    {
+        return "weight_carry";
+    }
+    double cost(const EndpointCandidate &candidate) const override
+    {
+        const auto it = m_carry.find(candidate.worker);
+        return it == m_carry.end() ? 0 : -it->second;
+    }
+    std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        std::size_t best = 0;
+        double bestCarry = -1;
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            const auto it = m_carry.emplace(candidates[n].worker, random.unit()).first;
+            // The weight of an unused node is 1; below 1 the carry only grows, so it wins sooner or later.
+            if (it->second < 1) {
+                it->second += 1 - ownLoad(candidates[n]);
+            }
+            if (it->second > bestCarry) {
+                best = n;
+                bestCarry = it->second;
+            }
+        }
+        m_carry[candidates[best].worker] -= 1;
+        return best;
+    }
+
+private:
+    std::map<WorkerId, double> m_carry;
+};
+
+class LatencyAwareChoice : public EndpointChoice
+{
+public:
+    const char *measure() const override
+    {
+        return "expected_latency_ms";
+    }
+    double cost(const EndpointCandidate &candidate) const override
+    {
+        const double successShare = std::max(0.05, 1 - candidate.failureShare);
+        return candidate.latencyMs * (1 + ownLoad(candidate)) / successShare;
+    }
+    std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        // Starts at a random place, so that equal costs do not all go to the first.
+        const std::size_t start = random.below(candidates.size());
+        std::size_t best = start;
+        for (std::size_t n = 1; n < candidates.size(); ++n) {
+            const std::size_t it = (start + n) % candidates.size();
+            if (cost(candidates[it]) < cost(candidates[best])) {
+                best = it;
+            }
+        }
+        return best;
+    }
+};
+
+} // namespace
+
+std::shared_ptr<EndpointChoice> makeRandomChoice()
+{
+    return std::make_shared<RandomChoice>();
+}
+
+std::shared_ptr<EndpointChoice> makeRoundRobinChoice()
+{
+    return std::make_shared<RoundRobinChoice>();
+}
+
+std::shared_ptr<EndpointChoice> makeTwoRandomChoice()
+{
+    return std::make_shared<TwoRandomChoice>();
+}
+
+std::shared_ptr<EndpointChoice> makeWeightCarryChoice()
+{
+    return std::make_shared<WeightCarryChoice>();
+}
+
+std::shared_ptr<EndpointChoice> makeLatencyAwareChoice()
+{
+    return std::make_shared<LatencyAwareChoice>();
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/forwarder.cpp
@@ -0,0 +1,141 @@
+#include "forwarder_pvt.h"
+
+#include "localsender_pvt.h"
+
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge {
+
+namespace {
+
+const char *const forwardKind = "forward";
+/// Time for which copies of a forward are recognised.
+constexpr std::chrono::minutes seenLifetime{5};
+/// The owner answers this long before the caller's node stops to wait.
+constexpr Milliseconds replyMargin{5};
+
+DispatchResult lostAnswer(const NodeId &node)
+{
+    DispatchResult result;
+    result.error = ErrorKind::PeerUnreachable;
+    result.message = "no answer from node " + node;
+    result.outcome = RunOutcome::Unknown;
+    return result;
+}
+
+} // namespace
+
+Forwarder::Forwarder(Loop *loop, PeerTransport *transport, LocalSender *sender, RequestStatistics *statistics)
+    : m_loop(loop)
+    , m_transport(transport)
+    , m_sender(sender)
+    , m_statistics(statistics)
+{
+}
+
+void Forwarder::start()
+{
+    m_transport->setReceiver(
+        forwardKind, [this](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            onForward(message, respond);
+        });
+}
+
+void Forwarder::stopServing()
+{
+    m_stopped = true;
+}
+
+int Forwarder::serving() const
+{
+    return m_serving;
+}
+
+void Forwarder::setIdleHandler(std::function<void()> handler)
+{
+    m_idleHandler = std::move(handler);
+}
+
+void Forwarder::forward(const NodeId &node, const std::string &attemptId, const std::shared_ptr<LocalAttempt> &attempt)
+{
+    ForwardRequest request;
+    request.attemptId = attemptId;
+    request.request = attempt->request;
+    request.pool = attempt->pool;
+    request.urgency = attempt->urgency;
+    request.idempotent = attempt->idempotent;
+    const Milliseconds remaining = std::chrono::duration_cast<Milliseconds>(attempt->deadline - m_loop->now());
+    request.remaining = std::max(Milliseconds(1), remaining - replyMargin);
+    request.avoid = attempt->avoid;
+    ++m_statistics->forwardsSent;
+    m_transport->call(node, PeerMessage{forwardKind, request}, std::max(Milliseconds(1), remaining),
+                      [attempt, node, attemptId](const PeerResult &result) {
+                          if (!result.answered) {
+                              attempt->handler(lostAnswer(node));
+                              return;
+                          }
+                          const ForwardReply reply = result.reply.body.get<ForwardReply>();
+                          if (reply.attemptId != attemptId) {
+                              attempt->handler(lostAnswer(node));
+                              return;
+                          }
+                          DispatchResult out = reply.result;
+                          out.node = node;
+                          attempt->handler(out);
+                      });
+}
+
+void Forwarder::onForward(const PeerMessage &message, const std::function<void(const PeerMessage &)> &respond)
+{
+    const ForwardRequest request = message.body.get<ForwardRequest>();
+    const std::string attemptId = request.attemptId;
+    const auto answer = [respond, attemptId](const DispatchResult &result) {
+        respond(PeerMessage{forwardKind, ForwardReply{attemptId, result}});
+    };
+    if (isCopy(attemptId)) {
+        // The first one is running; its fate goes to whoever asked first.
+        answer(lostAnswer("that ran an earlier copy"));
+        return;
+    }
+    if (m_stopped) {
+        answer(notRun(ErrorKind::ShuttingDown, "the node drains"));
+        return;
+    }
+    ++m_statistics->forwardsServed;
+    ++m_serving;
+    const auto attempt = std::make_shared<LocalAttempt>();
+    attempt->request = request.request;
+    attempt->pool = request.pool;
+    attempt->deadline = m_loop->now() + request.remaining;
+    attempt->urgency = request.urgency;
+    attempt->idempotent = request.idempotent;
+    attempt->avoid = request.avoid;
+    attempt->handler = [this, answer](const DispatchResult &result) {
+        answer(result);
+        --m_serving;
+        if (m_idleHandler) {
+            m_idleHandler();
+        }
+    };
+    m_sender->submit(attempt);
+}
+
+bool Forwarder::isCopy(const std::string &attemptId)
+{
+    const TimePoint now = m_loop->now();
+    while (!m_seenOrder.empty() && now - m_seenOrder.front().first > seenLifetime) {
+        m_seen.erase(m_seenOrder.front().second);
+        m_seenOrder.pop_front();
+    }
+    if (!m_seen.insert(attemptId).second) {
+        return true;
+    }
+    m_seenOrder.emplace_back(now, attemptId);
+    return false;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/outlierdetector_pvt.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+namespace fescueledge {
+
+/// Whether one endpoint fails everything. An ejected endpoint gets nothing for a time that doubles with each
+/// ejection; then one probe at a time until it succeeds.
+class OutlierDetector
+{
+public:
+    enum class State {
+        Healthy,
+        Ejected,
+        Probing, ///< One request at a time may go to it.
+    };
+
+    State state(TimePoint now) const;
+    void addSuccess(TimePoint now);
+    /// Counts a failure. Returns true if the endpoint should be ejected now.
+    bool addFailure(TimePoint now);
+    void eject(TimePoint now);
+    /// Recent share of failures.
+    double failureShare(TimePoint now) const;
+
+private:
+    int m_consecutive = 0;
+    int m_ejections = 0; ///< In a row, without a success between them.
+    bool m_isOut = false;
+    TimePoint m_ejectedUntil;
+    double m_failureShare = 0;
+    TimePoint m_updated;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/remotecapacity.cpp
@@ -0,0 +1,132 @@
+#include "remotecapacity_pvt.h"
+
+#include "latencytracker_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge {
+
+namespace {
+
+const char *const noticeKind = "endpoint-capacity";
+constexpr Milliseconds noticeLifetime{3000};
+constexpr Milliseconds noticeTimeout{1000};
+constexpr double sameDataCentreHopMs = 1.0;
+constexpr double otherDataCentreHopMs = 3.0;
+constexpr double hopWeight = 0.2;
+
+} // namespace
+
+RemoteCapacity::RemoteCapacity(Loop *loop, PeerTransport *transport, Authority *authority)
+    : m_loop(loop)
+    , m_transport(transport)
+    , m_authority(authority)
+{
+}
+
+void RemoteCapacity::setDataCentre(const DataCentreId &dataCentre)
+{
+    m_dataCentre = dataCentre;
+}
+
+void RemoteCapacity::start(Milliseconds period, LoadSource source)
+{
+    m_period = period;
+    m_source = std::move(source);
+    m_transport->setReceiver(
+        noticeKind, [this](const NodeId &from, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            onNotice(from, message.body.get<EndpointCapacityNotice>());
+            respond(PeerMessage{noticeKind, nlohmann::json::object()});
+        });
+    tick();
+}
+
+void RemoteCapacity::tick()
+{
+    EndpointCapacityNotice notice;
+    notice.incarnation = m_authority->incarnation();
+    notice.sequence = ++m_sequence;
+    notice.dataCentre = m_dataCentre;
+    notice.pools = m_source();
+    const PeerMessage message{noticeKind, notice};
+    const TimePoint sentAt = m_loop->now();
+    for (const NodeId &node : m_authority->liveNodes()) {
+        if (node == m_authority->self()) {
+            continue;
+        }
+        m_transport->call(node, message, noticeTimeout, [this, node, sentAt](const PeerResult &result) {
+            if (result.answered) {
+                double &hop = m_nodes[node].roundTripMs;
+                const double ms = toMs(m_loop->now() - sentAt);
+                hop = hop == 0 ? ms : hop + (ms - hop) * hopWeight;
+            }
+        });
+    }
+    m_loop->postAfter(m_period, [this] {
+        tick();
+    });
+}
+
+void RemoteCapacity::onNotice(const NodeId &from, const EndpointCapacityNotice &notice)
+{
+    Node &node = m_nodes[from];
+    const bool isOlder = notice.incarnation < node.notice.incarnation
+        || (notice.incarnation == node.notice.incarnation && notice.sequence <= node.notice.sequence);
+    if (isOlder) {
+        return;
+    }
+    node.notice = notice;
+    node.received = m_loop->now();
+    node.forwardedSince.clear();
+}
+
+std::vector<RemoteCapacity::Place> RemoteCapacity::places(const std::string &pool) const
+{
+    std::vector<Place> places;
+    const std::vector<NodeId> live = m_authority->liveNodes();
+    for (const auto &it : m_nodes) {
+        const auto load = it.second.notice.pools.find(pool);
+        if (load == it.second.notice.pools.end() || load->second.totalSlots == 0) {
+            continue;
+        }
+        const bool isFresh = m_loop->now() - it.second.received < noticeLifetime;
+        if (!isFresh || std::find(live.begin(), live.end(), it.first) == live.end()) {
+            continue;
+        }
+        Place place{it.first, load->second, hopMs(it.second)};
+        const auto forwarded = it.second.forwardedSince.find(pool);
+        if (forwarded != it.second.forwardedSince.end()) {
+            place.load.freeSlots -= forwarded->second;
+            place.load.queued += std::max(0, -place.load.freeSlots);
+            place.load.freeSlots = std::max(0, place.load.freeSlots);
+        }
+        places.push_back(place);
+    }
+    return places;
+}
+
+double RemoteCapacity::hopMs(const Node &node) const
+{
+    if (node.roundTripMs > 0) {
+        return node.roundTripMs;
+    }
+    const bool isNear = !m_dataCentre.empty() && node.notice.dataCentre == m_dataCentre;
+    return isNear ? sameDataCentreHopMs : otherDataCentreHopMs;
+}
+
+void RemoteCapacity::noteForward(const NodeId &node, const std::string &pool)
+{
+    ++m_nodes[node].forwardedSince[pool];
+}
+
+void RemoteCapacity::forget(const NodeId &node)
+{
+    m_nodes[node].notice.pools.clear();
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/remotecapacity_pvt.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "capacitynotice_pvt.h"
+
+#include <functional>
+#include <map>
+
+namespace fescueledge {
+
+class Authority;
+class Loop;
+class PeerTransport;
+
+/// What other nodes have free, by their lagging notices, less what this node handed to them since.
+class RemoteCapacity
+{
+public:
+    /// Gives the load of the pools of this node for its own notices.
+    using LoadSource = std::function<std::map<std::string, PoolLoad>()>;
+
+    /// One other node that may take a request.
+    struct Place
+    {
+        NodeId node;
+        PoolLoad load;
+        double hopMs = 0; ///< Round trip to it.
+    };
+
+    RemoteCapacity(Loop *loop, PeerTransport *transport, Authority *authority);
+
+    void setDataCentre(const DataCentreId &dataCentre);
+    /// Registers the receiver and sends notices each @p period.
+    void start(Milliseconds period, LoadSource source);
+    /// Other live nodes with endpoints of @p pool, by fresh notices.
+    std::vector<Place> places(const std::string &pool) const;
+    /// Counts a request handed to @p node until its next notice.
+    void noteForward(const NodeId &node, const std::string &pool);
+    /// Forgets what @p node has free until its next notice.
+    void forget(const NodeId &node);
+
+private:
+    struct Node
+    {
+        EndpointCapacityNotice notice;
+        TimePoint received;
+        double roundTripMs = 0; ///< 0 before it was measured.
+        std::map<std::string, int> forwardedSince;
+    };
+
+    void tick();
+    void onNotice(const NodeId &from, const EndpointCapacityNotice &notice);
+    double hopMs(const Node &node) const;
+
+    Loop *m_loop;
+    PeerTransport *m_transport;
+    Authority *m_authority;
+    DataCentreId m_dataCentre;
+    Milliseconds m_period{0};
+    LoadSource m_source;
+    std::uint64_t m_sequence = 0;
+    std::map<NodeId, Node> m_nodes;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/requestdispatcher.cpp
@@ -0,0 +1,277 @@
+#include "fescueledge/requestdispatcher.h"
+
+#include "decisionlog_pvt.h"
+#include "forwarder_pvt.h"
+#include "localsender_pvt.h"
+#include "orderlog_pvt.h"
+#include "requestrunner_pvt.h"
+#include "routematcher_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/loop.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds tickPeriod{20};
+constexpr Milliseconds limitRetryAfter{100};
+/// A drain waits this long for the final rows of keyed requests after the last answer.
+constexpr Milliseconds drainOrderPatience{10000};
+
+} // namespace
+
+struct RequestDispatcher::Private
+{
+    Private(Loop *loop, EndpointClient *client, PeerTransport *transport, TableService *table, Authority *authority,
+            EndpointDirectory *directory, std::uint64_t seed)
+        : loop(loop)
+        , authority(authority)
+        , random(seed)
+        , sender(loop, client, authority, directory, &statistics, seed + 1)
+        , forwarder(loop, transport, &sender, &statistics)
+        , capacity(loop, transport, authority)
+        , runner(loop, authority, &sender, &forwarder, &capacity, &statistics, seed + 2)
+        , orders(loop, transport, table, authority, &statistics, seed + 4)
+    {
+    }
+
+    std::map<std::string, PoolLoad> loads();
+    void tick();
+    DispatchResult admit(const ServiceRequest &request, std::optional<Milliseconds> callerDeadline,
+                         AdmittedRequest &admitted);
+    void runKeyed(const AdmittedRequest &admitted, const Handler &handler);
+    void answered(const AdmittedRequest &admitted, const DispatchResult &result, const Handler &handler);
+    void refuse(const std::string &requestId, DispatchResult result, const Handler &handler);
+    void checkDrained();
+
+    Loop *loop;
+    Authority *authority;
+    Random random;
+    RequestPolicy policy;
+    RequestStatistics statistics;
+    LocalSender sender;
+    Forwarder forwarder;
+    RemoteCapacity capacity;
+    RequestRunner runner;
+    OrderLog orders;
+    DecisionLog decisions;
+    std::map<std::pair<std::string, std::string>, int> inFlightOfCustomer; ///< By pool and customer.
+    bool draining = false;
+    bool orderPatienceOver = false;
+    std::function<void()> drained;
+};
+
+RequestDispatcher::RequestDispatcher(Loop *loop, EndpointClient *client, PeerTransport *transport, TableService *table,
+                                     Authority *authority, EndpointDirectory *directory, std::uint64_t seed)
+    : d(std::make_unique<Private>(loop, client, transport, table, authority, directory, seed))
+{
+}
+
+RequestDispatcher::~RequestDispatcher() = default;
+
+void RequestDispatcher::setPolicy(const RequestPolicy &policy)
+{
+    d->policy = policy;
+    d->sender.setPolicy(policy);
+    d->runner.setPolicy(policy);
+}
+
+void RequestDispatcher::setDataCentre(const DataCentreId &dataCentre)
+{
+    d->capacity.setDataCentre(dataCentre);
+}
+
+void RequestDispatcher::start()
+{
+    const auto onIdle = [this] {
+        d->checkDrained();
+    };
+    d->forwarder.setIdleHandler(onIdle);
+    d->orders.setIdleHandler(onIdle);
+    d->forwarder.start();
+    d->orders.start();
+    d->capacity.start(d->policy.noticePeriod, [this] {
+        return d->loads();
+    });
+    d->tick();
+}
+
+std::map<std::string, PoolLoad> RequestDispatcher::Private::loads()
+{
+    std::map<std::string, PoolLoad> loads;
+    if (draining) {
+        return loads;
+    }
+    for (const Pool &pool : authority->control()->pools) {
+        const PoolLoad load = sender.load(pool);
+        if (load.totalSlots > 0) {
+            loads[pool.name] = load;
+        }
+    }
+    return loads;
+}
+
+void RequestDispatcher::Private::tick()
+{
+    sender.tick();
+    loop->postAfter(tickPeriod, [this] {
+        tick();
+    });
+}
+
+void RequestDispatcher::dispatch(const ServiceRequest &request, std::optional<Milliseconds> callerDeadline,
+                                 Handler handler)
+{
+    ++d->statistics.requests;
+    AdmittedRequest admitted;
+    admitted.request = request;
+    if (admitted.request.id.empty()) {
+        admitted.request.id = d->random.uniqueId();
+    }
+    const DispatchResult refusal = d->admit(admitted.request, callerDeadline, admitted);
+    if (admitted.route == nullptr) {
+        d->refuse(admitted.request.id, refusal, handler);
+        return;
+    }
+    ++d->statistics.inFlight;
+    ++d->inFlightOfCustomer[{admitted.pool->name, request.customer}];
+    if (!request.key.empty() && !admitted.route->idempotent) {
+        d->runKeyed(admitted, handler);
+        return;
+    }
+    d->runner.run(admitted, [this, admitted, handler](const DispatchResult &result) {
+        d->answered(admitted, result, handler);
+    });
+}
+
+DispatchResult RequestDispatcher::Private::admit(const ServiceRequest &request,
+                                                 std::optional<Milliseconds> callerDeadline, AdmittedRequest &admitted)
+{
+    if (draining) {
+        return notRun(ErrorKind::ShuttingDown, "this node drains");
+    }
+    admitted.control = authority->control();
+    const Route *route = matchRoute(admitted.control->routes, request);
+    if (route == nullptr) {
+        return notRun(ErrorKind::NoRoute, "no route matches " + request.method + " " + request.path);
+    }
+    admitted.pool = admitted.control->findPool(route->pool);
+    if (admitted.pool == nullptr) {
+        return notRun(ErrorKind::NoRoute, "route " + route->name + " names no known pool");
+    }
+    const auto it = inFlightOfCustomer.find({admitted.pool->name, request.customer});
+    const int inFlight = it == inFlightOfCustomer.end() ? 0 : it->second;
+    if (admitted.pool->customerLimit > 0 && inFlight >= admitted.pool->customerLimit) {
+        ++statistics.refusedByLimit;
+        DispatchResult refusal = notRun(ErrorKind::LimitExceeded, "limit of customer " + request.customer);
+        refusal.retryAfter = limitRetryAfter;
+        return refusal;
+    }
+    admitted.deadline = loop->now() + std::min(route->deadline, callerDeadline.value_or(route->deadline));
+    admitted.record = decisions.open(request.id, route->name, admitted.pool->name);
+    admitted.route = route;
+    return DispatchResult();
+}
+
+void RequestDispatcher::Private::runKeyed(const AdmittedRequest &admitted, const Handler &handler)
+{
+    orders.begin(admitted.request, admitted.deadline, [this, admitted, handler](const DispatchResult *answer) {
+        if (answer != nullptr) {
+            DispatchResult result = *answer;
+            result.requestId = admitted.request.id;
+            answered(admitted, result, handler);
+            return;
+        }
+        runner.run(admitted, [this, admitted, handler](const DispatchResult &result) {
+            orders.settle(admitted.request, result);
+            answered(admitted, result, handler);
+        });
+    });
+}
+
+void RequestDispatcher::Private::answered(const AdmittedRequest &admitted, const DispatchResult &result,
+                                          const Handler &handler)
+{
+    --statistics.inFlight;
+    const auto it = inFlightOfCustomer.find({admitted.pool->name, admitted.request.customer});
+    if (--it->second == 0) {
+        inFlightOfCustomer.erase(it);
+    }
+    if (result.ok) {
+        ++statistics.succeeded;
+    } else {
+        ++statistics.failed;
+    }
+    if (!result.ok && !admitted.request.key.empty() && result.outcome == RunOutcome::Unknown) {
+        ++statistics.unknownOrders;
+        LOG(WARNING) << "order_outcome_unknown request=" << admitted.request.id << " message=" << result.message;
+    }
+    handler(result);
+    checkDrained();
+}
+
+void RequestDispatcher::Private::refuse(const std::string &requestId, DispatchResult result, const Handler &handler)
+{
+    ++statistics.failed;
+    result.requestId = requestId;
+    loop->post([result, handler] {
+        handler(result);
+    });
+}
+
+void RequestDispatcher::drain(std::function<void()> done)
+{
+    d->draining = true;
+    d->drained = std::move(done);
+    d->forwarder.stopServing();
+    d->loop->postAfter(drainOrderPatience, [this] {
+        d->orderPatienceOver = true;
+        d->checkDrained();
+    });
+    d->loop->post([this] {
+        d->checkDrained();
+    });
+}
+
+void RequestDispatcher::Private::checkDrained()
+{
+    if (!drained || statistics.inFlight > 0 || forwarder.serving() > 0) {
+        return;
+    }
+    if (orders.unsettled() > 0 && !orderPatienceOver) {
+        return;
+    }
+    const std::function<void()> done = std::move(drained);
+    drained = nullptr;
+    loop->post(done);
+}
+
+int RequestDispatcher::inFlight(const WorkerId &worker) const
+{
+    return d->sender.endpoints().inFlight(worker);
+}
+
+int RequestDispatcher::inFlightOfShard(const ShardId &shard) const
+{
+    return d->sender.endpoints().inFlightOfShard(shard);
+}
+
+std::optional<DecisionRecord> RequestDispatcher::explain(const std::string &requestId) const
+{
+    return d->decisions.find(requestId);
+}
+
+RequestStatistics RequestDispatcher::statistics() const
+{
+    RequestStatistics statistics = d->statistics;
+    statistics.queued = static_cast<std::uint64_t>(d->sender.queued());
+    statistics.ejected = static_cast<std::uint64_t>(d->sender.endpoints().ejectedCount(d->loop->now()));
+    statistics.ordersUnsettled = static_cast<std::uint64_t>(d->orders.unsettled());
+    return statistics;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/requestrunner.cpp
@@ -0,0 +1,248 @@
+#include "requestrunner_pvt.h"
+
+#include "forwarder_pvt.h"
+#include "localsender_pvt.h"
+#include "routematcher_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/invariant.h"
+#include "fescueledge/loop.h"
+
+#include <algorithm>
+
+namespace fescueledge {
+
+namespace {
+
+/// Attempts that were refused before a byte was sent and may be made again elsewhere.
+constexpr int maxReroutes = 3;
+constexpr Milliseconds minHedgeDelay{1};
+constexpr int serverErrorStatus = 500;
+
+bool isServerError(const DispatchResult &result)
+{
+    return result.ok && result.response.status >= serverErrorStatus;
+}
+
+bool isNotRun(const DispatchResult &result)
+{
+    return !result.ok && result.outcome == RunOutcome::NotRun;
+}
+
+} // namespace
+
+/// A request that has not been answered yet, and its attempts.
+struct RequestRunner::Run
+{
+    AdmittedRequest admitted;
+    Handler handler;
+    TimePoint started;
+    bool finished = false;
+    int attempts = 0;
+    int open = 0; ///< Attempts without a result.
+    int inDoubt = 0; ///< Attempts that may have run or may still run.
+    int reroutes = 0;
+    std::vector<WorkerId> avoidWorkers;
+    std::set<NodeId> avoidNodes;
+    NodeId lastNode;
+    AttemptPtr lastAttempt;
+    DispatchResult last;
+
+    bool isIdempotent() const
+    {
+        return admitted.route->idempotent;
+    }
+    int maxAttempts() const
+    {
+        return isIdempotent() ? std::max(1, admitted.route->maxAttempts) : 1;
+    }
+};
+
+RequestRunner::RequestRunner(Loop *loop, Authority *authority, LocalSender *sender, Forwarder *forwarder,
+                             RemoteCapacity *capacity, RequestStatistics *statistics, std::uint64_t seed)
+    : m_loop(loop)
+    , m_authority(authority)
+    , m_sender(sender)
+    , m_forwarder(forwarder)
+    , m_capacity(capacity)
+    , m_statistics(statistics)
+    , m_chooser(seed)
+    , m_random(seed + 1)
+{
+}
+
+void RequestRunner::setPolicy(const RequestPolicy &policy)
+{
+    m_policy = policy;
+}
+
+void RequestRunner::run(const AdmittedRequest &admitted, Handler handler)
+{
+    const RunPtr run = std::make_shared<Run>();
+    run->admitted = admitted;
+    run->handler = std::move(handler);
+    run->started = m_loop->now();
+    m_pools[admitted.pool->name].budget.addFirstSend(admitted.pool->retryBudget);
+    if (run->started >= admitted.deadline) {
+        run->last = notRun(ErrorKind::DeadlineExceeded, "the deadline passed before the request was sent");
+    } else if (startAttempt(run)) {
+        scheduleHedge(run);
+        return;
+    } else {
+        run->last = notRun(ErrorKind::NoCapacity, "no owner of an endpoint of the pool is known");
+    }
+    m_loop->post([this, run] {
+        finish(run, run->last);
+    });
+}
+
+bool RequestRunner::startAttempt(const RunPtr &run)
+{
+    const std::optional<NodeId> node = choosePlace(run);
+    if (!node) {
+        return false;
+    }
+    assertInvariant(run->isIdempotent() || run->inDoubt == 0, Invariant::SendOnce,
+                    "request=" + run->admitted.request.id);
+    ++run->attempts;
+    ++run->open;
+    ++run->inDoubt;
+    run->lastNode = *node;
+    run->lastAttempt = makeAttempt(run, *node);
+    if (*node == m_authority->self()) {
+        m_sender->submit(run->lastAttempt);
+    } else {
+        m_capacity->noteForward(*node, run->admitted.pool->name);
+        m_forwarder->forward(*node, m_random.uniqueId(), run->lastAttempt);
+    }
+    return true;
+}
+
+std::optional<NodeId> RequestRunner::choosePlace(const RunPtr &run)
+{
+    const Pool &pool = *run->admitted.pool;
+    const RemoteCapacity::Place self{m_authority->self(), m_sender->load(pool), 0};
+    std::vector<RemoteCapacity::Place> others;
+    if (m_policy.forwarding) {
+        others = m_capacity->places(pool.name);
+    }
+    return m_chooser.choose(self, others, run->avoidNodes, run->admitted.record.get());
+}
+
+RequestRunner::AttemptPtr RequestRunner::makeAttempt(const RunPtr &run, const NodeId &node)
+{
+    const auto attempt = std::make_shared<LocalAttempt>();
+    attempt->request = run->admitted.request;
+    attempt->pool = run->admitted.pool->name;
+    attempt->deadline = run->admitted.deadline;
+    attempt->urgency = requestUrgency(run->admitted.request);
+    attempt->idempotent = run->isIdempotent();
+    attempt->avoid = run->avoidWorkers;
+    attempt->record = run->admitted.record;
+    attempt->handler = [this, run, node](const DispatchResult &result) {
+        onResult(run, node, result);
+    };
+    return attempt;
+}
+
+void RequestRunner::onResult(const RunPtr &run, const NodeId &node, const DispatchResult &result)
+{
+    --run->open;
+    if (isNotRun(result)) {
+        --run->inDoubt;
+    }
+    if (run->finished) {
+        return;
+    }
+    if (result.ok && (!isServerError(result) || !run->isIdempotent())) {
+        finish(run, result);
+        return;
+    }
+    // A server's own answer tells the caller more than a later refusal.
+    if (!isServerError(run->last) || isServerError(result)) {
+        run->last = result;
+    }
+    if (!result.worker.empty()) {
+        run->avoidWorkers.push_back(result.worker);
+    } else {
+        run->avoidNodes.insert(node);
+        if (node != m_authority->self() && result.error != ErrorKind::NoCapacity) {
+            m_capacity->forget(node);
+        }
+    }
+    if (mayRetry(run, result) && startAttempt(run)) {
+        ++m_statistics->retries;
+        return;
+    }
+    if (run->open == 0) {
+        finish(run, run->last);
+    }
+}
+
+bool RequestRunner::mayRetry(const RunPtr &run, const DispatchResult &result)
+{
+    if (m_loop->now() >= run->admitted.deadline) {
+        return false;
+    }
+    RetryBudget &budget = m_pools[run->admitted.pool->name].budget;
+    if (!isNotRun(result)) {
+        return run->isIdempotent() && run->attempts - run->reroutes < run->maxAttempts() && budget.take();
+    }
+    if (run->reroutes >= maxReroutes) {
+        return false;
+    }
+    ++run->reroutes;
+    return result.worker.empty() || budget.take();
+}
+
+void RequestRunner::scheduleHedge(const RunPtr &run)
+{
+    if (!m_policy.hedging || run->maxAttempts() < 2) {
+        return;
+    }
+    const Duration half = (run->admitted.deadline - run->started) / 2;
+    const double slowMs = m_pools[run->admitted.pool->name].window.slowThreshold();
+    Duration delay = half;
+    if (slowMs > 0) {
+        const Duration slow = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(slowMs));
+        delay = std::min(half, std::max<Duration>(slow, minHedgeDelay));
+    }
+    m_loop->postAfter(delay, [this, run] {
+        hedge(run);
+    });
+}
+
+void RequestRunner::hedge(const RunPtr &run)
+{
+    if (run->finished || run->open != 1 || run->attempts - run->reroutes >= run->maxAttempts()) {
+        return;
+    }
+    if (!m_pools[run->admitted.pool->name].budget.take()) {
+        return;
+    }
+    if (!run->lastAttempt->sentTo.empty()) {
+        run->avoidWorkers.push_back(run->lastAttempt->sentTo);
+    } else {
+        run->avoidNodes.insert(run->lastNode);
+    }
+    if (startAttempt(run)) {
+        ++m_statistics->hedges;
+    }
+}
+
+void RequestRunner::finish(const RunPtr &run, DispatchResult result)
+{
+    run->finished = true;
+    if (result.ok) {
+        m_pools[run->admitted.pool->name].window.add(toMs(m_loop->now() - run->started));
+    } else if (run->inDoubt > 0) {
+        result.outcome = RunOutcome::Unknown;
+    }
+    result.requestId = run->admitted.request.id;
+    result.attempts = run->attempts;
+    run->admitted.record->steps.push_back(
+        {"result", "", result.ok ? std::to_string(result.response.status) : errorKindName(result.error), {}});
+    run->handler(result);
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/librequest/retrybudget_pvt.h
@@ -0,0 +1,18 @@
+#pragma once
+
+namespace fescueledge {
+
+/// A token bucket that bounds further sends to a share of the first ones.
+class RetryBudget
+{
+public:
+    /// Adds @p share tokens for one first send.
+    void addFirstSend(double share);
+    /// Takes a token for one retry or hedge; false if there is none.
+    bool take();
+
+private:
+    double m_tokens = 10;
+};
+
+} // namespace fescueledge
