libmember: prove single ownership under random faults (P2)

Cause: ownership was only tested without faults. A fault driver injects 13 kinds of faults, one or two at a time and overlapping, into six nodes with clocks within one percent; an observer with the true time checks after each event that no two nodes act for one shard and that no epoch goes back.

Found by the test of a fleet that is replaced as a whole: absenceLimit was 30 s, so the shards of the old nodes stayed without owners for longer than 20 s. It is 10 s now.

heldUntil() is cached: it was computed anew for each question whether a node may act.

--- a/src/include/fescueledge/leasetimings.h
+++ b/src/include/fescueledge/leasetimings.h
@@ -18,7 +18,7 @@
     Milliseconds storePatience{5000}; ///< For finding out what became of a write whose answer was lost.
     Milliseconds joinDelay{4000}; ///< A node must have been seen for this long before shards move to it.
     Milliseconds silenceLimit{10000}; ///< After which a silent node is left out of a new grantor group.
-    Milliseconds absenceLimit{30000}; ///< After which a VM that its row says was listed counts as vanished.
+    Milliseconds absenceLimit{10000}; ///< A listed VM is gone for good once it was missing for this long.
     double driftAllowance = 0.03; ///< Clocks of two nodes differ by less than this in speed.
 
     /// The time to wait on this clock so that @p span has passed on any other.
--- /dev/null
+++ b/src/libmember/faultdriver_pvt.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "clusterfixture_pvt.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fescueledge {
+
+/// Injects faults into a cluster at random, often several at once, each for a limited time.
+class FaultDriver
+{
+public:
+    FaultDriver(ClusterFixture *cluster, std::uint64_t seed);
+
+    /// Injects faults for @p span, then heals everything.
+    void run(Duration span);
+
+    /// How often each kind of fault was injected.
+    std::map<std::string, int> counts;
+
+private:
+    using Fault = void (FaultDriver::*)();
+    struct NamedFault
+    {
+        const char *name;
+        Fault inject;
+    };
+    static const std::vector<NamedFault> &faults();
+
+    void next();
+    void killNode();
+    void replaceNode();
+    void pauseNode();
+    void cutLinks();
+    void isolateDataCentre();
+    void stopStore();
+    void stopStoreOfNode();
+    void loseAnswers();
+    void slowStore();
+    void loseMessages();
+    void freezeVmList();
+    void restartAll();
+    void drainNode();
+    /// Ends a fault after between @p shortest and @p longest.
+    void later(Milliseconds shortest, Milliseconds longest, std::function<void()> fn);
+    int anyNode();
+    void bootIfDown(int index);
+
+    ClusterFixture *m_cluster;
+    Random m_random;
+    bool m_active = false;
+};
+
+} // namespace fescueledge
--- a/src/libmember/grantholder.cpp
+++ b/src/libmember/grantholder.cpp
@@ -39,6 +39,7 @@
 void GrantHolder::clear()
 {
     m_grants.clear();
+    m_isCached = false;
 }
 
 void GrantHolder::tick()
@@ -88,9 +89,20 @@
     }
     TimePoint &until = m_grants[grantor];
     until = std::max(until, sentAt + m_timings.grant);
+    m_isCached = false;
 }
 
 TimePoint GrantHolder::heldUntil() const
+{
+    if (!m_isCached || m_cachedRevision != m_lease->groupsRevision()) {
+        m_heldUntil = computeHeldUntil();
+        m_cachedRevision = m_lease->groupsRevision();
+        m_isCached = true;
+    }
+    return m_heldUntil;
+}
+
+TimePoint GrantHolder::computeHeldUntil() const
 {
     if (m_lease->groups().empty()) {
         return TimePoint::min();
--- a/src/libmember/grantholder_pvt.h
+++ b/src/libmember/grantholder_pvt.h
@@ -34,6 +34,7 @@
     void tick();
     void request(const Grantor &grantor);
     void onReply(const Grantor &grantor, Incarnation self, TimePoint sentAt, const PeerResult &result);
+    TimePoint computeHeldUntil() const;
     TimePoint heldUntil(const GrantorGroup &group) const;
     TimePoint grantedUntil(const Grantor &grantor) const;
 
@@ -46,6 +47,9 @@
     LeaseTimings m_timings;
     bool m_running = false;
     std::map<Grantor, TimePoint> m_grants;
+    mutable TimePoint m_heldUntil; ///< Valid for m_cachedRevision of the groups and the present grants.
+    mutable std::uint64_t m_cachedRevision = 0;
+    mutable bool m_isCached = false;
 };
 
 } // namespace fescueledge
--- /dev/null
+++ b/src/libmember/promise_p2_single_owner_test.cpp
@@ -0,0 +1,123 @@
+#include "clusterfixture_pvt.h"
+#include "faultdriver_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr seconds settleLimit{20};
+
+bool settles(ClusterFixture *cluster, Duration limit)
+{
+    return cluster->runUntil(
+        [cluster] {
+            return cluster->allOwned();
+        },
+        limit);
+}
+
+void checkNoViolations(const ClusterFixture &cluster)
+{
+    for (const std::string &violation : cluster.violations) {
+        FAIL_CHECK(violation);
+        return;
+    }
+}
+
+} // namespace
+
+TEST_CASE("no two nodes act for one shard under random faults, and all shards are owned soon after them")
+{
+    const std::uint64_t seed = GENERATE(range(1, 41));
+    CAPTURE(seed);
+    ClusterFixture cluster(seed);
+    FaultDriver faults(&cluster, seed);
+    faults.run(minutes(3));
+    CHECK(settles(&cluster, settleLimit));
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("a killed node's shards have new owners within 20 s")
+{
+    const std::uint64_t seed = GENERATE(range(1, 11));
+    CAPTURE(seed);
+    ClusterFixture cluster(seed);
+    REQUIRE(settles(&cluster, settleLimit));
+    cluster.run(seconds(10));
+    cluster.kill(static_cast<int>(seed % 6));
+    CHECK(settles(&cluster, settleLimit));
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("a node that was paused for a minute does not act for what it owned before")
+{
+    ClusterFixture cluster(3);
+    REQUIRE(settles(&cluster, settleLimit));
+    const std::vector<ShardId> owned = cluster.node(0).authority.ownedShards();
+    REQUIRE_FALSE(owned.empty());
+    cluster.pause(0, true);
+    cluster.run(minutes(1));
+    CHECK(cluster.allOwned());
+    cluster.pause(0, false);
+    CHECK_FALSE(cluster.node(0).authority.ownedEpoch(owned.front()).has_value());
+    cluster.run(settleLimit);
+    CHECK(cluster.allOwned());
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("nodes go on acting through a store outage of ten minutes, also when one daemon restarts in it")
+{
+    ClusterFixture cluster(4);
+    REQUIRE(settles(&cluster, settleLimit));
+    cluster.run(seconds(30));
+    cluster.setStoreDown(true);
+    cluster.run(minutes(5));
+    CHECK(cluster.allOwned());
+    cluster.kill(2);
+    cluster.boot(2);
+    cluster.run(minutes(5));
+    for (int i = 0; i < cluster.size(); ++i) {
+        const NodeAuthority &authority = cluster.node(i).authority;
+        CAPTURE(i);
+        CHECK((cluster.node(i).loop.now() < authority.actUntil()) == (i != 2));
+    }
+    cluster.setStoreDown(false);
+    CHECK(settles(&cluster, settleLimit));
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("shards move on when all daemons are replaced at once by others with new names")
+{
+    ClusterFixture cluster(5);
+    REQUIRE(settles(&cluster, settleLimit));
+    cluster.run(seconds(10));
+    for (int i = 0; i < cluster.size(); ++i) {
+        cluster.replace(i);
+    }
+    CHECK(settles(&cluster, settleLimit));
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("a cut-off data centre and the others do not act for the same shards while the store is down for it")
+{
+    ClusterFixture cluster(6);
+    REQUIRE(settles(&cluster, settleLimit));
+    cluster.run(seconds(10));
+    cluster.isolateDataCentre("b", true);
+    cluster.node(1).table.faults.down = true;
+    cluster.node(4).table.faults.down = true;
+    CHECK(cluster.runUntil(
+        [&cluster] {
+            const std::optional<int> owner = cluster.actorOf(rackShard("b", "r0"));
+            return owner.has_value() && *owner % 3 != 1;
+        },
+        settleLimit));
+    cluster.heal();
+    CHECK(settles(&cluster, settleLimit));
+    checkNoViolations(cluster);
+}
--- a/src/libmember/storelease.cpp
+++ b/src/libmember/storelease.cpp
@@ -85,6 +85,11 @@
     return m_groups;
 }
 
+std::uint64_t StoreLease::groupsRevision() const
+{
+    return m_groupsRevision;
+}
+
 /// Runs the next step after @p delay, with jitter, in place of the one scheduled before.
 void StoreLease::schedule(Duration delay)
 {
@@ -267,7 +272,7 @@
         return;
     }
     m_leaseUntil = write.sentAt + m_timings.storeLease;
-    m_groups = {write.group};
+    setGroups({write.group});
     m_ready = true;
 }
 
@@ -280,7 +285,7 @@
     m_ready = false;
     m_uncertain = false;
     m_pending.clear();
-    m_groups.clear();
+    setGroups({});
     m_control->setIncarnation(0);
     m_listener.onFenced();
     schedule(soon);
@@ -317,9 +322,16 @@
 {
     if (m_groups.empty() || !(m_groups.back() == group)) {
         m_groups.push_back(group);
+        ++m_groupsRevision;
     }
 }
 
+void StoreLease::setGroups(std::vector<GrantorGroup> groups)
+{
+    m_groups = std::move(groups);
+    ++m_groupsRevision;
+}
+
 void StoreLease::forgetWrite(const std::string &writeId)
 {
     m_pending.erase(std::remove_if(m_pending.begin(), m_pending.end(),
--- a/src/libmember/storelease_pvt.h
+++ b/src/libmember/storelease_pvt.h
@@ -54,6 +54,8 @@
     TimePoint leaseUntil() const;
     /// The groups of each of which a majority must have granted.
     const std::vector<GrantorGroup> &groups() const;
+    /// Grows with each change of groups().
+    std::uint64_t groupsRevision() const;
 
 private:
     struct Write
@@ -79,6 +81,7 @@
     void removeRow();
     void finishDeregistration();
     void requireGroup(const GrantorGroup &group);
+    void setGroups(std::vector<GrantorGroup> groups);
     void forgetWrite(const std::string &writeId);
     GrantorGroup nextGroup() const;
     GrantorGroup proposeGroup() const;
@@ -110,6 +113,7 @@
     bool m_ready = false;
     std::vector<Write> m_pending;
     std::vector<GrantorGroup> m_groups;
+    std::uint64_t m_groupsRevision = 0;
 };
 
 } // namespace fescueledge
