--- a/src/standin/standinworker.cpp
+++ b/src/standin/standinworker.cpp
@@ -44,7 +44,9 @@
     reply.fenced = request.epoch < m_epoch;
     if (!reply.fenced) {
         m_epoch = request.epoch;
-        m_leaseEnds = now + request.lease;
+        if (clock(now) <= request.startBefore) {
+            m_leaseEnds = now + request.lease;
+        }
         for (const TaskCommand &command : request.commands) {
             carryOut(command, request.startBefore, now);
         }
@@ -128,6 +130,8 @@
     Attempted attempted;
     attempted.report.task = command.task;
     attempted.report.attempt = command.attempt;
+    attempted.report.limit = command.resources;
+    attempted.report.label = command.label;
     attempted.resources = command.resources;
     attempted.startedAt = now;
     if (clock(now) > startBefore || !(used() + command.resources).fitsIn(m_entry.capacity)) {
