--- a/src/include/fescueledge/taskcommand.h
+++ b/src/include/fescueledge/taskcommand.h
@@ -26,6 +26,7 @@
     std::string payload; ///< Start: the caller's description of the work, opaque to the scheduler.
     std::string checkpoint; ///< Start: object name of the state to resume from; empty to begin anew.
     double cpuShare = 1.0; ///< Throttle: share of the processors, in (0, 1].
+    std::string label = {}; ///< Start: opaque to the worker; it repeats it in every report of the attempt.
 };
 
 void to_json(nlohmann::json &json, const TaskCommand &command);
--- a/src/include/fescueledge/taskreport.h
+++ b/src/include/fescueledge/taskreport.h
@@ -26,6 +26,8 @@
     Resources used; ///< Measured use, lagging.
     std::string checkpoint; ///< Object name of the saved state, if any.
     std::string detail; ///< Exit text or refusal reason.
+    Resources limit = {}; ///< `resources` of the start command; all zero if the worker does not tell.
+    std::string label = {}; ///< `label` of the start command.
 
     /// True if the attempt does not run and never will again.
     bool isTerminal() const;
--- a/src/include/fescueledge/workermessages.h
+++ b/src/include/fescueledge/workermessages.h
@@ -16,7 +16,9 @@
     NodeId owner;
     Epoch epoch = 0; ///< Fencing token; the worker refuses a message with a smaller one than it has seen.
     Milliseconds lease{0}; ///< Tasks stop unless another message comes within this time.
-    Milliseconds startBefore{0}; ///< Start commands are refused once the worker's clock is past this.
+    /// Once the worker's clock is past this, it refuses start commands and renews no lease. The epoch and the other
+    /// commands count always.
+    Milliseconds startBefore{0};
     std::vector<TaskCommand> commands;
 };
 
--- a/src/libutil/workermessages.cpp
+++ b/src/libutil/workermessages.cpp
@@ -47,7 +47,7 @@
 {
     json = {{"kind", command.kind},           {"task", command.task},       {"attempt", command.attempt},
             {"resources", command.resources}, {"payload", command.payload}, {"checkpoint", command.checkpoint},
-            {"cpu_share", command.cpuShare}};
+            {"cpu_share", command.cpuShare},  {"label", command.label}};
 }
 
 void from_json(const nlohmann::json &json, TaskCommand &command)
@@ -59,12 +59,19 @@
     json.at("payload").get_to(command.payload);
     json.at("checkpoint").get_to(command.checkpoint);
     json.at("cpu_share").get_to(command.cpuShare);
+    json.at("label").get_to(command.label);
 }
 
 void to_json(nlohmann::json &json, const TaskReport &report)
 {
-    json = {{"task", report.task}, {"attempt", report.attempt},       {"state", report.state},
-            {"used", report.used}, {"checkpoint", report.checkpoint}, {"detail", report.detail}};
+    json = {{"task", report.task},
+            {"attempt", report.attempt},
+            {"state", report.state},
+            {"used", report.used},
+            {"checkpoint", report.checkpoint},
+            {"detail", report.detail},
+            {"limit", report.limit},
+            {"label", report.label}};
 }
 
 void from_json(const nlohmann::json &json, TaskReport &report)
@@ -75,6 +82,8 @@
     json.at("used").get_to(report.used);
     json.at("checkpoint").get_to(report.checkpoint);
     json.at("detail").get_to(report.detail);
+    json.at("limit").get_to(report.limit);
+    json.at("label").get_to(report.label);
 }
 
 void to_json(nlohmann::json &json, const WorkerRequest &request)
