Adopt, lease, fill and report the workers of owned racks

The rack owner's side of a task: systems over a worker table and an attempt table, behind WorkerController.

- Commands follow from the state of an attempt and are sent again until the worker shows their effect, so a lost exchange needs no special case.
Ruled out: a queue of commands, which has to be replayed after a hand-over.
- A silent worker is probed without renewing its leases.
With renewals in every probe a worker whose answers are lost would keep its tasks for ever and the owner could never take them as lapsed.
- An attempt is forgotten only once the worker's clock is past the start-before time of its last start command; otherwise a late duplicate would start it again.
- Room is committed by the larger of the declared need and the learnt peak of memory.
- An adopted attempt with no known limit takes the whole worker until it ends.

--- /dev/null
+++ b/src/libworker/attemptsystem.cpp
@@ -0,0 +1,186 @@
+#include "attemptsystem_pvt.h"
+
+#include "fescueledge/invariant.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/workermessages.h"
+#include "quarantinesystem_pvt.h"
+#include "workercontext_pvt.h"
+
+#include <glog/logging.h>
+
+namespace fescueledge {
+
+using Phase = AttemptRow::Phase;
+
+AttemptSystem::AttemptSystem(WorkerContext *context, QuarantineSystem *quarantine)
+    : m_context(context)
+    , m_quarantine(quarantine)
+{
+}
+
+void AttemptSystem::applyReply(WorkerRow *worker, const WorkerReply &reply)
+{
+    std::set<AttemptKey> reported;
+    for (const TaskReport &report : reply.tasks) {
+        reported.insert({report.task, report.attempt});
+        applyReport(*worker, report);
+    }
+    for (AttemptRow *row : m_context->tables.attemptsOn(worker->vm.name)) {
+        if (reported.count({row->task, row->attempt}) == 0) {
+            applyAbsence(*worker, row);
+        }
+    }
+}
+
+void AttemptSystem::applyReport(const WorkerRow &worker, const TaskReport &report)
+{
+    AttemptRow *row = m_context->tables.findAttempt(report.task, report.attempt);
+    if (row == nullptr && report.isTerminal() && m_context->tables.wasForgotten({report.task, report.attempt})) {
+        return;
+    }
+    if (row == nullptr || row->worker != worker.vm.name) {
+        row = adopt(worker, report);
+    }
+    if (row->phase == Phase::Ended) {
+        row->stillRuns = !report.isTerminal();
+        return;
+    }
+    if (report.isTerminal()) {
+        row->report = report;
+        end(row, report.state, report.detail, false);
+        return;
+    }
+    if (row->phase != Phase::Running) {
+        row->phase = Phase::Running;
+        row->startedAt = m_context->loop->now();
+    }
+    row->report = report;
+    m_context->sizes.observe(row->offer.kind, report.used, row->charge);
+}
+
+AttemptRow *AttemptSystem::adopt(const WorkerRow &worker, const TaskReport &report)
+{
+    WorkerTables &tables = m_context->tables;
+    const AttemptRow *other = tables.findAttempt(report.task, report.attempt);
+    if (other != nullptr) {
+        const bool harmless = other->phase == Phase::Held || other->phase == Phase::Ended || report.isTerminal();
+        assertInvariant(harmless, Invariant::SingleAttempt,
+                        "task=" + report.task + " worker=" + worker.vm.name + " worker=" + other->worker);
+        tables.removeAttempt({report.task, report.attempt}, m_context->loop->now());
+    }
+    AttemptRow row;
+    row.task = report.task;
+    row.attempt = report.attempt;
+    row.worker = worker.vm.name;
+    row.shard = worker.shard;
+    row.epoch = worker.epoch;
+    row.phase = Phase::Running;
+    row.startedAt = m_context->loop->now();
+    row.appliedShare = 0;
+    readAttemptLabel(report.label, row.offer);
+    row.charge = report.limit == Resources() ? worker.vm.capacity : report.limit;
+    LOG(INFO) << "attempt_adopted task=" << row.task << " attempt=" << row.attempt << " worker=" << row.worker;
+    return &tables.addAttempt(row);
+}
+
+void AttemptSystem::applyAbsence(const WorkerRow &worker, AttemptRow *row)
+{
+    if (row->phase == Phase::Running) {
+        end(row, TaskReport::State::Stopped, "the worker no longer has the attempt", true);
+        return;
+    }
+    const bool sent = row->startBefore.count() > 0;
+    const bool startable = m_context->loop->now() < row->holdUntil;
+    if (row->phase == Phase::Starting && sent && !startable && worker.clock > row->startBefore) {
+        end(row, TaskReport::State::Refused, "the start command did not reach the worker in time", false);
+    }
+}
+
+void AttemptSystem::run()
+{
+    std::map<WorkerId, WorkerRow> &workers = m_context->tables.workers;
+    for (auto it = workers.begin(); it != workers.end(); ++it) {
+        runOn(it->second);
+    }
+    m_context->tables.expireForgotten(m_context->loop->now());
+}
+
+void AttemptSystem::runOn(const WorkerRow &worker)
+{
+    const bool lost = worker.gone || leasesLapsed(worker);
+    for (AttemptRow *row : m_context->tables.attemptsOn(worker.vm.name)) {
+        const bool sent = row->phase == Phase::Running || row->startBefore.count() > 0;
+        if (lost && row->usesRoom() && sent) {
+            end(row, TaskReport::State::Stopped, worker.gone ? "the VM vanished" : "the lease lapsed", true);
+        } else if (row->phase == Phase::Ended && row->settled && worker.gone) {
+            m_context->tables.removeAttempt({row->task, row->attempt}, m_context->loop->now());
+        } else {
+            runWaiting(worker, row);
+        }
+    }
+}
+
+void AttemptSystem::runWaiting(const WorkerRow &worker, AttemptRow *row)
+{
+    const TimePoint now = m_context->loop->now();
+    const bool startable = now < row->holdUntil;
+    if (row->phase == Phase::Held && !startable) {
+        m_context->tables.removeAttempt({row->task, row->attempt}, now);
+    } else if (row->phase == Phase::Starting && row->startBefore.count() == 0) {
+        if (!startable || worker.leaving() || m_context->dataCentreOut(worker)) {
+            end(row, TaskReport::State::Refused, "the hold lapsed before the start", false);
+        }
+    }
+}
+
+void AttemptSystem::end(AttemptRow *row, TaskReport::State state, const std::string &detail, bool workerLost)
+{
+    row->phase = Phase::Ended;
+    row->workerLost = workerLost;
+    row->report.task = row->task;
+    row->report.attempt = row->attempt;
+    row->report.state = state;
+    row->report.detail = detail;
+    row->reportedAt = TimePoint();
+    m_quarantine->onEnded(*row);
+    LOG(INFO) << "attempt_ended task=" << row->task << " attempt=" << row->attempt << " worker=" << row->worker
+              << " state=" << taskReportStateName(state) << " lost=" << workerLost << " detail=\"" << detail << "\"";
+}
+
+void AttemptSystem::endUnknown(const WorkerRow &worker, const TaskId &task, Attempt attempt, Epoch claimEpoch)
+{
+    if (m_context->tables.wasForgotten({task, attempt})) {
+        return;
+    }
+    const bool over = worker.gone || worker.adopted || leasesLapsed(worker);
+    if (!over) {
+        return;
+    }
+    AttemptRow row;
+    row.task = task;
+    row.attempt = attempt;
+    row.worker = worker.vm.name;
+    row.shard = worker.shard;
+    row.epoch = worker.epoch;
+    AttemptRow &stored = m_context->tables.addAttempt(row);
+    if (claimEpoch == worker.epoch) {
+        end(&stored, TaskReport::State::Refused, "no room is held for the attempt", false);
+    } else {
+        end(&stored, TaskReport::State::Stopped, "the worker does not have the attempt", true);
+    }
+}
+
+bool AttemptSystem::leasesLapsed(const WorkerRow &worker) const
+{
+    const Duration allowance(static_cast<Duration::rep>(
+        static_cast<double>(Duration(m_context->timings.workerLease).count()) * (1 + m_context->timings.drift)));
+    return m_context->mayAct(worker) && m_context->loop->now() > worker.renewLimit + allowance;
+}
+
+bool AttemptSystem::mayStart(const WorkerRow &worker) const
+{
+    return worker.adopted && worker.clockKnown && !worker.leaving() && !m_context->dataCentreOut(worker)
+        && !m_context->silent(worker);
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/attemptsystem_pvt.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "fescueledge/taskreport.h"
+#include "fescueledge/types.h"
+
+#include <set>
+#include <string>
+
+namespace fescueledge {
+
+class QuarantineSystem;
+struct AttemptRow;
+struct WorkerContext;
+struct WorkerReply;
+struct WorkerRow;
+
+/// Moves attempts through their phases: by what workers report, and by time.
+class AttemptSystem
+{
+public:
+    AttemptSystem(WorkerContext *context, QuarantineSystem *quarantine);
+
+    /// Takes in a reply under the row's own epoch.
+    void applyReply(WorkerRow *worker, const WorkerReply &reply);
+    /// Drops holds that lapsed, refuses starts that can't happen any more, and ends attempts of lost workers.
+    void run();
+    /// Ends @p row with @p state and @p detail.
+    void end(AttemptRow *row, TaskReport::State state, const std::string &detail, bool workerLost);
+    /// Records that an attempt that this node does not know is over, for the report to its queue owner.
+    void endUnknown(const WorkerRow &worker, const TaskId &task, Attempt attempt, Epoch claimEpoch);
+    /// True if no task started under a message of this or an earlier owner can run on @p worker any more.
+    bool leasesLapsed(const WorkerRow &worker) const;
+    /// True if start commands may be sent to @p worker.
+    bool mayStart(const WorkerRow &worker) const;
+
+private:
+    void applyReport(const WorkerRow &worker, const TaskReport &report);
+    AttemptRow *adopt(const WorkerRow &worker, const TaskReport &report);
+    void applyAbsence(const WorkerRow &worker, AttemptRow *row);
+    void runOn(const WorkerRow &worker);
+    void runWaiting(const WorkerRow &worker, AttemptRow *row);
+
+    WorkerContext *m_context;
+    QuarantineSystem *m_quarantine;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/evacuationsystem_pvt.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+namespace fescueledge {
+
+struct WorkerContext;
+
+/// Checkpoints what runs on workers that leave and, at a bounded rate, in data centres that are out of service.
+class EvacuationSystem
+{
+public:
+    explicit EvacuationSystem(WorkerContext *context);
+    void run();
+
+private:
+    WorkerContext *m_context;
+    double m_allowance = 0;
+    TimePoint m_allowanceAt;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/exchangesystem_pvt.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "fescueledge/taskcommand.h"
+#include "fescueledge/types.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace fescueledge {
+
+class AttemptSystem;
+class CommandBuilder;
+struct WorkerContext;
+struct WorkerExchangeResult;
+struct WorkerRequest;
+struct WorkerRow;
+
+/// Exchanges a message with each worker once an interval, or at once when commands wait. One at a time for a worker.
+///
+/// The first exchange under an epoch fences earlier owners and carries no command; its reply adopts the worker.
+class ExchangeSystem
+{
+public:
+    ExchangeSystem(WorkerContext *context, AttemptSystem *attempts);
+
+    void run();
+
+private:
+    void send(WorkerRow *worker);
+    void addCommands(WorkerRow *worker, WorkerRequest *request, TimePoint *limit);
+    void assertStartsAllowed(const WorkerRow &worker) const;
+    void receive(const WorkerId &worker, std::uint64_t serial, const WorkerRequest &request,
+                 const WorkerExchangeResult &result);
+    void acknowledge(const WorkerRow &worker, const WorkerRequest &request);
+    Milliseconds workerTime(const WorkerRow &worker, TimePoint when) const;
+
+    WorkerContext *m_context;
+    AttemptSystem *m_attempts;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/interferenceestimator.cpp
@@ -0,0 +1,52 @@
+#include "interferenceestimator_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr double initialBase = 0.3; ///< p99 over target of a service that runs alone, before any measurement.
+constexpr double initialSlope = 0.5; ///< Slope of a kind that was never seen.
+constexpr double largestSlope = 20;
+constexpr double largestRatio = 10; ///< Larger measurements count as this.
+constexpr double gain = 0.1; ///< Share of the error that one measurement corrects.
+constexpr double baseGain = 0.02;
+constexpr double fade = 0.0005; ///< Share by which a slope returns to the initial one with each measurement.
+constexpr double smallestNorm = 0.05;
+
+} // namespace
+
+void InterferenceEstimator::observe(const std::string &pool, const InterferenceExposure &exposure, double ratio)
+{
+    const double error = std::min(ratio, largestRatio) - predict(pool, exposure);
+    double norm = smallestNorm;
+    for (auto it = exposure.begin(); it != exposure.end(); ++it) {
+        norm += it->second * it->second;
+    }
+    for (auto it = exposure.begin(); it != exposure.end(); ++it) {
+        double next = slope(pool, it->first) + gain * error * it->second / norm;
+        next += fade * (initialSlope - next);
+        m_slopes[{pool, it->first}] = std::clamp(next, 0.0, largestSlope);
+    }
+    double &base = m_base.emplace(pool, initialBase).first->second;
+    base = std::clamp(base + baseGain * error, 0.0, 1.0);
+}
+
+double InterferenceEstimator::slope(const std::string &pool, const std::string &kind) const
+{
+    const auto it = m_slopes.find({pool, kind});
+    return it == m_slopes.end() ? initialSlope : it->second;
+}
+
+double InterferenceEstimator::predict(const std::string &pool, const InterferenceExposure &exposure) const
+{
+    const auto base = m_base.find(pool);
+    double ratio = base == m_base.end() ? initialBase : base->second;
+    for (auto it = exposure.begin(); it != exposure.end(); ++it) {
+        ratio += slope(pool, it->first) * it->second;
+    }
+    return ratio;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/outcomesystem.cpp
@@ -0,0 +1,110 @@
+#include "outcomesystem_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+#include "workercontext_pvt.h"
+
+#include <glog/logging.h>
+#include <map>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr std::size_t itemsOfCall = 500;
+
+} // namespace
+
+OutcomeSystem::OutcomeSystem(WorkerContext *context)
+    : m_context(context)
+{
+}
+
+void OutcomeSystem::run()
+{
+    std::map<NodeId, Keys> keys;
+    std::map<AttemptKey, AttemptRow> &attempts = m_context->tables.attempts;
+    for (auto it = attempts.begin(); it != attempts.end(); ++it) {
+        if (!due(it->second)) {
+            continue;
+        }
+        const int partition = partitionOfJob(jobOfTask(it->first.first));
+        const NodeId owner = m_context->authority->ownerOf(queueShard(partition));
+        Keys &list = keys[owner];
+        if (!owner.empty() && m_calling.count(owner) == 0 && list.size() < itemsOfCall) {
+            list.push_back(it->first);
+        }
+    }
+    for (auto it = keys.begin(); it != keys.end(); ++it) {
+        if (!it->second.empty()) {
+            send(it->first, it->second);
+        }
+    }
+}
+
+bool OutcomeSystem::due(const AttemptRow &row) const
+{
+    const Duration age = m_context->loop->now() - row.reportedAt;
+    if (row.phase == AttemptRow::Phase::Ended) {
+        return !row.settled && age >= m_context->timings.outcomeInterval;
+    }
+    return row.phase == AttemptRow::Phase::Running && age >= m_context->timings.runningInterval;
+}
+
+void OutcomeSystem::send(const NodeId &node, const Keys &keys)
+{
+    OutcomeReport report;
+    std::set<std::pair<TaskId, Attempt>> ends;
+    for (const std::pair<TaskId, Attempt> &key : keys) {
+        AttemptRow &row = m_context->tables.attempts.at(key);
+        row.reportedAt = m_context->loop->now();
+        report.items.push_back({row.report, row.worker, row.epoch, row.workerLost});
+        if (row.phase == AttemptRow::Phase::Ended) {
+            ends.insert(key);
+        }
+    }
+    m_calling.insert(node);
+    m_context->transport->call(node, {"outcome", report}, m_context->timings.callTimeout,
+                               [this, node, ends](const PeerResult &result) {
+                                   receive(node, ends, result);
+                               });
+}
+
+void OutcomeSystem::receive(const NodeId &node, const std::set<std::pair<TaskId, Attempt>> &ends,
+                            const PeerResult &result)
+{
+    m_calling.erase(node);
+    if (!result.answered) {
+        return;
+    }
+    OutcomeReply reply;
+    try {
+        reply = result.reply.body.get<OutcomeReply>();
+    } catch (const nlohmann::json::exception &) {
+        LOG(WARNING) << "outcome_reply_malformed node=" << node;
+        return;
+    }
+    for (const OutcomeReply::Item &item : reply.settled) {
+        settle(item, ends.count({item.task, item.attempt}) > 0);
+    }
+}
+
+void OutcomeSystem::settle(const OutcomeReply::Item &item, bool end)
+{
+    AttemptRow *row = m_context->tables.findAttempt(item.task, item.attempt);
+    if (row == nullptr) {
+        return;
+    }
+    if (row->phase == AttemptRow::Phase::Ended) {
+        row->settled = row->settled || end || item.obsolete;
+    } else if (item.obsolete && row->phase != AttemptRow::Phase::Held) {
+        row->stopWanted = true;
+    }
+    WorkerRow *worker = m_context->tables.findWorker(row->worker);
+    if (worker != nullptr) {
+        worker->urgent = worker->urgent || row->stopWanted;
+    }
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/outcomesystem_pvt.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "fescueledge/dispatchmessages.h"
+#include "fescueledge/types.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace fescueledge {
+
+struct AttemptRow;
+struct PeerResult;
+struct WorkerContext;
+
+/// Reports the ends of attempts to their queue owners until each is settled, and now and then what runs.
+class OutcomeSystem
+{
+public:
+    explicit OutcomeSystem(WorkerContext *context);
+    void run();
+
+private:
+    using Keys = std::vector<std::pair<TaskId, Attempt>>;
+
+    bool due(const AttemptRow &row) const;
+    void send(const NodeId &node, const Keys &keys);
+    void receive(const NodeId &node, const std::set<std::pair<TaskId, Attempt>> &ends, const PeerResult &result);
+    void settle(const OutcomeReply::Item &item, bool end);
+
+    WorkerContext *m_context;
+    std::set<NodeId> m_calling; ///< Nodes with a call that waits for its answer.
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/placementsystem.cpp
@@ -0,0 +1,191 @@
+#include "placementsystem_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/controlstate.h"
+#include "fescueledge/loop.h"
+#include "quarantinesystem_pvt.h"
+#include "workercontext_pvt.h"
+#include "workerload_pvt.h"
+
+#include <algorithm>
+#include <map>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr std::size_t decisionsKept = 2000;
+
+} // namespace
+
+const char *ruledOutName(RuledOut ruledOut)
+{
+    static const char *const names[] = {
+        "no",     "not-acting", "not-adopted", "no-pool",   "other-pool",      "data-centre-out", "leaving",
+        "silent", "avoided",    "quarantined", "earmarked", "service-latency", "no-room"};
+    return names[static_cast<int>(ruledOut)];
+}
+
+PlacementSystem::PlacementSystem(WorkerContext *context, const QuarantineSystem *quarantine)
+    : m_context(context)
+    , m_quarantine(quarantine)
+    , m_strategy(makePlacementStrategy(context->policy, &context->random))
+{
+}
+
+PlacementSystem::~PlacementSystem() = default;
+
+WorkerRow *PlacementSystem::choose(const TaskOffer &offer)
+{
+    PlacementDecision decision;
+    decision.task = offer.task;
+    decision.attempt = offer.attempt;
+    decision.when = m_context->loop->now();
+    decision.strategy = m_strategy->name();
+    decision.measure = m_strategy->measure();
+    std::vector<PlacementCandidate> candidates;
+    const std::shared_ptr<const ControlState> control = m_context->authority->control();
+    std::map<WorkerId, WorkerRow> &workers = m_context->tables.workers;
+    for (auto it = workers.begin(); it != workers.end(); ++it) {
+        RuledOut reason = ruledOut(it->second, offer);
+        if (reason == RuledOut::No) {
+            const Resources room = m_context->tables.room(it->second, offer.taskClass, *control);
+            if (chargeOn(it->second, offer).fitsIn(room)) {
+                candidates.push_back(candidate(&it->second, offer, room));
+                continue;
+            }
+            reason = RuledOut::NoRoom;
+        }
+        decision.candidates.push_back({it->first, reason, 0});
+    }
+    WorkerRow *chosen = nullptr;
+    if (!candidates.empty()) {
+        chosen = candidates[m_strategy->choose(offer, &candidates)].worker;
+        decision.chosen = chosen->vm.name;
+    }
+    for (const PlacementCandidate &it : candidates) {
+        decision.candidates.push_back({it.worker->vm.name, RuledOut::No, it.cost});
+    }
+    record(std::move(decision));
+    return chosen;
+}
+
+void PlacementSystem::record(PlacementDecision decision)
+{
+    m_decisions.push_back(std::move(decision));
+    if (m_decisions.size() > decisionsKept) {
+        m_decisions.pop_front();
+    }
+}
+
+std::string PlacementSystem::lastReason() const
+{
+    if (m_decisions.empty()) {
+        return "no-worker";
+    }
+    std::map<RuledOut, int> counts;
+    for (const PlacementDecision::Candidate &candidate : m_decisions.back().candidates) {
+        ++counts[candidate.ruledOut];
+    }
+    std::string reason;
+    for (auto it = counts.begin(); it != counts.end(); ++it) {
+        reason +=
+            (reason.empty() ? "" : ", ") + std::string(ruledOutName(it->first)) + ": " + std::to_string(it->second);
+    }
+    return reason.empty() ? "no-worker" : reason;
+}
+
+RuledOut PlacementSystem::generallyRuledOut(const WorkerRow &worker) const
+{
+    if (!m_context->mayAct(worker)) {
+        return RuledOut::NotActing;
+    }
+    if (worker.leaving()) {
+        return RuledOut::Leaving;
+    }
+    if (!worker.adopted) {
+        return RuledOut::NotAdopted;
+    }
+    if (worker.pool.empty()) {
+        return RuledOut::NoPool;
+    }
+    if (m_context->dataCentreOut(worker)) {
+        return RuledOut::DataCentreOut;
+    }
+    if (m_context->silent(worker)) {
+        return RuledOut::Silent;
+    }
+    return m_quarantine->admits(worker) ? RuledOut::No : RuledOut::Quarantined;
+}
+
+bool PlacementSystem::takesNew(const WorkerRow &worker) const
+{
+    return generallyRuledOut(worker) == RuledOut::No;
+}
+
+RuledOut PlacementSystem::ruledOut(const WorkerRow &worker, const TaskOffer &offer) const
+{
+    const RuledOut general = generallyRuledOut(worker);
+    if (general != RuledOut::No) {
+        return general;
+    }
+    if (!offer.pool.empty() && offer.pool != worker.pool) {
+        return RuledOut::OtherPool;
+    }
+    if (std::find(offer.avoid.begin(), offer.avoid.end(), worker.vm.name) != offer.avoid.end()) {
+        return RuledOut::Avoided;
+    }
+    const bool earmarked = m_context->loop->now() < worker.earmarkedUntil && worker.earmarkedFor != offer.task;
+    if (earmarked && offer.taskClass == TaskClass::Batch) {
+        return RuledOut::Earmarked;
+    }
+    const bool defended = m_context->policy.interference == "throttle" && offer.taskClass == TaskClass::Batch;
+    if (defended && reportedRatio(*m_context, worker) > m_context->policy.admitRatio) {
+        return RuledOut::ServiceLatency;
+    }
+    return RuledOut::No;
+}
+
+Resources PlacementSystem::chargeOn(const WorkerRow &worker, const TaskOffer &offer) const
+{
+    const bool batch = offer.taskClass == TaskClass::Batch;
+    const Resources most = taskCapacity(worker, batch, *m_context->authority->control());
+    return m_context->sizes.charge(offer.kind, offer.resources, most);
+}
+
+PlacementCandidate PlacementSystem::candidate(WorkerRow *worker, const TaskOffer &offer, const Resources &room) const
+{
+    PlacementCandidate candidate;
+    candidate.worker = worker;
+    candidate.room = room;
+    const double all = static_cast<double>(std::max<std::int64_t>(1, worker->vm.capacity.milliCores));
+    const Resources expected = m_context->sizes.expected(offer.kind, offer.resources);
+    const double added = static_cast<double>(std::min(expected.milliCores, offer.resources.milliCores)) / all;
+    candidate.reportedLoad = static_cast<double>(worker->used.milliCores) / all;
+    InterferenceExposure exposure = workerExposure(*m_context, *worker);
+    candidate.expectedLoad = added;
+    for (auto it = exposure.begin(); it != exposure.end(); ++it) {
+        candidate.expectedLoad += it->second;
+    }
+    const double reported = reportedRatio(*m_context, *worker);
+    const Pool *pool = m_context->authority->control()->findPool(worker->pool);
+    if (pool != nullptr && pool->targetP99.count() > 0) {
+        exposure[offer.kind] += added;
+        const double after = reported + added * m_context->interference.slope(worker->pool, offer.kind);
+        candidate.predictedRatio = std::max(after, m_context->interference.predict(worker->pool, exposure));
+    }
+    return candidate;
+}
+
+std::vector<PlacementDecision> PlacementSystem::explain(const TaskId &task) const
+{
+    std::vector<PlacementDecision> found;
+    for (const PlacementDecision &decision : m_decisions) {
+        if (decision.task == task) {
+            found.push_back(decision);
+        }
+    }
+    return found;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/quarantinesystem_pvt.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace fescueledge {
+
+struct AttemptRow;
+struct WorkerContext;
+struct WorkerRow;
+
+/// Keeps work from workers that fail what they start, and probes them with one attempt at a time after a backoff.
+///
+/// A failure counts against the worker only while its job is not known to fail everywhere.
+class QuarantineSystem
+{
+public:
+    explicit QuarantineSystem(WorkerContext *context);
+
+    /// Takes in how an attempt ended.
+    void onEnded(const AttemptRow &row);
+    /// True if @p worker gets no work, or only probes.
+    bool quarantined(const WorkerId &worker) const;
+    /// True if @p worker may get an attempt now, be it as a probe.
+    bool admits(const WorkerRow &worker) const;
+    /// Ends quarantines that rested on jobs that have turned out to fail everywhere, and drops old records.
+    void run();
+
+private:
+    struct Ended
+    {
+        TimePoint when;
+        JobId job;
+        bool failed = false;
+    };
+    struct Record
+    {
+        std::deque<Ended> ended;
+        bool quarantined = false;
+        TimePoint until; ///< No probe before this.
+        Duration backoff{};
+    };
+    struct JobRecord
+    {
+        std::set<WorkerId> failedOn;
+        bool succeeded = false;
+        TimePoint last;
+    };
+
+    bool failsEverywhere(const JobId &job) const;
+    bool failsOthers(const Record &record) const;
+    void release(const WorkerId &worker, Record *record);
+    void enter(const WorkerId &worker, Record *record);
+
+    WorkerContext *m_context;
+    std::map<WorkerId, Record> m_workers;
+    std::map<JobId, JobRecord> m_jobs;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/reservationsystem_pvt.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fescueledge/dispatchmessages.h"
+
+#include <string>
+
+namespace fescueledge {
+
+class AttemptSystem;
+class PlacementSystem;
+class PreemptionSystem;
+struct AttemptRow;
+struct WorkerContext;
+struct WorkerRow;
+
+/// Answers queue owners: holds room, starts what they have claimed, and stops or checkpoints what they name.
+class ReservationSystem
+{
+public:
+    ReservationSystem(WorkerContext *context, AttemptSystem *attempts, PlacementSystem *placement,
+                      PreemptionSystem *preemption);
+
+    ReserveReply reserve(const ReserveRequest &request);
+    /// Returns false if this node may not act for one of the workers; then nothing is known of its claim.
+    bool start(const StartRequest &request);
+    /// Returns false if this node may not act for one of the workers.
+    bool control(const ControlRequest &request);
+
+private:
+    Reservation decide(const TaskOffer &offer);
+    Reservation repeat(AttemptRow *row);
+    Reservation grant(const AttemptRow &row) const;
+    AttemptRow &hold(const WorkerRow &worker, const TaskOffer &offer);
+    void startClaim(WorkerRow *worker, const Reservation &claim);
+    void controlAttempt(WorkerRow *worker, const ControlRequest::Item &item);
+
+    WorkerContext *m_context;
+    AttemptSystem *m_attempts;
+    PlacementSystem *m_placement;
+    PreemptionSystem *m_preemption;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/rostersystem_pvt.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <cstdint>
+#include <set>
+
+namespace fescueledge {
+
+struct VmEntry;
+struct WorkerContext;
+
+/// Keeps one row for each worker of the racks that this node owns. A new epoch means that the worker is adopted anew.
+class RosterSystem
+{
+public:
+    explicit RosterSystem(WorkerContext *context);
+
+    void run();
+    /// Sets the pool of each worker from the control state in force.
+    void refreshPools();
+
+private:
+    void removeLost(const std::set<ShardId> &owned);
+    void refresh(const VmEntry &vm, const ShardId &shard);
+
+    WorkerContext *m_context;
+    std::uint64_t m_nextSerial = 1;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworker/workercontext_pvt.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "fescueledge/workerpolicy.h"
+#include "fescueledge/workertimings.h"
+#include "interferenceestimator_pvt.h"
+#include "sizeestimator_pvt.h"
+#include "workertable_pvt.h"
+
+#include "fescueledge/random.h"
+
+namespace fescueledge {
+
+class Authority;
+class Loop;
+class PeerTransport;
+class VmDirectory;
+class WorkerAgent;
+
+/// What the systems share: the interfaces to the outside, the settings, the tables and what was learnt.
+struct WorkerContext
+{
+    Loop *loop = nullptr;
+    WorkerAgent *agent = nullptr;
+    PeerTransport *transport = nullptr;
+    Authority *authority = nullptr;
+    VmDirectory *vmDirectory = nullptr;
+    WorkerTimings timings;
+    WorkerPolicy policy;
+    Random random;
+    WorkerTables tables;
+    SizeEstimator sizes;
+    InterferenceEstimator interference;
+
+    /// True if this node may act for @p worker now, under the epoch of its row.
+    bool mayAct(const WorkerRow &worker) const;
+    /// True if the data centre of @p worker is out of service.
+    bool dataCentreOut(const WorkerRow &worker) const;
+    /// True if @p worker has not answered for a while.
+    bool silent(const WorkerRow &worker) const;
+};
+
+} // namespace fescueledge
