--- a/src/include/fescueledge/testing/fakeendpoints.h
+++ b/src/include/fescueledge/testing/fakeendpoints.h
@@ -54,6 +54,8 @@
     Endpoint &at(const std::string &address);
     /// How often the request whose body is @p body ran.
     int runs(const std::string &body) const;
+    /// How often the request with id @p id ran.
+    int runsOfRequest(const std::string &id) const;
     /// The answer that a request with body @p body gets.
     static std::string answerTo(const std::string &body);
 
@@ -75,6 +77,7 @@
     Random m_random;
     std::map<std::string, Endpoint> m_endpoints;
     std::map<std::string, int> m_runs;
+    std::map<std::string, int> m_runsOfRequest;
 };
 
 /// The endpoint client of one simulated node.
--- a/src/include/fescueledge/testing/requestworld.h
+++ b/src/include/fescueledge/testing/requestworld.h
@@ -61,6 +61,23 @@
     Incarnation m_incarnation;
 };
 
+/// A transport that sometimes gives a call the reply of an earlier call of the same kind.
+class CrossingTransport : public PeerTransport
+{
+public:
+    CrossingTransport(PeerTransport *transport, std::uint64_t seed);
+    void call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler) override;
+    void setReceiver(const std::string &kind, Receiver receiver) override;
+
+    double crossing = 0; ///< Probability that a reply is another call's.
+    double twice = 0; ///< Probability that a call is delivered twice.
+
+private:
+    PeerTransport *m_transport;
+    Random m_random;
+    std::map<std::string, PeerMessage> m_lastReplies;
+};
+
 /// One simulated node with the real request dispatcher. Its process can be killed.
 struct RequestNode
 {
@@ -71,7 +88,8 @@
 
     NodeId name;
     SimLoop loop;
-    FakePeerTransport transport;
+    FakePeerTransport links;
+    CrossingTransport transport;
     FakeTableService table;
     FakeEndpointClient client;
     RequestRights rights;
@@ -111,6 +129,26 @@
     std::vector<std::unique_ptr<RequestNode>> m_dead; ///< Kept, as late events may still name them.
 };
 
+/// What callers asked and which answers they got.
+class RequestHistory
+{
+public:
+    struct Entry
+    {
+        ServiceRequest request;
+        NodeId node; ///< The node that was asked.
+        int answers = 0;
+        DispatchResult result;
+    };
+
+    /// Sends @p request through @p node with an id of its own; the entry stays valid.
+    Entry &ask(RequestNode &node, const ServiceRequest &request);
+    const std::vector<std::unique_ptr<Entry>> &entries() const;
+
+private:
+    std::vector<std::unique_ptr<Entry>> m_entries;
+};
+
 /// A request to the idempotent route `get` of a RequestWorld.
 ServiceRequest previewRequest(const std::string &body);
 /// A request to its non-idempotent route `order`.
--- a/src/librequest/requestworld.cpp
+++ b/src/librequest/requestworld.cpp
@@ -107,11 +107,42 @@
     return entries;
 }
 
+CrossingTransport::CrossingTransport(PeerTransport *transport, std::uint64_t seed)
+    : m_transport(transport)
+    , m_random(seed)
+{
+}
+
+void CrossingTransport::call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler)
+{
+    const std::string kind = message.kind;
+    if (m_random.chance(twice)) {
+        m_transport->call(to, message, timeout, [](const PeerResult &) {});
+    }
+    m_transport->call(to, message, timeout, [this, kind, handler](const PeerResult &result) {
+        PeerResult out = result;
+        const auto it = m_lastReplies.find(kind);
+        if (result.answered && it != m_lastReplies.end() && m_random.chance(crossing)) {
+            out.reply = it->second;
+        }
+        if (result.answered) {
+            m_lastReplies[kind] = result.reply;
+        }
+        handler(out);
+    });
+}
+
+void CrossingTransport::setReceiver(const std::string &kind, Receiver receiver)
+{
+    m_transport->setReceiver(kind, std::move(receiver));
+}
+
 RequestNode::RequestNode(RequestWorld *world, const NodeId &name, Incarnation incarnation, const RequestPolicy &policy,
                          std::uint64_t seed)
     : name(name)
     , loop(&world->world)
-    , transport(&world->network, &loop, name)
+    , links(&world->network, &loop, name)
+    , transport(&links, seed + 2)
     , table(&world->world, &loop, &world->rows, seed)
     , client(&world->endpoints, &loop)
     , rights(&world->ownership, &loop, name, incarnation)
@@ -218,6 +249,25 @@
     return ownership.control->pools.front();
 }
 
+RequestHistory::Entry &RequestHistory::ask(RequestNode &node, const ServiceRequest &request)
+{
+    m_entries.push_back(std::make_unique<Entry>());
+    Entry *entry = m_entries.back().get();
+    entry->request = request;
+    entry->request.id = "q" + std::to_string(m_entries.size());
+    entry->node = node.name;
+    node.dispatch(entry->request, [entry](const DispatchResult &result) {
+        ++entry->answers;
+        entry->result = result;
+    });
+    return *entry;
+}
+
+const std::vector<std::unique_ptr<RequestHistory::Entry>> &RequestHistory::entries() const
+{
+    return m_entries;
+}
+
 ServiceRequest previewRequest(const std::string &body)
 {
     ServiceRequest request;
--- a/src/libtesting/fakeendpoints.cpp
+++ b/src/libtesting/fakeendpoints.cpp
@@ -75,6 +75,12 @@
     return it == m_runs.end() ? 0 : it->second;
 }
 
+int FakeEndpoints::runsOfRequest(const std::string &id) const
+{
+    const auto it = m_runsOfRequest.find(id);
+    return it == m_runsOfRequest.end() ? 0 : it->second;
+}
+
 std::string FakeEndpoints::answerTo(const std::string &body)
 {
     return "answer to " + body;
@@ -116,6 +122,7 @@
     }
     const Duration service = fromMs(serviceTime(endpoint, m_random));
     ++m_runs[exchange->request.body];
+    ++m_runsOfRequest[exchange->request.id];
     m_world->after(std::min(service, left), [this, exchange, service, left] {
         if (service < left) {
             reply(exchange);
