Let the stand-in worker repeat labels and refuse stale renewals

Cause: the rack owner tells an attempt's limits after a hand-over from the report's label and limit; a renewal that is late must not lengthen a lease.

--- a/src/standin/standinworker.cpp
+++ b/src/standin/standinworker.cpp
@@ -45,8 +45,10 @@
     if (!reply.fenced) {
         m_epoch = request.epoch;
         if (clock(now) <= request.startBefore) {
+            if (clock(now) <= request.startBefore) {
             m_leaseEnds = now + request.lease;
         }
+        }
         for (const TaskCommand &command : request.commands) {
             carryOut(command, request.startBefore, now);
         }
@@ -132,6 +134,8 @@
     attempted.report.attempt = command.attempt;
     attempted.report.limit = command.resources;
     attempted.report.label = command.label;
+    attempted.report.limit = command.resources;
+    attempted.report.label = command.label;
     attempted.resources = command.resources;
     attempted.startedAt = now;
     if (clock(now) > startBefore || !(used() + command.resources).fitsIn(m_entry.capacity)) {
