Add the job queue: partitions, dispatch, outcomes and callers' operations

A node that owns queue:NN loads the jobs of that partition and is the only writer of their rows. Changes of tasks are gathered and written in batches, one transaction at a time for each partition; each is conditioned on the partition's shard row, on the job row and block rows that it touches and, for claims, on the rack's shard row. A transaction of unknown fate is looked up and repeated until it is known, and nothing else is written before that.

Weighed: block rows written at submission, which makes a job of 16384 tasks 258 rows; now a block row comes into being with the first claim in it, so that a submission is always two rows and tasks that were never offered take no memory. A cancellation is one row too: it closes the job, and pending tasks of a closed job count as cancelled.

Ruled out: conditions on block rows alone. An archived job has no block rows, so a stale view of it could claim a task again through a condition that the row does not exist; therefore each transaction names the job row as well.

Randomised runs with faults are not in yet.

--- /dev/null
+++ b/src/libqueue/dispatchsystem.cpp
@@ -0,0 +1,271 @@
+#include "dispatchsystem_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/controlstate.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+
+#include "partitionset_pvt.h"
+#include "queuecontext_pvt.h"
+#include "queuepartition_pvt.h"
+#include "teamusage_pvt.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr int maxOffersPerTick = 256;
+constexpr int maxOutstanding = 1024;
+constexpr int maxSkippedPerTeam = 32;
+constexpr std::size_t maxOffersPerMessage = 64;
+constexpr Milliseconds reserveTimeout{1000};
+constexpr Milliseconds firstRefusalDelay{50};
+constexpr int maxRefusalDoublings = 5;
+constexpr Milliseconds unansweredDelay{200};
+constexpr Milliseconds staleClaimDelay{100};
+
+} // namespace
+
+DispatchSystem::DispatchSystem(QueueContext *context, PartitionSet *partitions, TeamUsageSystem *usage,
+                               CapacityTable *capacity, ClaimedHandler onClaimed)
+    : m_context(context)
+    , m_partitions(partitions)
+    , m_usage(usage)
+    , m_capacity(capacity)
+    , m_onClaimed(std::move(onClaimed))
+    , m_order(makeStartOrder(context->policy.order))
+    , m_nodeChoice(makeNodeChoice(context->policy.nodeChoice))
+{
+}
+
+void DispatchSystem::tick()
+{
+    m_left = std::min(maxOffersPerTick, maxOutstanding - m_outstanding);
+    m_capacity->expire(m_context->loop->now());
+    for (const std::shared_ptr<QueuePartition> &it : m_partitions->acting()) {
+        it->jobs().releaseDue(m_context->loop->now());
+    }
+    offerClass(TaskClass::LatencyCritical);
+    offerClass(TaskClass::Batch);
+    sendOffers();
+}
+
+std::vector<TeamQueue> DispatchSystem::collect(TaskClass taskClass) const
+{
+    std::map<std::string, TeamQueue> teams;
+    for (const std::shared_ptr<QueuePartition> &partition : m_partitions->acting()) {
+        for (const auto &[name, jobs] : partition->jobs().runnable(taskClass)) {
+            teams[name].addJobs(partition, jobs);
+        }
+    }
+    const std::shared_ptr<const ControlState> control = m_context->authority->control();
+    std::vector<TeamQueue> result;
+    for (auto &[name, team] : teams) {
+        const TeamQuota *quota = control->findTeam(name);
+        team.team = name;
+        team.weight = quota == nullptr ? 1.0 : quota->weight;
+        team.used = m_usage->usage(name);
+        if (team.head() != nullptr) {
+            result.push_back(std::move(team));
+        }
+    }
+    return result;
+}
+
+void DispatchSystem::offerClass(TaskClass taskClass)
+{
+    m_noRoom.clear();
+    const std::shared_ptr<const ControlState> control = m_context->authority->control();
+    std::vector<TeamQueue> teams = collect(taskClass);
+    const Resources total = m_capacity->totalFree() + m_usage->total();
+    while (!teams.empty() && m_left > 0) {
+        const std::size_t n = m_order->next(teams, total);
+        TeamQueue &team = teams[n];
+        const bool goOn = offerHead(team, *control);
+        if (!goOn || team.head() == nullptr) {
+            teams[n] = std::move(teams.back());
+            teams.pop_back();
+        }
+    }
+}
+
+bool DispatchSystem::offerHead(TeamQueue &team, const ControlState &control)
+{
+    Job &job = *team.head();
+    const JobSpec &spec = job.record.spec;
+    const TeamQuota *quota = control.findTeam(team.team);
+    if (quota != nullptr && !m_usage->admits(*quota, spec.resources)) {
+        skip(team, "quota of the team");
+        return team.skipped() < maxSkippedPerTeam;
+    }
+    const bool urgent = spec.taskClass == TaskClass::LatencyCritical;
+    Offer offer;
+    offer.offer.pool = spec.pool;
+    offer.offer.resources = spec.resources;
+    std::vector<CapacityTable::Candidate> candidates;
+    if (!isKnownFull(job)) {
+        // For an urgent task a rack owner may make room, so it is asked even if it said that it is full.
+        candidates = m_capacity->candidates(offer.offer, control.dataCentresOut, urgent);
+    }
+    if (candidates.empty()) {
+        m_noRoom.push_back({spec.pool, spec.resources});
+        skip(team, "room on a worker");
+        return team.skipped() < maxSkippedPerTeam;
+    }
+    const std::shared_ptr<QueuePartition> partition = team.headPartition();
+    offer.partition = partition;
+    offer.job = job.id;
+    offer.candidate = m_nodeChoice->choose(candidates, m_context->random);
+    offer.index = partition->jobs().take(job);
+    offer.offer = job.offer(offer.index);
+    partition->jobs().reindex(job);
+    m_capacity->offered(offer.candidate, spec.resources);
+    m_usage->added(team.team, spec.resources);
+    team.used += spec.resources;
+    job.waitsFor.clear();
+    --m_left;
+    m_offers[offer.candidate.node].push_back(std::move(offer));
+    team.settle();
+    return true;
+}
+
+bool DispatchSystem::isKnownFull(const Job &job) const
+{
+    const JobSpec &spec = job.record.spec;
+    return std::any_of(m_noRoom.begin(), m_noRoom.end(), [&spec](const NoRoom &it) {
+        return it.pool == spec.pool && it.need.fitsIn(spec.resources);
+    });
+}
+
+void DispatchSystem::skip(TeamQueue &team, const char *waitsFor)
+{
+    team.head()->waitsFor = waitsFor;
+    team.skipHead();
+}
+
+void DispatchSystem::sendOffers()
+{
+    std::map<NodeId, std::vector<Offer>> offers;
+    offers.swap(m_offers);
+    for (auto &[node, list] : offers) {
+        for (std::size_t i = 0; i < list.size(); i += maxOffersPerMessage) {
+            const std::size_t end = std::min(list.size(), i + maxOffersPerMessage);
+            const auto first = list.begin() + static_cast<std::ptrdiff_t>(i);
+            const auto last = list.begin() + static_cast<std::ptrdiff_t>(end);
+            send(node, std::vector<Offer>(std::make_move_iterator(first), std::make_move_iterator(last)));
+        }
+    }
+}
+
+void DispatchSystem::send(const NodeId &node, const std::vector<Offer> &offers)
+{
+    ReserveRequest request;
+    for (const Offer &it : offers) {
+        request.offers.push_back(it.offer);
+    }
+    m_outstanding += static_cast<int>(offers.size());
+    m_context->counters.offers += offers.size();
+    m_context->transport->call(node, PeerMessage{"reserve", request}, reserveTimeout,
+                               [this, offers](const PeerResult &result) {
+                                   onReply(offers, result);
+                               });
+}
+
+void DispatchSystem::onReply(const std::vector<Offer> &offers, const PeerResult &result)
+{
+    m_outstanding -= static_cast<int>(offers.size());
+    ReserveReply reply;
+    if (result.answered && result.reply.kind == "reserve") {
+        reply = result.reply.body.get<ReserveReply>();
+    }
+    for (std::size_t i = 0; i < offers.size(); ++i) {
+        const Offer &offer = offers[i];
+        const bool matches = i < reply.reservations.size() && reply.reservations[i].task == offer.offer.task
+            && reply.reservations[i].attempt == offer.offer.attempt;
+        if (matches) {
+            onReservation(offer, reply.reservations[i]);
+            continue;
+        }
+        m_capacity->unanswered(offer.candidate, offer.offer.resources);
+        giveBack(offer, m_context->jittered(unansweredDelay));
+    }
+}
+
+void DispatchSystem::onReservation(const Offer &offer, const Reservation &reservation)
+{
+    if (reservation.granted) {
+        m_capacity->granted(offer.candidate, offer.offer.resources);
+    } else {
+        m_capacity->refused(offer.candidate, offer.offer.resources);
+    }
+    const std::shared_ptr<QueuePartition> partition = offer.partition.lock();
+    Job *job = partition ? partition->jobs().find(offer.job) : nullptr;
+    if (job == nullptr) {
+        return;
+    }
+    if (!reservation.granted) {
+        onRefusal(offer, *job, *partition, reservation.reason);
+        return;
+    }
+    if (job->closing || job->record.isClosed() || !partition->mayAct()) {
+        giveBack(offer, Duration::zero());
+        return;
+    }
+    claim(offer, *job, *partition, reservation);
+}
+
+void DispatchSystem::onRefusal(const Offer &offer, Job &job, QueuePartition &partition, const std::string &reason)
+{
+    ++m_context->counters.refusals;
+    job.refusals[offer.candidate.node] = reason;
+    job.waitsFor = "room on a worker";
+    const Duration delay = firstRefusalDelay * (1 << std::min(job.refusalsInRow, maxRefusalDoublings));
+    if (!job.backingOff) {
+        ++job.refusalsInRow;
+    }
+    const TimePoint notBefore = m_context->loop->now() + m_context->jittered(delay);
+    partition.jobs().backOff(job, notBefore);
+    partition.jobs().giveBack(job, offer.index, notBefore);
+}
+
+void DispatchSystem::claim(const Offer &offer, Job &job, QueuePartition &partition, const Reservation &reservation)
+{
+    Change change;
+    change.job = offer.job;
+    change.index = offer.index;
+    change.next = job.task(offer.index);
+    change.next.state = TaskState::Claimed;
+    change.next.attempt = offer.offer.attempt;
+    change.next.worker = reservation.worker;
+    change.next.shard = reservation.shard;
+    change.next.epoch = reservation.epoch;
+    change.next.shardRowVersion = reservation.shardRowVersion;
+    change.urgent = offer.offer.taskClass == TaskClass::LatencyCritical;
+    change.done = [this, offer](bool committed) {
+        if (committed) {
+            ++m_context->counters.claims;
+            m_onClaimed(offer.job, offer.index);
+        } else {
+            giveBack(offer, m_context->jittered(staleClaimDelay));
+        }
+    };
+    job.refusalsInRow = 0;
+    if (!partition.writer().stage(std::move(change))) {
+        giveBack(offer, m_context->jittered(unansweredDelay));
+    }
+}
+
+void DispatchSystem::giveBack(const Offer &offer, Duration delay)
+{
+    const std::shared_ptr<QueuePartition> partition = offer.partition.lock();
+    Job *job = partition ? partition->jobs().find(offer.job) : nullptr;
+    if (job != nullptr) {
+        partition->jobs().giveBack(*job, offer.index, m_context->loop->now() + delay);
+    }
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/fakeworkers_pvt.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "fescueledge/dispatchmessages.h"
+#include "fescueledge/random.h"
+#include "fescueledge/testing/memorytable.h"
+#include "fescueledge/testing/simworld.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fescueledge {
+
+/// The workers of a simulated fleet: the truth about what runs where, and what was wrong with it.
+class FakeWorkers
+{
+public:
+    /// An attempt on a worker, until it is forgotten.
+    struct Run
+    {
+        TaskOffer offer;
+        TaskReport report;
+        TimePoint startedAt;
+        TimePoint endsAt;
+        std::int64_t workBefore = 0; ///< Milliseconds of work in the checkpoint it began from.
+    };
+    struct Worker
+    {
+        WorkerId id;
+        ShardId rack;
+        Resources size;
+        bool up = true;
+        std::map<TaskId, std::map<Attempt, Run>> runs;
+    };
+
+    /// An attempt that was on a worker that vanished.
+    struct Loss
+    {
+        WorkerId worker;
+        ShardId rack;
+        bool noticed = false; ///< The rack owner reports it unasked.
+    };
+
+    FakeWorkers(SimWorld *world, const MemoryTable *rows, std::uint64_t seed);
+
+    void add(const WorkerId &id, const ShardId &rack, const Resources &size);
+    /// Starts an attempt. Records a violation if the task runs elsewhere or the store has no such claim.
+    void start(Worker &worker, const TaskOffer &offer);
+    void stop(Worker &worker, const TaskId &task, Attempt attempt, bool checkpoint);
+    /// The queue owner answered that the report is durable (or obsolete).
+    void forget(Worker &worker, const TaskId &task, Attempt attempt);
+    void lose(const WorkerId &id);
+    void restore(const WorkerId &id);
+    Resources used(const Worker &worker) const;
+
+    std::map<WorkerId, Worker> workers;
+    std::vector<std::string> violations; ///< What must never happen and did.
+    std::map<TaskId, TimePoint> firstStart;
+    std::map<TaskId, std::set<Attempt>> finishedRuns; ///< Attempts that ended with success.
+    std::map<std::pair<TaskId, Attempt>, Loss> losses;
+    std::uint64_t starts = 0;
+    std::uint64_t resumes = 0; ///< Starts from a checkpoint.
+    Milliseconds duration{500}; ///< Work of one task.
+    double failChance = 0;
+    bool checkClaims = true;
+
+private:
+    struct Checkpoints
+    {
+        std::string resumed; ///< The one that the last attempt began from.
+        std::string saved; ///< The one that the last attempt saved when it was evicted.
+        bool saveMayBeLost = false; ///< The worker vanished before the report was surely durable.
+    };
+
+    void violation(const std::string &what, const TaskId &task);
+    void checkClaim(const Worker &worker, const TaskOffer &offer);
+    void checkCheckpoint(const TaskOffer &offer);
+    void end(const WorkerId &id, const TaskId &task, Attempt attempt);
+
+    SimWorld *m_world;
+    const MemoryTable *m_rows;
+    Random m_random;
+    std::map<TaskId, WorkerId> m_running;
+    std::map<TaskId, std::set<Attempt>> m_started;
+    std::map<TaskId, Checkpoints> m_checkpoints;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/jobrecord_pvt.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "fescueledge/jobspec.h"
+#include "fescueledge/jobstatus.h"
+#include "fescueledge/types.h"
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+/// The rows of the job queue: their keys and what they hold.
+namespace fescueledge {
+
+/// Tasks that one block row holds.
+constexpr int tasksPerBlock = 64;
+
+/// Durable part of one task. The default is a task that was never claimed.
+struct TaskRecord
+{
+    TaskState state = TaskState::Pending;
+    Attempt attempt = 0; ///< The last attempt claimed.
+    WorkerId worker; ///< Worker of that attempt.
+    ShardId shard; ///< Rack shard of that worker.
+    Epoch epoch = 0; ///< Epoch of the rack shard at the claim.
+    RowVersion shardRowVersion = 0; ///< Version of the rack's shard row at the claim.
+    std::string checkpoint;
+    int failures = 0;
+    int losses = 0;
+    std::vector<AttemptRecord> history; ///< The last attempts that are over.
+};
+
+/// Durable part of one job, without its blocks.
+struct JobRecord
+{
+    JobSpec spec;
+    std::uint64_t order = 0; ///< Place in the order of acceptance; 0 for the version of the row itself.
+    std::string cancelledBy;
+    TaskState rest = TaskState::Pending; ///< State of the tasks that never ran, once the job is closed.
+    std::string detail; ///< Why it was closed.
+
+    /// True once tasks that do not run now never will.
+    bool isClosed() const
+    {
+        return rest != TaskState::Pending;
+    }
+};
+
+/// Appends the end of the current attempt to the history, which keeps the last few.
+void recordEnd(TaskRecord &task, const std::string &end, const std::string &detail);
+
+std::string encodeBlock(const std::vector<TaskRecord> &tasks);
+/// Throws nlohmann::json::exception if @p value is no block.
+std::vector<TaskRecord> decodeBlock(const std::string &value);
+nlohmann::json blockToJson(const std::vector<TaskRecord> &tasks);
+std::vector<TaskRecord> blockFromJson(const nlohmann::json &json);
+
+void to_json(nlohmann::json &json, const JobRecord &record);
+void from_json(const nlohmann::json &json, JobRecord &record);
+
+/// Prefix of the rows of kind @p kind (`job`, `block`, `done`, `cancel`) in @p partition.
+std::string partitionPrefix(const std::string &kind, int partition);
+std::string jobRowKey(const JobId &job);
+std::string doneRowKey(const JobId &job);
+std::string cancelRowKey(const JobId &job);
+/// Prefix of the keys of the block rows of @p job.
+std::string blockRowPrefix(const JobId &job);
+std::string blockRowKey(const JobId &job, int block);
+std::string jobKeyRowKey(const std::string &customer, const std::string &key);
+
+/// The job of @p task, or an empty string if @p task is no task id.
+JobId jobOfTask(const TaskId &task);
+/// The index of @p task in its job, or -1.
+int indexOfTask(const TaskId &task);
+TaskId taskId(const JobId &job, int index);
+
+/// Blocks that a job of @p taskCount tasks has.
+int blockCount(int taskCount);
+/// Tasks in block @p block of a job of @p taskCount tasks.
+int tasksInBlock(int taskCount, int block);
+/// The part of a key after its last slash.
+std::string lastKeyPart(const std::string &key);
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/jobsubmitter_pvt.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "fescueledge/jobqueue.h"
+
+#include <memory>
+
+namespace fescueledge {
+
+class PartitionSet;
+struct QueueContext;
+struct CommitResult;
+struct ReadResult;
+
+/// Writes new jobs and cancellations straight to the store, whichever node owns their partition, and hints to the
+/// owner that they are there.
+class JobSubmitter
+{
+public:
+    JobSubmitter(QueueContext *context, PartitionSet *partitions);
+
+    void start();
+    void submit(const JobSpec &spec, JobQueue::SubmitHandler handler);
+    /// Writes a row that cancels @p job once an owner of its partition reads it.
+    void writeCancel(const JobId &job, const std::string &who, std::function<void(std::optional<Error>)> handler);
+
+private:
+    struct Submission;
+
+    void readKey(const std::shared_ptr<Submission> &submission);
+    void onKey(const std::shared_ptr<Submission> &submission, const ReadResult &result);
+    void insert(const std::shared_ptr<Submission> &submission);
+    void onInsert(const std::shared_ptr<Submission> &submission, const CommitResult &result);
+    void hint(const JobId &job, int attempt);
+
+    QueueContext *m_context;
+    PartitionSet *m_partitions;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/nodechoice.cpp
@@ -0,0 +1,58 @@
+#include "nodechoice_pvt.h"
+
+#include "fescueledge/random.h"
+
+namespace fescueledge {
+
+namespace {
+
+/// Several queue owners that see the same lagging notice spread out in proportion to the room.
+class WeightedByRoom : public NodeChoiceStrategy
+{
+public:
+    const CapacityTable::Candidate &choose(const std::vector<CapacityTable::Candidate> &candidates,
+                                           Random &random) const override
+    {
+        double total = 0;
+        for (const CapacityTable::Candidate &it : candidates) {
+            total += weight(it);
+        }
+        double point = random.unit() * total;
+        for (const CapacityTable::Candidate &it : candidates) {
+            point -= weight(it);
+            if (point < 0) {
+                return it;
+            }
+        }
+        return candidates.back();
+    }
+
+private:
+    static double weight(const CapacityTable::Candidate &candidate)
+    {
+        constexpr double weightWithoutRoom = 0.01;
+        return candidate.room + weightWithoutRoom;
+    }
+};
+
+class RandomNode : public NodeChoiceStrategy
+{
+public:
+    const CapacityTable::Candidate &choose(const std::vector<CapacityTable::Candidate> &candidates,
+                                           Random &random) const override
+    {
+        return candidates[random.below(candidates.size())];
+    }
+};
+
+} // namespace
+
+std::unique_ptr<NodeChoiceStrategy> makeNodeChoice(QueuePolicy::NodeChoice choice)
+{
+    if (choice == QueuePolicy::NodeChoice::Random) {
+        return std::make_unique<RandomNode>();
+    }
+    return std::make_unique<WeightedByRoom>();
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/partitionset_pvt.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "fescueledge/authority.h"
+
+#include <array>
+#include <memory>
+#include <vector>
+
+namespace fescueledge {
+
+class QueuePartition;
+struct QueueContext;
+struct Job;
+
+/// The queue partitions that this node owns.
+class PartitionSet
+{
+public:
+    explicit PartitionSet(QueueContext *context);
+
+    /// Follows the authority: loads partitions that were won, drops those that were lost.
+    void refresh();
+    /// Partitions that are loaded and for which this node may act now.
+    std::vector<std::shared_ptr<QueuePartition>> acting() const;
+    /// The partition that keeps @p job, if it is loaded and this node may act for it now.
+    std::shared_ptr<QueuePartition> actingFor(const JobId &job) const;
+    /// The partition that keeps @p job, loaded or not, or nullptr.
+    std::shared_ptr<QueuePartition> owning(const JobId &job) const;
+    /// Writes the changes that are due.
+    void flush();
+
+private:
+    QueueContext *m_context;
+    std::array<std::shared_ptr<QueuePartition>, queuePartitions> m_partitions;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/queueworld.cpp
@@ -0,0 +1,310 @@
+#include "queueworld_pvt.h"
+
+#include "fakerackowner_pvt.h"
+#include "storedjob_pvt.h"
+
+#include <utility>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds hearsayLag{300};
+constexpr Milliseconds resubmitDelay{200};
+
+NodeId nodeName(int i)
+{
+    return "n" + std::to_string(i);
+}
+
+} // namespace
+
+ShardBoard::ShardBoard(SimWorld *world, MemoryTable *rows)
+    : m_world(world)
+    , m_rows(rows)
+{
+}
+
+void ShardBoard::give(const ShardId &shard, const NodeId &to, Incarnation incarnation)
+{
+    Right &right = rights[shard];
+    Transaction transaction;
+    transaction.puts.push_back({shardKey(shard), to});
+    right.version = m_rows->commit(transaction).version;
+    right.owner = to;
+    right.incarnation = incarnation;
+    ++right.epoch;
+}
+
+void ShardBoard::revoke(const ShardId &shard)
+{
+    rights[shard].owner.clear();
+}
+
+BoardAuthority::BoardAuthority(SimWorld *world, ShardBoard *board, const std::set<NodeId> *live,
+                               const std::shared_ptr<const ControlState> *control, const NodeId &self,
+                               Incarnation incarnation)
+    : m_world(world)
+    , m_board(board)
+    , m_live(live)
+    , m_control(control)
+    , m_self(self)
+    , m_incarnation(incarnation)
+{
+}
+
+NodeId BoardAuthority::self() const
+{
+    return m_self;
+}
+
+Incarnation BoardAuthority::incarnation() const
+{
+    return m_incarnation;
+}
+
+TimePoint BoardAuthority::actUntil() const
+{
+    return m_world->now() + std::chrono::seconds(1);
+}
+
+const ShardBoard::Right *BoardAuthority::own(const ShardId &shard) const
+{
+    const auto it = m_board->rights.find(shard);
+    const bool mine =
+        it != m_board->rights.end() && it->second.owner == m_self && it->second.incarnation == m_incarnation;
+    return mine ? &it->second : nullptr;
+}
+
+std::optional<Epoch> BoardAuthority::ownedEpoch(const ShardId &shard) const
+{
+    const ShardBoard::Right *right = own(shard);
+    return right == nullptr ? std::nullopt : std::optional<Epoch>(right->epoch);
+}
+
+std::optional<RowVersion> BoardAuthority::ownedRowVersion(const ShardId &shard) const
+{
+    const ShardBoard::Right *right = own(shard);
+    return right == nullptr ? std::nullopt : std::optional<RowVersion>(right->version);
+}
+
+std::vector<ShardId> BoardAuthority::ownedShards() const
+{
+    std::vector<ShardId> result;
+    for (const auto &[shard, right] : m_board->rights) {
+        if (own(shard) != nullptr) {
+            result.push_back(shard);
+        }
+    }
+    return result;
+}
+
+NodeId BoardAuthority::ownerOf(const ShardId &shard) const
+{
+    if (m_heard.empty() || m_world->now() - m_heardAt > hearsayLag) {
+        m_heardAt = m_world->now();
+        for (const auto &[name, right] : m_board->rights) {
+            m_heard[name] = right.owner;
+        }
+    }
+    return m_heard[shard];
+}
+
+std::shared_ptr<const ControlState> BoardAuthority::control() const
+{
+    return *m_control;
+}
+
+std::vector<NodeId> BoardAuthority::liveNodes() const
+{
+    return {m_live->begin(), m_live->end()};
+}
+
+QueueNode::QueueNode(SimWorld *world, FakeNetwork *network, MemoryTable *rows, BoardAuthority authorityOf,
+                     FakeWorkers *workers, std::uint64_t seed, const QueuePolicy &policy)
+    : loop(world)
+    , table(world, &loop, rows, seed + 1)
+    , transport(network, &loop, authorityOf.self())
+    , authority(std::move(authorityOf))
+    , queue(&loop, &table, &transport, &authority, seed + 2, policy)
+    , rack(std::make_unique<FakeRackOwner>(&loop, &transport, &authority, workers, seed + 3))
+{
+    queue.start();
+    rack->start();
+}
+
+QueueNode::~QueueNode() = default;
+
+QueueWorld::QueueWorld(std::uint64_t seed, int nodes, int racks, int workersPerRack, const Resources &size,
+                       const QueuePolicy &policy)
+    : network(&world, seed)
+    , random(seed + 1)
+    , controlNow(std::make_shared<ControlState>())
+    , board(&world, &rows)
+    , workers(&world, &rows, seed + 2)
+    , m_policy(policy)
+{
+    for (int i = 0; i < nodes; ++i) {
+        m_nodes.push_back(nullptr);
+        boot(i);
+    }
+    for (int i = 0; i < queuePartitions; ++i) {
+        m_shards.push_back(queueShard(i));
+    }
+    for (int i = 0; i < racks; ++i) {
+        const ShardId rack = rackShard("dc", std::to_string(i));
+        m_shards.push_back(rack);
+        for (int k = 0; k < workersPerRack; ++k) {
+            workers.add("w" + std::to_string(i) + "-" + std::to_string(k), rack, size);
+        }
+    }
+    for (std::size_t i = 0; i < m_shards.size(); ++i) {
+        const int to = static_cast<int>(i) % nodes;
+        board.give(m_shards[i], nodeName(to), node(to).authority.incarnation());
+    }
+}
+
+QueueWorld::~QueueWorld()
+{
+    for (const std::unique_ptr<QueueNode> &it : m_nodes) {
+        it->loop.kill();
+    }
+}
+
+QueueNode &QueueWorld::node(int i)
+{
+    return *m_nodes[static_cast<std::size_t>(i)];
+}
+
+int QueueWorld::nodeCount() const
+{
+    return static_cast<int>(m_nodes.size());
+}
+
+void QueueWorld::boot(int i)
+{
+    const Incarnation incarnation = ++m_lastIncarnation;
+    live.insert(nodeName(i));
+    BoardAuthority authority(&world, &board, &live, &controlNow, nodeName(i), incarnation);
+    m_nodes[static_cast<std::size_t>(i)] =
+        std::make_unique<QueueNode>(&world, &network, &rows, authority, &workers, random.below(1U << 30), m_policy);
+    node(i).table.faults = m_faults;
+}
+
+void QueueWorld::kill(int i)
+{
+    node(i).loop.kill();
+    live.erase(nodeName(i));
+    for (auto &[shard, right] : board.rights) {
+        if (right.owner == nodeName(i)) {
+            board.revoke(shard);
+        }
+    }
+}
+
+void QueueWorld::restart(int i)
+{
+    m_dead.push_back(std::move(m_nodes[static_cast<std::size_t>(i)]));
+    boot(i);
+}
+
+void QueueWorld::move(const ShardId &shard, int to, Duration gap)
+{
+    board.revoke(shard);
+    world.after(gap, [this, shard, to] {
+        if (board.rights[shard].owner.empty() && node(to).loop.isAlive()) {
+            board.give(shard, nodeName(to), node(to).authority.incarnation());
+        }
+    });
+}
+
+std::vector<ShardId> QueueWorld::shards() const
+{
+    return m_shards;
+}
+
+void QueueWorld::setFaults(const FakeTableService::Faults &faults)
+{
+    m_faults = faults;
+    for (const std::unique_ptr<QueueNode> &it : m_nodes) {
+        it->table.faults = faults;
+    }
+}
+
+JobSpec QueueWorld::spec(const std::string &team, const std::string &key, int tasks, std::int64_t milliCores) const
+{
+    JobSpec spec;
+    spec.customer = "c";
+    spec.team = team;
+    spec.key = key;
+    spec.name = key;
+    spec.kind = "k";
+    spec.taskCount = tasks;
+    spec.resources = Resources{milliCores, milliCores, 0};
+    return spec;
+}
+
+void QueueWorld::submit(int nodeIndex, const JobSpec &spec)
+{
+    const int to = node(nodeIndex).loop.isAlive() ? nodeIndex : (nodeIndex + 1) % nodeCount();
+    const auto answered = std::make_shared<bool>(false);
+    node(to).queue.submit(spec, [this, spec, to, answered](const JobQueue::SubmitResult &result) {
+        *answered = true;
+        if (!result.error) {
+            m_accepted[spec.key] = result.job;
+            return;
+        }
+        world.after(resubmitDelay, [this, to, spec] {
+            submit((to + 1) % nodeCount(), spec);
+        });
+    });
+    // The node may die before it answers.
+    world.after(std::chrono::seconds(10), [this, to, spec, answered] {
+        if (!*answered) {
+            submit((to + 1) % nodeCount(), spec);
+        }
+    });
+}
+
+const std::map<std::string, JobId> &QueueWorld::accepted() const
+{
+    return m_accepted;
+}
+
+bool QueueWorld::allEnded() const
+{
+    for (const auto &[key, job] : m_accepted) {
+        if (rows.read({doneRowKey(job)}).rows.empty()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+JobStatus QueueWorld::ended(const JobId &job) const
+{
+    return decodeDoneRow(rows.read({doneRowKey(job)}).rows.at(0))->status();
+}
+
+QueueCounters QueueWorld::counters() const
+{
+    QueueCounters sum;
+    for (const std::unique_ptr<QueueNode> &it : m_nodes) {
+        const QueueCounters one = it->queue.counters();
+        sum.transactions += one.transactions;
+        sum.rowsWritten += one.rowsWritten;
+        sum.conflicts += one.conflicts;
+        sum.offers += one.offers;
+        sum.refusals += one.refusals;
+        sum.claims += one.claims;
+        sum.finishes += one.finishes;
+        sum.evictions += one.evictions;
+        sum.losses += one.losses;
+        sum.openJobs += one.openJobs;
+        sum.pendingTasks += one.pendingTasks;
+        sum.claimedTasks += one.claimedTasks;
+    }
+    return sum;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/queueworld_pvt.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "fescueledge/authority.h"
+#include "fescueledge/controlstate.h"
+#include "fescueledge/jobqueue.h"
+#include "fescueledge/testing/fakenetwork.h"
+#include "fescueledge/testing/fakepeertransport.h"
+#include "fescueledge/testing/faketableservice.h"
+#include "fescueledge/testing/memorytable.h"
+#include "fescueledge/testing/simloop.h"
+#include "fescueledge/testing/simworld.h"
+
+#include "fakeworkers_pvt.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+/// Several daemons with job queues in virtual time, over one store and one set of workers, for tests.
+namespace fescueledge {
+
+class FakeRackOwner;
+
+/// Who owns each shard. It gives a right to one node at a time, as the real authority does, and writes its row.
+class ShardBoard
+{
+public:
+    struct Right
+    {
+        NodeId owner;
+        Incarnation incarnation = 0;
+        Epoch epoch = 0;
+        RowVersion version = 0;
+    };
+
+    ShardBoard(SimWorld *world, MemoryTable *rows);
+    void give(const ShardId &shard, const NodeId &to, Incarnation incarnation);
+    void revoke(const ShardId &shard);
+    std::map<ShardId, Right> rights;
+
+private:
+    SimWorld *m_world;
+    MemoryTable *m_rows;
+};
+
+/// The authority of one run of one node. It hears of other owners with a lag.
+class BoardAuthority : public Authority
+{
+public:
+    BoardAuthority(SimWorld *world, ShardBoard *board, const std::set<NodeId> *live,
+                   const std::shared_ptr<const ControlState> *control, const NodeId &self, Incarnation incarnation);
+    NodeId self() const override;
+    Incarnation incarnation() const override;
+    TimePoint actUntil() const override;
+    std::optional<Epoch> ownedEpoch(const ShardId &shard) const override;
+    std::optional<RowVersion> ownedRowVersion(const ShardId &shard) const override;
+    std::vector<ShardId> ownedShards() const override;
+    NodeId ownerOf(const ShardId &shard) const override;
+    std::shared_ptr<const ControlState> control() const override;
+    std::vector<NodeId> liveNodes() const override;
+
+private:
+    const ShardBoard::Right *own(const ShardId &shard) const;
+
+    SimWorld *m_world;
+    ShardBoard *m_board;
+    const std::set<NodeId> *m_live;
+    const std::shared_ptr<const ControlState> *m_control;
+    NodeId m_self;
+    Incarnation m_incarnation;
+    mutable std::map<ShardId, NodeId> m_heard;
+    mutable TimePoint m_heardAt;
+};
+
+/// One run of one daemon.
+struct QueueNode
+{
+    QueueNode(SimWorld *world, FakeNetwork *network, MemoryTable *rows, BoardAuthority authorityOf,
+              FakeWorkers *workers, std::uint64_t seed, const QueuePolicy &policy);
+    ~QueueNode();
+
+    SimLoop loop;
+    FakeTableService table;
+    FakePeerTransport transport;
+    BoardAuthority authority;
+    JobQueue queue;
+    std::unique_ptr<FakeRackOwner> rack;
+};
+
+class QueueWorld
+{
+public:
+    /// @p nodes daemons, @p racks racks of @p workersPerRack workers of @p size.
+    QueueWorld(std::uint64_t seed, int nodes, int racks, int workersPerRack, const Resources &size,
+               const QueuePolicy &policy = QueuePolicy());
+    ~QueueWorld();
+
+    QueueNode &node(int i);
+    int nodeCount() const;
+    void kill(int i);
+    void restart(int i);
+    /// Moves a shard to a node that is up, after a time without any owner.
+    void move(const ShardId &shard, int to, Duration gap);
+    std::vector<ShardId> shards() const;
+    void setFaults(const FakeTableService::Faults &faults);
+    JobSpec spec(const std::string &team, const std::string &key, int tasks, std::int64_t milliCores) const;
+    /// Submits until it is accepted; the id is in accepted() then.
+    void submit(int node, const JobSpec &spec);
+    const std::map<std::string, JobId> &accepted() const;
+    /// True if every accepted job was archived.
+    bool allEnded() const;
+    JobStatus ended(const JobId &job) const;
+    QueueCounters counters() const;
+
+    SimWorld world;
+    MemoryTable rows;
+    FakeNetwork network;
+    Random random;
+    ControlState control;
+    std::shared_ptr<const ControlState> controlNow;
+    std::set<NodeId> live;
+    ShardBoard board;
+    FakeWorkers workers;
+
+private:
+    void boot(int i);
+
+    QueuePolicy m_policy;
+    FakeTableService::Faults m_faults;
+    std::vector<std::unique_ptr<QueueNode>> m_nodes;
+    std::vector<std::unique_ptr<QueueNode>> m_dead;
+    std::vector<ShardId> m_shards;
+    std::map<std::string, JobId> m_accepted;
+    Incarnation m_lastIncarnation = 0;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libqueue/teamusage.cpp
@@ -0,0 +1,194 @@
+#include "teamusage_pvt.h"
+
+#include "fescueledge/authority.h"
+#include "fescueledge/controlstate.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/peertransport.h"
+
+#include "partitionset_pvt.h"
+#include "queuecontext_pvt.h"
+#include "queuepartition_pvt.h"
+
+#include <algorithm>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds roundPeriod{250};
+constexpr Milliseconds remoteLifetime{3000};
+constexpr Milliseconds callTimeout{1000};
+
+Resources find(const std::map<std::string, Resources> &sums, const std::string &team)
+{
+    const auto it = sums.find(team);
+    return it == sums.end() ? Resources() : it->second;
+}
+
+/// True if @p used plus @p need keeps @p limit, where 0 means no limit.
+bool within(std::int64_t used, std::int64_t need, std::int64_t limit)
+{
+    return limit <= 0 || need <= 0 || used + need <= limit;
+}
+
+bool withinLimit(const Resources &used, const Resources &need, const Resources &limit)
+{
+    return within(used.milliCores, need.milliCores, limit.milliCores)
+        && within(used.memoryMb, need.memoryMb, limit.memoryMb)
+        && within(used.accelerators, need.accelerators, limit.accelerators);
+}
+
+bool exceeds(const Resources &used, const Resources &limit)
+{
+    return (limit.milliCores > 0 && used.milliCores > limit.milliCores)
+        || (limit.memoryMb > 0 && used.memoryMb > limit.memoryMb)
+        || (limit.accelerators > 0 && used.accelerators > limit.accelerators);
+}
+
+/// True if @p added plus @p need is one task or keeps to 1/@p owners of what @p used left of @p limit.
+bool withinPart(std::int64_t added, std::int64_t need, std::int64_t limit, std::int64_t used, std::int64_t owners)
+{
+    return limit <= 0 || added == 0 || added + need <= std::max<std::int64_t>(0, limit - used) / owners;
+}
+
+} // namespace
+
+TeamUsageSystem::TeamUsageSystem(QueueContext *context, PartitionSet *partitions)
+    : m_context(context)
+    , m_partitions(partitions)
+{
+}
+
+void TeamUsageSystem::start()
+{
+    m_context->transport->setReceiver(
+        "team-usage", [this](const NodeId &from, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            onNotice(from, message.body);
+            respond(PeerMessage{"team-usage", nlohmann::json::object()});
+        });
+}
+
+void TeamUsageSystem::onNotice(const NodeId &from, const nlohmann::json &body)
+{
+    Remote remote;
+    remote.heard = m_context->loop->now();
+    for (const nlohmann::json &it : body.at("teams")) {
+        remote.sums[it.at("team").get<std::string>()] = it.at("used").get<Resources>();
+    }
+    m_remote[from] = remote;
+}
+
+void TeamUsageSystem::refresh()
+{
+    m_own.clear();
+    for (const std::shared_ptr<QueuePartition> &partition : m_partitions->acting()) {
+        for (const auto &[team, used] : partition->jobs().usage()) {
+            m_own[team] += used;
+        }
+    }
+}
+
+void TeamUsageSystem::tick()
+{
+    const TimePoint now = m_context->loop->now();
+    refresh();
+    if (now - m_lastRound < roundPeriod) {
+        return;
+    }
+    m_lastRound = now;
+    expire(now);
+    send();
+    logExcess();
+    m_addedInRound.clear();
+    m_atRound = m_own;
+    for (const auto &[node, remote] : m_remote) {
+        for (const auto &[team, used] : remote.sums) {
+            m_atRound[team] += used;
+        }
+    }
+}
+
+void TeamUsageSystem::expire(TimePoint now)
+{
+    for (auto it = m_remote.begin(); it != m_remote.end();) {
+        it = now - it->second.heard > remoteLifetime ? m_remote.erase(it) : std::next(it);
+    }
+}
+
+void TeamUsageSystem::send()
+{
+    if (m_own.empty() && !m_sentSome) {
+        return;
+    }
+    m_sentSome = !m_own.empty();
+    nlohmann::json teams = nlohmann::json::array();
+    for (const auto &[team, used] : m_own) {
+        teams.push_back({{"team", team}, {"used", used}});
+    }
+    const PeerMessage message{"team-usage", {{"teams", teams}}};
+    for (const NodeId &node : m_context->authority->liveNodes()) {
+        if (node != m_context->authority->self()) {
+            m_context->transport->call(node, message, callTimeout, [](const PeerResult &) {});
+        }
+    }
+}
+
+void TeamUsageSystem::logExcess() const
+{
+    for (const TeamQuota &quota : m_context->authority->control()->teams) {
+        const Resources used = usage(quota.team);
+        if (exceeds(used, quota.limit)) {
+            LOG(WARNING) << "team_quota_exceeded team=" << quota.team << " milli_cores=" << used.milliCores
+                         << " memory_mb=" << used.memoryMb << " accelerators=" << used.accelerators;
+        }
+    }
+}
+
+Resources TeamUsageSystem::usage(const std::string &team) const
+{
+    Resources used = find(m_own, team);
+    for (const auto &[node, remote] : m_remote) {
+        used += find(remote.sums, team);
+    }
+    return used;
+}
+
+Resources TeamUsageSystem::total() const
+{
+    Resources used;
+    for (const auto &[team, own] : m_own) {
+        used += own;
+    }
+    for (const auto &[node, remote] : m_remote) {
+        for (const auto &[team, other] : remote.sums) {
+            used += other;
+        }
+    }
+    return used;
+}
+
+bool TeamUsageSystem::admits(const TeamQuota &quota, const Resources &need) const
+{
+    if (!withinLimit(usage(quota.team), need, quota.limit)) {
+        return false;
+    }
+    const auto owners = static_cast<std::int64_t>(std::max<std::size_t>(1, m_context->authority->liveNodes().size()));
+    if (owners == 1) {
+        return true;
+    }
+    const Resources added = find(m_addedInRound, quota.team);
+    const Resources used = find(m_atRound, quota.team);
+    return withinPart(added.milliCores, need.milliCores, quota.limit.milliCores, used.milliCores, owners)
+        && withinPart(added.memoryMb, need.memoryMb, quota.limit.memoryMb, used.memoryMb, owners)
+        && withinPart(added.accelerators, need.accelerators, quota.limit.accelerators, used.accelerators, owners);
+}
+
+void TeamUsageSystem::added(const std::string &team, const Resources &need)
+{
+    m_own[team] += need;
+    m_addedInRound[team] += need;
+}
+
+} // namespace fescueledge
