Run the whole path as separate processes

Cause: the packages were never wired together. Change: the daemon (listeners for callers and operators, jobs, configuration, data centres, status, explanations, metrics, health) and the stand-in cluster. Two packages had a class OutcomeSystem and a function jobOfTask each, in one namespace: the linker took the first silently for the class and refused the function; the class on the rack's side is OutcomeReportSystem now, the function is shared. Failed: after a complete drain the process did not exit; being looked into.

--- /dev/null
+++ b/src/fescueledged/callerlistener.cpp
@@ -0,0 +1,145 @@
+#include "callerlistener_pvt.h"
+
+#include "apierror_pvt.h"
+#include "daemoncontext_pvt.h"
+#include "fescueledge/daemonsettings.h"
+#include "fescueledge/requestdispatcher.h"
+#include "jobsapi_pvt.h"
+#include "listenerserver_pvt.h"
+#include "looprequest_pvt.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <strings.h>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds longestRequest{600000};
+constexpr Milliseconds longestDeadline{300000};
+
+/// Headers that belong to one connection or that the HTTP library adds; they are not passed on.
+constexpr std::array<const char *, 13> connectionHeaders = {
+    "Connection",        "Content-Length", "Keep-Alive",  "LOCAL_ADDR", "LOCAL_PORT",
+    "Proxy-Connection",  "REMOTE_ADDR",    "REMOTE_PORT", "TE",         "Trailer",
+    "Transfer-Encoding", "Upgrade",        "X-Request-Id"};
+
+bool belongsToConnection(const std::string &name)
+{
+    return std::any_of(connectionHeaders.begin(), connectionHeaders.end(), [&name](const char *other) {
+        return strcasecmp(name.c_str(), other) == 0;
+    });
+}
+
+ServiceRequest toServiceRequest(const httplib::Request &http)
+{
+    ServiceRequest request;
+    request.method = http.method;
+    const std::string host = http.get_header_value("Host");
+    request.host = host.substr(0, host.rfind(':'));
+    request.path = http.target;
+    request.body = http.body;
+    request.customer = http.get_header_value("X-Customer");
+    request.key = http.get_header_value("Idempotency-Key");
+    for (const auto &[name, value] : http.headers) {
+        if (!belongsToConnection(name) && strcasecmp(name.c_str(), "Idempotency-Key") != 0) {
+            request.headers[name] = value;
+        }
+    }
+    return request;
+}
+
+std::optional<Milliseconds> callerDeadline(const httplib::Request &http)
+{
+    if (!http.has_header("X-Deadline-Ms")) {
+        return std::nullopt;
+    }
+    const std::string text = http.get_header_value("X-Deadline-Ms");
+    char *end = nullptr;
+    const long long value = std::strtoll(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0' || value <= 0 || value > longestDeadline.count()) {
+        throw Error(ErrorKind::InvalidArgument,
+                    "X-Deadline-Ms must be a whole number of milliseconds from 1 to "
+                        + std::to_string(longestDeadline.count()));
+    }
+    return Milliseconds(value);
+}
+
+void answerWhole(httplib::Response &http, const ServiceResponse &response)
+{
+    http.status = response.status;
+    std::string contentType = "application/octet-stream";
+    for (const auto &[name, value] : response.headers) {
+        if (strcasecmp(name.c_str(), "Content-Type") == 0) {
+            contentType = value;
+        } else if (!belongsToConnection(name)) {
+            http.set_header(name, value);
+        }
+    }
+    http.set_content(response.body, contentType);
+}
+
+void serve(DaemonContext *context, const httplib::Request &http, httplib::Response &response)
+{
+    const ServiceRequest request = toServiceRequest(http);
+    const std::optional<Milliseconds> deadline = callerDeadline(http);
+    const DispatchResult result =
+        askLoop<DispatchResult>(context->loop, longestRequest, [&](const RequestDispatcher::Handler &done) {
+            context->dispatcher->dispatch(request, deadline, done);
+        });
+    response.set_header("X-Request-Id", result.requestId);
+    if (result.replayed) {
+        response.set_header("X-Replayed", "true");
+    }
+    if (result.ok) {
+        answerWhole(response, result.response);
+        return;
+    }
+    if (result.retryAfter.count() > 0) {
+        const Milliseconds::rep seconds = std::chrono::ceil<std::chrono::seconds>(result.retryAfter).count();
+        response.set_header("Retry-After", std::to_string(seconds));
+    }
+    answerError(response, result.error, result.message, result.outcome);
+}
+
+} // namespace
+
+struct CallerListener::Private
+{
+    explicit Private(const LimitSettings &limits)
+        : server(limits)
+    {
+    }
+
+    ListenerServer server;
+};
+
+CallerListener::CallerListener(DaemonContext *context, const std::string &address, const LimitSettings &limits)
+    : d(std::make_unique<Private>(limits))
+{
+    httplib::Server *server = d->server.http();
+    addHealthChecks(server, context);
+    addJobsApi(server, context);
+    const httplib::Server::Handler handler =
+        guarded([context](const httplib::Request &request, httplib::Response &response) {
+            serve(context, request, response);
+        });
+    server->Get(".*", handler);
+    server->Post(".*", handler);
+    server->Put(".*", handler);
+    server->Patch(".*", handler);
+    server->Delete(".*", handler);
+    server->Options(".*", handler);
+    d->server.listen(address);
+}
+
+CallerListener::~CallerListener() = default;
+
+void CallerListener::stop()
+{
+    d->server.stop();
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/fescueledged/main.cpp
@@ -0,0 +1,156 @@
+// The daemon that every entry VM runs.
+#include "daemon_pvt.h"
+
+#include "fescueledge/daemonsettings.h"
+#include "fescueledge/settingserror.h"
+#include "fescueledge/settingsparser.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <getopt.h>
+#include <glog/logging.h>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+using namespace fescueledge;
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitSettings = 1;
+constexpr int exitUsage = 2;
+constexpr int exitDrainCut = 3;
+constexpr Milliseconds signalPoll{50};
+
+std::atomic<int> stopSignals{0};
+
+void onStopSignal(int)
+{
+    ++stopSignals;
+}
+
+bool isStoppedTwice()
+{
+    return stopSignals > 1;
+}
+
+constexpr const char *helpText =
+    "usage: fescueledged --settings FILE [--check-settings]\n"
+    "\n"
+    "Runs the scheduler daemon of one entry VM.\n"
+    "\n"
+    "  --settings FILE    read the settings (INI) from FILE\n"
+    "  --check-settings   check the settings, print what is wrong, and exit\n"
+    "  --version          print the version and exit\n"
+    "  --help             print this and exit\n"
+    "\n"
+    "SIGTERM or SIGINT drains: requests in flight are finished and owned work is handed over. A second signal\n"
+    "ends it at once.\n"
+    "\n"
+    "Exit codes: 0 drained or checked; 1 settings refused; 2 usage; 3 stopped before the drain was complete.\n";
+
+/// The command line.
+struct Arguments
+{
+    std::string settingsFile;
+    bool checkOnly = false;
+};
+
+/// Reads the command line; returns false, with @p code set, if the program is to end now.
+bool readArguments(int argc, char **argv, Arguments *arguments, int *code)
+{
+    const option options[] = {{"settings", required_argument, nullptr, 's'},
+                              {"check-settings", no_argument, nullptr, 'c'},
+                              {"version", no_argument, nullptr, 'v'},
+                              {"help", no_argument, nullptr, 'h'},
+                              {nullptr, 0, nullptr, 0}};
+    int which = 0;
+    while ((which = getopt_long(argc, argv, "", options, nullptr)) != -1) {
+        if (which == 's') {
+            arguments->settingsFile = optarg;
+        } else if (which == 'c') {
+            arguments->checkOnly = true;
+        } else if (which == 'v') {
+            std::cout << "fescueledged " << FESCUELEDGE_VERSION << "\n";
+            *code = exitOk;
+            return false;
+        } else {
+            (which == 'h' ? std::cout : std::cerr) << helpText;
+            *code = which == 'h' ? exitOk : exitUsage;
+            return false;
+        }
+    }
+    if (arguments->settingsFile.empty() || optind < argc) {
+        std::cerr << helpText;
+        *code = exitUsage;
+        return false;
+    }
+    return true;
+}
+
+DaemonSettings readSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file) {
+        throw Error(ErrorKind::InvalidSettings, "cannot read " + fileName);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), fileName);
+}
+
+void startLog(const LogSettings &settings, const char *program)
+{
+    FLAGS_logtostderr = settings.toStderr || settings.directory.empty();
+    FLAGS_log_dir = settings.directory;
+    FLAGS_minloglevel = settings.level == "error" ? 2 : (settings.level == "warning" ? 1 : 0);
+    google::InitGoogleLogging(program);
+}
+
+int runDaemon(const DaemonSettings &settings)
+{
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGINT, onStopSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    Daemon daemon(settings);
+    while (stopSignals == 0) {
+        std::this_thread::sleep_for(signalPoll);
+    }
+    if (daemon.drain(isStoppedTwice)) {
+        return exitOk;
+    }
+    // The bound or a second signal ends the process without waiting for what is still in flight.
+    google::FlushLogFiles(google::INFO);
+    std::_Exit(exitDrainCut);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Arguments arguments;
+    int code = exitOk;
+    if (!readArguments(argc, argv, &arguments, &code)) {
+        return code;
+    }
+    try {
+        const DaemonSettings settings = readSettings(arguments.settingsFile);
+        if (arguments.checkOnly) {
+            std::cout << arguments.settingsFile << ": settings are valid\n";
+            return exitOk;
+        }
+        startLog(settings.log, argv[0]);
+        return runDaemon(settings);
+    } catch (const SettingsError &error) {
+        for (const Finding &finding : error.findings()) {
+            std::cerr << finding.toString() << "\n";
+        }
+        return exitSettings;
+    } catch (const Error &error) {
+        std::cerr << errorKindName(error.kind()) << ": " << error.what() << "\n";
+        return exitSettings;
+    }
+}
--- /dev/null
+++ b/src/fescueledged/nodegather.cpp
@@ -0,0 +1,69 @@
+#include "nodegather_pvt.h"
+
+#include "fescueledge/authority.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds answerTimeout{1000};
+
+} // namespace
+
+struct NodeGather::Pending
+{
+    std::size_t open = 0;
+    std::vector<Answer> answers;
+    Handler handler;
+
+    void finishOne()
+    {
+        if (--open > 0) {
+            return;
+        }
+        std::sort(answers.begin(), answers.end(), [](const Answer &a, const Answer &b) {
+            return a.node < b.node;
+        });
+        handler(answers);
+    }
+};
+
+NodeGather::NodeGather(PeerTransport *transport, Authority *authority)
+    : m_transport(transport)
+    , m_authority(authority)
+{
+}
+
+void NodeGather::setSource(const std::string &kind, Source source)
+{
+    m_transport->setReceiver(kind,
+                             [kind, source = std::move(source)](const NodeId &, const PeerMessage &message,
+                                                                const PeerTransport::Responder &respond) {
+                                 respond(PeerMessage{kind, source(message.body)});
+                             });
+}
+
+void NodeGather::ask(const std::string &kind, const nlohmann::json &question, Handler handler)
+{
+    std::vector<NodeId> nodes = m_authority->liveNodes();
+    if (nodes.empty()) {
+        nodes.push_back(m_authority->self());
+    }
+    auto pending = std::make_shared<Pending>();
+    pending->open = nodes.size();
+    pending->handler = std::move(handler);
+    for (const NodeId &node : nodes) {
+        m_transport->call(node, PeerMessage{kind, question}, answerTimeout, [pending, node](const PeerResult &result) {
+            if (result.answered) {
+                pending->answers.push_back(Answer{node, result.reply.body});
+            }
+            pending->finishOne();
+        });
+    }
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/fescueledged/operatorlistener_pvt.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+namespace fescueledge {
+
+struct DaemonContext;
+struct LimitSettings;
+
+/// The listener for operators: configuration, data centres, jobs, status, explanations, the audit trail and metrics.
+/// All but the health checks and metrics ask for the operators' token.
+class OperatorListener
+{
+public:
+    /// Serves @p address until stop(). @throws Error of kind InvalidSettings if it can't be listened on.
+    OperatorListener(DaemonContext *context, const std::string &address, const LimitSettings &limits);
+    ~OperatorListener();
+    OperatorListener(const OperatorListener &) = delete;
+    OperatorListener &operator=(const OperatorListener &) = delete;
+
+    /// Accepts no more connections and waits for the requests in service.
+    void stop();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace fescueledge
--- a/src/include/fescueledge/authority.h
+++ b/src/include/fescueledge/authority.h
@@ -46,5 +46,7 @@
 ShardId queueShard(int partition);
 /// The queue partition that keeps @p job.
 int partitionOfJob(const JobId &job);
+/// The job that @p task belongs to; empty if @p task is not of the form `<job id>/<index>`.
+JobId jobOfTask(const TaskId &task);
 
 } // namespace fescueledge
--- a/src/libqueue/fakerackowner.cpp
+++ b/src/libqueue/fakerackowner.cpp
@@ -1,5 +1,6 @@
 #include "fakerackowner_pvt.h"
 
+#include "fescueledge/authority.h"
 #include "jobrecord_pvt.h"
 
 #include <algorithm>
--- a/src/libqueue/fakeworkers.cpp
+++ b/src/libqueue/fakeworkers.cpp
@@ -1,5 +1,6 @@
 #include "fakeworkers_pvt.h"
 
+#include "fescueledge/authority.h"
 #include "jobrecord_pvt.h"
 
 namespace fescueledge {
--- a/src/libqueue/jobrecord.cpp
+++ b/src/libqueue/jobrecord.cpp
@@ -144,12 +144,6 @@
     return "jobkey/" + customer + "/" + key;
 }
 
-JobId jobOfTask(const TaskId &task)
-{
-    const std::size_t n = task.find('/');
-    return n == std::string::npos ? JobId() : task.substr(0, n);
-}
-
 int indexOfTask(const TaskId &task)
 {
     const std::size_t n = task.find('/');
--- a/src/libqueue/jobrecord_pvt.h
+++ b/src/libqueue/jobrecord_pvt.h
@@ -67,8 +67,6 @@
 std::string blockRowKey(const JobId &job, int block);
 std::string jobKeyRowKey(const std::string &customer, const std::string &key);
 
-/// The job of @p task, or an empty string if @p task is no task id.
-JobId jobOfTask(const TaskId &task);
 /// The index of @p task in its job, or -1.
 int indexOfTask(const TaskId &task);
 TaskId taskId(const JobId &job, int index);
--- a/src/libutil/shards.cpp
+++ b/src/libutil/shards.cpp
@@ -27,4 +27,10 @@
     return static_cast<int>(fastHash(job) % queuePartitions);
 }
 
+JobId jobOfTask(const TaskId &task)
+{
+    const std::size_t n = task.find('/');
+    return n == std::string::npos ? JobId() : task.substr(0, n);
+}
+
 } // namespace fescueledge
--- a/src/libworker/outcomesystem.cpp
+++ b/src/libworker/outcomereportsystem.cpp
@@ -1,4 +1,4 @@
-#include "outcomesystem_pvt.h"
+#include "outcomereportsystem_pvt.h"
 
 #include "fescueledge/authority.h"
 #include "fescueledge/loop.h"
@@ -16,12 +16,12 @@
 
 } // namespace
 
-OutcomeSystem::OutcomeSystem(WorkerContext *context)
+OutcomeReportSystem::OutcomeReportSystem(WorkerContext *context)
     : m_context(context)
 {
 }
 
-void OutcomeSystem::run()
+void OutcomeReportSystem::run()
 {
     std::map<NodeId, Keys> keys;
     std::map<AttemptKey, AttemptRow> &attempts = m_context->tables.attempts;
@@ -43,7 +43,7 @@
     }
 }
 
-bool OutcomeSystem::due(const AttemptRow &row) const
+bool OutcomeReportSystem::due(const AttemptRow &row) const
 {
     const Duration age = m_context->loop->now() - row.reportedAt;
     if (row.phase == AttemptRow::Phase::Ended) {
@@ -52,7 +52,7 @@
     return row.phase == AttemptRow::Phase::Running && age >= m_context->timings.runningInterval;
 }
 
-void OutcomeSystem::send(const NodeId &node, const Keys &keys)
+void OutcomeReportSystem::send(const NodeId &node, const Keys &keys)
 {
     OutcomeReport report;
     std::set<std::pair<TaskId, Attempt>> ends;
@@ -71,8 +71,8 @@
                                });
 }
 
-void OutcomeSystem::receive(const NodeId &node, const std::set<std::pair<TaskId, Attempt>> &ends,
-                            const PeerResult &result)
+void OutcomeReportSystem::receive(const NodeId &node, const std::set<std::pair<TaskId, Attempt>> &ends,
+                                  const PeerResult &result)
 {
     m_calling.erase(node);
     if (!result.answered) {
@@ -90,7 +90,7 @@
     }
 }
 
-void OutcomeSystem::settle(const OutcomeReply::Item &item, bool end)
+void OutcomeReportSystem::settle(const OutcomeReply::Item &item, bool end)
 {
     AttemptRow *row = m_context->tables.findAttempt(item.task, item.attempt);
     if (row == nullptr) {
--- a/src/libworker/outcomesystem_pvt.h
+++ b/src/libworker/outcomereportsystem_pvt.h
@@ -14,10 +14,10 @@
 struct WorkerContext;
 
 /// Reports the ends of attempts to their queue owners until each is settled, and now and then what runs.
-class OutcomeSystem
+class OutcomeReportSystem
 {
 public:
-    explicit OutcomeSystem(WorkerContext *context);
+    explicit OutcomeReportSystem(WorkerContext *context);
     void run();
 
 private:
--- a/src/libworker/quarantinesystem.cpp
+++ b/src/libworker/quarantinesystem.cpp
@@ -1,5 +1,6 @@
 #include "quarantinesystem_pvt.h"
 
+#include "fescueledge/authority.h"
 #include "fescueledge/loop.h"
 #include "workercontext_pvt.h"
 
--- a/src/libworker/workercontroller.cpp
+++ b/src/libworker/workercontroller.cpp
@@ -8,7 +8,7 @@
 #include "fescueledge/loop.h"
 #include "fescueledge/peertransport.h"
 #include "interferencesystem_pvt.h"
-#include "outcomesystem_pvt.h"
+#include "outcomereportsystem_pvt.h"
 #include "placementsystem_pvt.h"
 #include "preemptionsystem_pvt.h"
 #include "quarantinesystem_pvt.h"
@@ -44,7 +44,7 @@
     InterferenceSystem interference{&context};
     EvacuationSystem evacuation{&context};
     ExchangeSystem exchange{&context, &attempts};
-    OutcomeSystem outcomes{&context};
+    OutcomeReportSystem outcomes{&context};
     CapacitySystem capacity{&context, &placement};
 };
 
--- a/src/libworker/workertable.cpp
+++ b/src/libworker/workertable.cpp
@@ -36,11 +36,6 @@
     return offer.taskClass == TaskClass::Batch;
 }
 
-JobId jobOfTask(const TaskId &task)
-{
-    return task.substr(0, task.rfind('/'));
-}
-
 std::string attemptLabel(const TaskOffer &offer)
 {
     return (offer.taskClass == TaskClass::Batch ? batchPrefix : urgentPrefix) + offer.kind;
--- a/src/libworker/workertable_pvt.h
+++ b/src/libworker/workertable_pvt.h
@@ -88,8 +88,6 @@
 
 using AttemptKey = std::pair<TaskId, Attempt>;
 
-/// The job that @p task belongs to.
-JobId jobOfTask(const TaskId &task);
 /// Text that a worker repeats, from which the class and the kind of an attempt can be read after a hand-over.
 std::string attemptLabel(const TaskOffer &offer);
 /// Sets class and kind of @p offer from a label; anything unknown counts as latency-critical, which is never evicted.
--- a/testsuite/common/cluster.sh
+++ b/testsuite/common/cluster.sh
@@ -121,7 +121,7 @@
 token = demonstration-token
 
 [log]
-to-stderr = true
+to-stderr = yes
 SETTINGS
     list_node "$1" "$2"
     launch "node$1" "$build/src/fescueledged/fescueledged" --settings "$dir/entry-$1.ini"
--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -11,10 +11,10 @@
 
 # answered NODE COUNT: sends requests through a node; succeeds if each got its whole answer.
 answered() {
-    n=0
-    while [ "$n" -lt "$2" ]; do
-        [ "$(get "$1" "/preview?ms=5&n=$n")" = 200 ] || return 1
-        n=$((n + 1))
+    sent=0
+    while [ "$sent" -lt "$2" ]; do
+        [ "$(get "$1" "/preview?ms=5&n=$sent")" = 200 ] || return 1
+        sent=$((sent + 1))
     done
 }
 
@@ -51,6 +51,7 @@
 for n in 1 2 3; do
     check "entry-$n is ready" wait_until 20 node_ready "$n"
 done
+[ "$failures" -eq 0 ] || exit 1
 
 say "== an accepted configuration"
 write_tables
