--- /dev/null
+++ b/src/fescueledge/cli_test.cpp
@@ -0,0 +1,490 @@
+#include "cli_pvt.h"
+#include "cliclock_pvt.h"
+#include "commands_pvt.h"
+#include "commandtable_pvt.h"
+
+#include "fescueledge/tableparser.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+#include <fstream>
+#include <sstream>
+
+using namespace fescueledge;
+using trompeloeil::_;
+
+namespace {
+
+class MockTransport : public OperatorTransport
+{
+public:
+    MAKE_MOCK3(send, ApiResponse(const std::string &, const ApiRequest &, Milliseconds), override);
+};
+
+/// Passes requests on to a mock that outlives it.
+class TransportLink : public OperatorTransport
+{
+public:
+    explicit TransportLink(OperatorTransport &target)
+        : m_target(target)
+    {
+    }
+
+    ApiResponse send(const std::string &node, const ApiRequest &request, Milliseconds timeout) override
+    {
+        return m_target.send(node, request, timeout);
+    }
+
+private:
+    OperatorTransport &m_target;
+};
+
+class VirtualClock : public CliClock
+{
+public:
+    TimePoint now() override
+    {
+        return m_now;
+    }
+
+    void sleepFor(Milliseconds time) override
+    {
+        m_now += time;
+    }
+
+private:
+    TimePoint m_now;
+};
+
+const std::string routes = "[route r]\npath = /\npool = p\n";
+const std::string pools = "[pool p]\nworkers = w-*\n";
+const std::string newPools = "[pool p]\nworkers = w-*\nslots = 9\n";
+
+void writeFile(const std::string &name, const std::string &text)
+{
+    std::ofstream(name) << text;
+}
+
+ApiResponse answered(int status, const nlohmann::json &body)
+{
+    return {ApiResponse::Delivery::Answered, status, body.dump()};
+}
+
+ApiResponse lost()
+{
+    return {ApiResponse::Delivery::Lost, 0, ""};
+}
+
+ApiResponse notSent()
+{
+    return {ApiResponse::Delivery::NotSent, 0, ""};
+}
+
+nlohmann::json errorBody(const std::string &type, const std::string &outcome)
+{
+    return {{"error", {{"type", type}, {"message", "said so"}, {"outcome", outcome}}}};
+}
+
+ApiResponse currentConfig(ControlVersion version)
+{
+    return answered(200,
+                    {{"version", version},
+                     {"digest", tablesDigest(routes, pools)},
+                     {"routes", routes},
+                     {"pools", pools},
+                     {"data_centres_out", nlohmann::json::array()},
+                     {"in_force", true},
+                     {"waiting_for", nlohmann::json::array()}});
+}
+
+nlohmann::json accepted(ControlVersion version, bool inForce)
+{
+    std::vector<std::string> waitingFor;
+    if (!inForce) {
+        waitingFor.emplace_back("east-2");
+    }
+    return {{"version", version}, {"in_force", inForce}, {"waiting_for", waitingFor}};
+}
+
+/// Runs command lines against the mock. Files are written to the directory of the test.
+struct CliFixture
+{
+    CliFixture()
+    {
+        writeFile("cli_test.token", "0123456789abcdef\n");
+        writeFile("cli_test_routes.ini", routes);
+        writeFile("cli_test_pools.ini", newPools);
+    }
+
+    ExitCode run(const std::vector<std::string> &words)
+    {
+        std::vector<std::string> line{"fescueledge"};
+        line.insert(line.end(), words.begin(), words.end());
+        std::vector<char *> argv;
+        for (std::string &word : line) {
+            argv.push_back(word.data());
+        }
+        argv.push_back(nullptr);
+        CliEnvironment environment{variables, out, err, clock, [this](const std::string &) {
+                                       return std::make_unique<TransportLink>(transport);
+                                   }};
+        return runCli(static_cast<int>(line.size()), argv.data(), environment);
+    }
+
+    ExitCode apply(const std::vector<std::string> &more = {})
+    {
+        std::vector<std::string> words{"config", "apply", "cli_test_routes.ini", "cli_test_pools.ini", "--why", "more"};
+        words.insert(words.end(), more.begin(), more.end());
+        return run(words);
+    }
+
+    /// The change id of the last POST.
+    std::string changeId() const
+    {
+        return posted.value("change_id", "");
+    }
+
+    ApiResponse remember(const ApiRequest &request, const ApiResponse &response)
+    {
+        posted = nlohmann::json::parse(request.body);
+        return response;
+    }
+
+    std::map<std::string, std::string> variables{
+        {"FESCUELEDGE_NODES", "10.0.0.1:1"}, {"FESCUELEDGE_TOKEN_FILE", "cli_test.token"}, {"USER", "asha"}};
+    MockTransport transport;
+    VirtualClock clock;
+    std::ostringstream out;
+    std::ostringstream err;
+    nlohmann::json posted;
+};
+
+} // namespace
+
+#define EXPECT_SEND(verb, start) \
+    REQUIRE_CALL(transport, send(_, _, _)).WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
+#define ALLOW_SEND(verb, start) \
+    ALLOW_CALL(transport, send(_, _, _)).WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
+
+TEST_CASE_METHOD(CliFixture, "wrong command lines are usage errors and send nothing")
+{
+    const std::vector<std::vector<std::string>> lines{
+        {},
+        {"frobnicate"},
+        {"config"},
+        {"config", "frobnicate"},
+        {"status", "--frobnicate"},
+        {"status", "--timeout"},
+        {"status", "--timeout", "5"},
+        {"status", "--timeout", "5s", "--timeout", "6s"},
+        {"status", "--why", "no reason"},
+        {"status", "extra"},
+        {"status", "--node", "localhost:1"},
+        {"status", "--json=yes"},
+        {"config", "apply", "cli_test_routes.ini", "--why", "one file"},
+        {"config", "apply", "cli_test_routes.ini", "missing.ini", "--why", "no such file"},
+        {"config", "apply", "cli_test_routes.ini", "cli_test_pools.ini"},
+        {"config", "show", "tables"},
+        {"config", "history", "--limit", "0"},
+        {"datacentre", "out", "east"},
+        {"datacentre", "out", "--why", "no name"},
+        {"explain", "task", "no-index"},
+        {"settings", "unknown"},
+        {"jobs", "submit", "--cores", "many"},
+    };
+    for (const std::vector<std::string> &line : lines) {
+        INFO(nlohmann::json(line).dump());
+        CHECK(run(line) == ExitCode::Usage);
+        CHECK_FALSE(err.str().empty());
+    }
+}
+
+TEST_CASE_METHOD(CliFixture, "a change needs a node, a token and a name")
+{
+    for (const char *name : {"FESCUELEDGE_NODES", "FESCUELEDGE_TOKEN_FILE", "USER"}) {
+        std::map<std::string, std::string> kept = variables;
+        variables.erase(name);
+        CHECK(run({"datacentre", "out", "east", "--why", "work"}) == ExitCode::Usage);
+        variables = kept;
+    }
+}
+
+TEST_CASE_METHOD(CliFixture, "every command has help that names its options")
+{
+    for (const CommandEntry &entry : commandTable()) {
+        std::string name = entry.name;
+        std::vector<std::string> words{name.substr(0, name.find(' '))};
+        if (name.find(' ') != std::string::npos) {
+            words.push_back(name.substr(name.find(' ') + 1));
+        }
+        words.emplace_back("--help");
+        out.str("");
+        CHECK(run(words) == ExitCode::Ok);
+        CHECK_THAT(out.str(), Catch::Contains("fescueledge " + name) && Catch::Contains("Exit codes"));
+        for (const char *option : entry.options) {
+            CHECK_THAT(out.str(), Catch::Contains("--" + std::string(option)));
+        }
+    }
+    CHECK(run({"--version"}) == ExitCode::Ok);
+}
+
+TEST_CASE_METHOD(CliFixture, "config check prints all findings and needs no node")
+{
+    variables.clear();
+    CHECK(run({"config", "check", "cli_test_routes.ini", "cli_test_pools.ini"}) == ExitCode::Ok);
+    writeFile("cli_test_pools.ini", "[pool q]\nworkers = w\nslots = x\nlimit = 1\n");
+    CHECK(run({"config", "check", "cli_test_routes.ini", "cli_test_pools.ini"}) == ExitCode::Refused);
+    CHECK(run({"config", "check", "cli_test_routes.ini", "cli_test_pools.ini", "--json"}) == ExitCode::Refused);
+    CHECK(nlohmann::json::parse(out.str().substr(out.str().find('{')))["findings"].size() == 3);
+    CHECK_THAT(err.str(),
+               Catch::Contains("cli_test_routes.ini:3: [route r] pool")
+                   && Catch::Contains("cli_test_pools.ini:3: [pool q] slots")
+                   && Catch::Contains("cli_test_pools.ini:4: [pool q] limit"));
+}
+
+TEST_CASE_METHOD(CliFixture, "config check with a node asks it too")
+{
+    nlohmann::json finding{
+        {"file", "pools.ini"}, {"line", 3}, {"section", "pool p"}, {"key", "slots"}, {"message", "no"}};
+    EXPECT_SEND("POST", "/v1/config/check").RETURN(answered(200, {{"ok", false}, {"findings", {finding}}}));
+    std::vector<std::string> line{"config", "check",     "cli_test_routes.ini", "cli_test_pools.ini",
+                                  "--node", "10.0.0.1:1"};
+    CHECK(run(line) == ExitCode::Refused);
+    CHECK(err.str() == "pools.ini:3: [pool p] slots: no\n");
+}
+
+TEST_CASE_METHOD(CliFixture, "config diff shows the changes, the version and the digest")
+{
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    CHECK(run({"config", "diff", "cli_test_routes.ini", "cli_test_pools.ini"}) == ExitCode::Ok);
+    CHECK_THAT(out.str(),
+               Catch::Contains("~ pool p: slots: 8 -> 9")
+                   && Catch::Contains("--expected-version 7 --digest " + tablesDigest(routes, newPools)));
+}
+
+TEST_CASE_METHOD(CliFixture, "config apply names version, digest, who and why, and is in force")
+{
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    EXPECT_SEND("POST", "/v1/config").RETURN(remember(_2, answered(200, accepted(8, true))));
+    CHECK(apply() == ExitCode::Ok);
+    CHECK(posted["expected_version"] == 7);
+    CHECK(posted["digest"] == tablesDigest(routes, newPools));
+    CHECK(posted["pools"] == newPools);
+    CHECK(posted["who"] == "asha");
+    CHECK(posted["why"] == "more");
+    CHECK_THAT(out.str(), Catch::Contains("version 8 is in force everywhere"));
+}
+
+TEST_CASE_METHOD(CliFixture, "config apply waits with progress until the change is in force")
+{
+    ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    EXPECT_SEND("POST", "/v1/config").RETURN(answered(202, accepted(8, false)));
+    trompeloeil::sequence polls;
+    EXPECT_SEND("GET", "/v1/config/version/8").IN_SEQUENCE(polls).RETURN(answered(200, accepted(8, false)));
+    EXPECT_SEND("GET", "/v1/config/version/8").IN_SEQUENCE(polls).RETURN(lost());
+    EXPECT_SEND("GET", "/v1/config/version/8").IN_SEQUENCE(polls).RETURN(answered(200, accepted(8, true)));
+    CHECK(apply() == ExitCode::Ok);
+    CHECK_THAT(err.str(), Catch::Contains("version 8 accepted; not yet in force everywhere east-2"));
+}
+
+TEST_CASE_METHOD(CliFixture, "a change that is not in force within the timeout has its own exit code")
+{
+    ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    EXPECT_SEND("POST", "/v1/config").RETURN(answered(202, accepted(8, false)));
+    ALLOW_SEND("GET", "/v1/config/version/8").RETURN(answered(200, accepted(8, false)));
+    CHECK(apply({"--timeout", "2s", "--json"}) == ExitCode::NotYetInForce);
+    CHECK(nlohmann::json::parse(out.str())["in_force"] == false);
+}
+
+TEST_CASE_METHOD(CliFixture, "config apply refuses before sending when something else was reviewed")
+{
+    CHECK(apply({"--digest", "00"}) == ExitCode::Refused);
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    CHECK(apply({"--expected-version", "6"}) == ExitCode::Conflict);
+}
+
+TEST_CASE_METHOD(CliFixture, "config apply of what is in force sends nothing")
+{
+    writeFile("cli_test_pools.ini", pools);
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    CHECK(apply() == ExitCode::Ok);
+    CHECK_THAT(out.str(), Catch::Contains("no difference"));
+}
+
+TEST_CASE_METHOD(CliFixture, "typed errors of a change give their exit codes")
+{
+    struct Case
+    {
+        ApiResponse response;
+        ExitCode code;
+    };
+    const Case cases[] = {
+        {answered(409, errorBody("conflict", "not run")), ExitCode::Conflict},
+        {answered(422, errorBody("invalid-settings", "not run")), ExitCode::Refused},
+        {answered(401, errorBody("unauthorized", "not run")), ExitCode::Refused},
+        {answered(503, errorBody("store-unavailable", "not run")), ExitCode::Refused},
+        {notSent(), ExitCode::Unreachable},
+    };
+    for (const Case &it : cases) {
+        EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+        EXPECT_SEND("POST", "/v1/config").LR_RETURN(it.response);
+        CHECK(apply() == it.code);
+    }
+}
+
+TEST_CASE_METHOD(CliFixture, "findings of a node are printed")
+{
+    nlohmann::json body = errorBody("invalid-settings", "not run");
+    body["findings"] = {
+        {{"file", "pools.ini"}, {"line", 3}, {"section", "pool p"}, {"key", "slots"}, {"message", "no"}}};
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    EXPECT_SEND("POST", "/v1/config").RETURN(answered(422, body));
+    CHECK(apply() == ExitCode::Refused);
+    CHECK_THAT(err.str(), Catch::Contains("1 findings of the node (not run)\npools.ini:3: [pool p] slots: no\n"));
+}
+
+TEST_CASE_METHOD(CliFixture, "a change goes to the next node only if the last surely did not take it")
+{
+    variables["FESCUELEDGE_NODES"] = "10.0.0.1:1,10.0.0.2:1,10.0.0.3:1";
+    ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    trompeloeil::sequence order;
+    REQUIRE_CALL(transport, send("10.0.0.1:1", _, _)).WITH(_2.method == "POST").IN_SEQUENCE(order).RETURN(notSent());
+    REQUIRE_CALL(transport, send("10.0.0.2:1", _, _))
+        .WITH(_2.method == "POST")
+        .IN_SEQUENCE(order)
+        .RETURN(answered(503, errorBody("shutting-down", "not run")));
+    REQUIRE_CALL(transport, send("10.0.0.3:1", _, _))
+        .WITH(_2.method == "POST")
+        .IN_SEQUENCE(order)
+        .RETURN(answered(200, accepted(8, true)));
+    CHECK(apply() == ExitCode::Ok);
+}
+
+TEST_CASE_METHOD(CliFixture, "a change whose answer was lost is looked up and never sent again")
+{
+    variables["FESCUELEDGE_NODES"] = "10.0.0.1:1,10.0.0.2:1";
+    nlohmann::json mine = {{"version", 8}, {"change_id", ""}};
+    const ApiResponse answers[] = {lost(),
+                                   answered(503, errorBody("store-outcome-unknown", "unknown")),
+                                   answered(502, "no JSON object"),
+                                   {ApiResponse::Delivery::Answered, 200, "cut of"}};
+    for (const ApiResponse &it : answers) {
+        ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+        EXPECT_SEND("POST", "/v1/config").LR_RETURN(remember(_2, it));
+        trompeloeil::sequence lookups;
+        EXPECT_SEND("GET", "/v1/config/history")
+            .IN_SEQUENCE(lookups)
+            .RETURN(answered(200, {{"changes", nlohmann::json::array()}}));
+        EXPECT_SEND("GET", "/v1/config/history")
+            .IN_SEQUENCE(lookups)
+            .LR_RETURN(answered(200, {{"changes", {{{"version", 8}, {"change_id", changeId()}}}}}));
+        EXPECT_SEND("GET", "/v1/config/version/8").RETURN(answered(200, accepted(8, true)));
+        CHECK(apply() == ExitCode::Ok);
+    }
+}
+
+TEST_CASE_METHOD(CliFixture, "a lost answer is a conflict when another change took the version")
+{
+    ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    EXPECT_SEND("POST", "/v1/config").RETURN(lost());
+    EXPECT_SEND("GET", "/v1/config/history")
+        .RETURN(answered(200, {{"changes", {{{"version", 8}, {"change_id", "theirs"}}}}}));
+    CHECK(apply() == ExitCode::Conflict);
+}
+
+TEST_CASE_METHOD(CliFixture, "a lost answer that can't be looked up leaves the outcome unknown")
+{
+    ALLOW_SEND("GET", "/v1/config").RETURN(lost());
+    EXPECT_SEND("POST", "/v1/datacentres/east/out").RETURN(remember(_2, lost()));
+    CHECK(run({"datacentre", "out", "east", "--why", "work", "--timeout", "3s"}) == ExitCode::Unknown);
+    CHECK_THAT(err.str(), Catch::Contains(changeId()));
+}
+
+TEST_CASE_METHOD(CliFixture, "reads try the next node, also after a lost answer")
+{
+    variables["FESCUELEDGE_NODES"] = "10.0.0.1:1,10.0.0.2:1";
+    REQUIRE_CALL(transport, send("10.0.0.1:1", _, _)).RETURN(lost());
+    REQUIRE_CALL(transport, send("10.0.0.2:1", _, _))
+        .RETURN(answered(200, {{"node", "east-2"}, {"shards", {{{"shard", "queue:00"}, {"owner", "east-1"}}}}}));
+    CHECK(run({"status"}) == ExitCode::Ok);
+    CHECK(out.str() == "node: east-2\n\nshards:\nowner   shard\neast-1  queue:00\n");
+}
+
+TEST_CASE_METHOD(CliFixture, "no answer from any node is unreachable")
+{
+    ALLOW_CALL(transport, send(_, _, _)).RETURN(notSent());
+    for (const std::vector<std::string> &line : std::vector<std::vector<std::string>>{
+             {"status"},
+             {"audit"},
+             {"config", "show"},
+             {"jobs", "list"},
+             {"explain", "task", "j/0"},
+             {"explain", "request", "r"},
+             {"datacentre", "list"},
+         }) {
+        CHECK(run(line) == ExitCode::Unreachable);
+    }
+}
+
+TEST_CASE_METHOD(CliFixture, "config show prints a table byte for byte")
+{
+    EXPECT_SEND("GET", "/v1/config").RETURN(currentConfig(7));
+    CHECK(run({"config", "show", "pools"}) == ExitCode::Ok);
+    CHECK(out.str() == pools);
+}
+
+TEST_CASE_METHOD(CliFixture, "a job is submitted from a file and options")
+{
+    writeFile("cli_test_job.json", R"({"customer": "kilima", "team": "grind", "payloads": ["a"]})");
+    EXPECT_SEND("POST", "/v1/jobs").RETURN(remember(_2, answered(200, {{"job", "03-1"}})));
+    std::vector<std::string> line{"jobs",    "submit", "cli_test_job.json", "--team", "polish",   "--key", "k-1",
+                                  "--tasks", "3",      "--cores",           "1.5",    "--memory", "2GB"};
+    CHECK(run(line) == ExitCode::Ok);
+    CHECK(posted == nlohmann::json::parse(R"({"customer": "kilima", "team": "polish", "key": "k-1", "payloads": ["a"],
+              "task_count": 3, "resources": {"milli_cores": 1500, "memory_mb": 2048, "accelerators": 0}})"));
+    CHECK(out.str() == "job: 03-1\n");
+}
+
+TEST_CASE_METHOD(CliFixture, "a submission whose answer was lost is asked for under the same key")
+{
+    std::vector<std::string> keys;
+    trompeloeil::sequence order;
+    EXPECT_SEND("POST", "/v1/jobs")
+        .IN_SEQUENCE(order)
+        .LR_SIDE_EFFECT(keys.push_back(nlohmann::json::parse(_2.body)["key"]))
+        .RETURN(lost());
+    EXPECT_SEND("POST", "/v1/jobs")
+        .IN_SEQUENCE(order)
+        .LR_SIDE_EFFECT(keys.push_back(nlohmann::json::parse(_2.body)["key"]))
+        .RETURN(answered(200, {{"job", "03-1"}}));
+    CHECK(run({"jobs", "submit", "--customer", "kilima"}) == ExitCode::Ok);
+    REQUIRE(keys.size() == 2);
+    CHECK(keys[0] == keys[1]);
+    CHECK_FALSE(keys[0].empty());
+}
+
+TEST_CASE_METHOD(CliFixture, "a submission that can't be asked for again is unknown")
+{
+    trompeloeil::sequence order;
+    EXPECT_SEND("POST", "/v1/jobs").IN_SEQUENCE(order).RETURN(lost());
+    EXPECT_SEND("POST", "/v1/jobs").IN_SEQUENCE(order).RETURN(notSent());
+    CHECK(run({"jobs", "submit"}) == ExitCode::Unknown);
+}
+
+TEST_CASE_METHOD(CliFixture, "a cancellation whose answer was lost is looked up at the job")
+{
+    EXPECT_SEND("DELETE", "/v1/jobs/03-1?who=asha").TIMES(2).RETURN(lost());
+    trompeloeil::sequence order;
+    EXPECT_SEND("GET", "/v1/jobs/03-1").IN_SEQUENCE(order).RETURN(answered(200, {{"cancelled_by", "asha"}}));
+    EXPECT_SEND("GET", "/v1/jobs/03-1").IN_SEQUENCE(order).RETURN(answered(200, {{"cancelled_by", ""}}));
+    CHECK(run({"jobs", "cancel", "03-1"}) == ExitCode::Ok);
+    CHECK(run({"jobs", "cancel", "03-1"}) == ExitCode::Unknown);
+}
+
+TEST_CASE_METHOD(CliFixture, "names from the command line are encoded in paths")
+{
+    EXPECT_SEND("GET", "/v1/jobs?limit=20&customer=a%26b").RETURN(answered(200, {{"jobs", nlohmann::json::array()}}));
+    CHECK(run({"jobs", "list", "--customer", "a&b"}) == ExitCode::Ok);
+    EXPECT_SEND("GET", "/v1/explain/task/a%20b/7").RETURN(answered(200, {{"state", "running"}}));
+    CHECK(run({"explain", "task", "a b/7"}) == ExitCode::Ok);
+}
--- /dev/null
+++ b/src/fescueledge/jobcommands.cpp
@@ -0,0 +1,146 @@
+#include "commands_pvt.h"
+
+#include "jsontext_pvt.h"
+
+#include "fescueledge/resources.h"
+#include "fescueledge/settingsschema.h"
+
+#include <fstream>
+#include <ostream>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr std::int64_t maxAmount = 1000000000;
+
+/// Reads option @p name as a number of @p type; 0 without it.
+std::int64_t numberOption(const Arguments &arguments, const char *name, ValueType type)
+{
+    if (!arguments.has(name)) {
+        return 0;
+    }
+    std::string shown = "--" + std::string(name);
+    const SettingsKey key{shown.c_str(), type, false, "", 0, maxAmount, ""};
+    return parseNumber(key, arguments.value(name));
+}
+
+nlohmann::json readJson(const std::string &path)
+{
+    std::ifstream file(path);
+    nlohmann::json json = nlohmann::json::parse(file, nullptr, false);
+    if (!json.is_object()) {
+        throw CommandFailure(ExitCode::Usage, path + " can't be read as a JSON object");
+    }
+    return json;
+}
+
+/// What @p ask finds out after an answer was lost.
+/// @throws CommandFailure with Unknown and @p remedy if it finds out nothing.
+nlohmann::json afterLostAnswer(const std::function<std::optional<nlohmann::json>()> &ask, const std::string &remedy)
+{
+    std::string reason = "the outcome is not known yet";
+    try {
+        std::optional<nlohmann::json> answer = ask();
+        if (answer) {
+            return *answer;
+        }
+    } catch (const CommandFailure &failure) {
+        reason = failure.what();
+    }
+    throw CommandFailure(ExitCode::Unknown, "the answer was lost, and then: " + reason + "; " + remedy);
+}
+
+/// @p job if it was cancelled or has ended.
+std::optional<nlohmann::json> cancelledJob(const nlohmann::json &job)
+{
+    bool over = !job.value("cancelled_by", std::string()).empty() || job.value("ended", false);
+    return over ? std::optional<nlohmann::json>(job) : std::nullopt;
+}
+
+} // namespace
+
+nlohmann::json Commands::jobSpec() const
+{
+    nlohmann::json spec = m_arguments.words.empty() ? nlohmann::json::object() : readJson(m_arguments.words[0]);
+    for (const char *name : {"customer", "team", "key", "name", "class", "pool"}) {
+        if (m_arguments.has(name)) {
+            spec[name] = m_arguments.value(name);
+        }
+    }
+    if (m_arguments.has("tasks")) {
+        spec["task_count"] = numberOption(m_arguments, "tasks", ValueType::Integer);
+    }
+    if (m_arguments.has("payload")) {
+        spec["payloads"] = {m_arguments.value("payload")};
+    }
+    if (m_arguments.has("cores") || m_arguments.has("memory") || m_arguments.has("accelerators")) {
+        spec["resources"] = Resources{numberOption(m_arguments, "cores", ValueType::Decimal),
+                                      numberOption(m_arguments, "memory", ValueType::Size),
+                                      numberOption(m_arguments, "accelerators", ValueType::Integer)};
+    }
+    if (!spec.contains("key")) {
+        spec["key"] = uniqueId();
+    }
+    return spec;
+}
+
+ExitCode Commands::jobsSubmit()
+{
+    nlohmann::json spec = jobSpec();
+    ApiRequest request{"POST", "/v1/jobs", spec.dump()};
+    std::optional<nlohmann::json> answer = client().sendOnce(request);
+    if (!answer) {
+        // The key makes this the lookup: a job that was accepted is found by it and not submitted again.
+        m_environment.err << "the answer was lost; asking again under key " << spec["key"] << std::endl;
+        answer = afterLostAnswer(
+            [&] {
+                return client().sendOnce(request);
+            },
+            "submit the same job once more with --key " + spec["key"].get<std::string>());
+    }
+    return print(*answer, [&] {
+        printObject(m_environment.out, *answer);
+    });
+}
+
+ExitCode Commands::jobsShow()
+{
+    nlohmann::json answer = client().read("/v1/jobs/" + urlEncoded(m_arguments.words[0]));
+    return print(answer, [&] {
+        printObject(m_environment.out, answer);
+    });
+}
+
+ExitCode Commands::jobsList()
+{
+    std::string query = limitQuery();
+    for (const char *name : {"customer", "state"}) {
+        if (m_arguments.has(name)) {
+            query += "&" + std::string(name) + "=" + urlEncoded(m_arguments.value(name));
+        }
+    }
+    nlohmann::json answer = client().read("/v1/jobs?" + query);
+    return print(answer, [&] {
+        printTable(m_environment.out, answer.value("jobs", nlohmann::json::array()),
+                   {"job", "customer", "team", "name", "state"});
+    });
+}
+
+ExitCode Commands::jobsCancel()
+{
+    std::string path = "/v1/jobs/" + urlEncoded(m_arguments.words[0]);
+    std::optional<nlohmann::json> answer = client().sendOnce({"DELETE", path + "?who=" + urlEncoded(who()), ""});
+    if (!answer) {
+        answer = afterLostAnswer(
+            [&] {
+                return cancelledJob(client().read(path));
+            },
+            "cancel the job once more, which is safe");
+    }
+    return print(*answer, [&] {
+        printObject(m_environment.out, *answer);
+    });
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/fescueledge/operatorclient.cpp
@@ -0,0 +1,235 @@
+#include "operatorclient_pvt.h"
+
+#include "cliclock_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr Milliseconds requestTimeout{10000}; ///< Wait for one answer.
+constexpr Milliseconds leastTimeout{500}; ///< Wait for one answer when the command's time is nearly over.
+constexpr Milliseconds pollInterval{250};
+constexpr int lookUpLimit = 200; ///< Changes searched for a change id.
+constexpr int statusOk = 200;
+constexpr int statusMultipleChoices = 300;
+constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
+
+bool isSuccess(const ApiResponse &response)
+{
+    return response.status >= statusOk && response.status < statusMultipleChoices;
+}
+
+/// The body of @p response as JSON; discarded if it is none.
+nlohmann::json parsed(const ApiResponse &response)
+{
+    return nlohmann::json::parse(response.body, nullptr, false);
+}
+
+nlohmann::json errorOf(const nlohmann::json &body)
+{
+    return body.is_object() ? body.value("error", nlohmann::json::object()) : nlohmann::json::object();
+}
+
+std::string textOf(const nlohmann::json &object, const char *member, const std::string &fallback)
+{
+    return object.is_object() && object.contains(member) && object[member].is_string()
+        ? object[member].get<std::string>()
+        : fallback;
+}
+
+/// True if the node says that it did nothing, or the answer is no error of the program at all.
+bool surelyNotRun(const ApiResponse &response)
+{
+    return textOf(errorOf(parsed(response)), "outcome", "unknown") == "not run";
+}
+
+std::string describe(const ApiResponse &response)
+{
+    nlohmann::json body = parsed(response);
+    nlohmann::json error = errorOf(body);
+    nlohmann::json findings = body.is_object() ? body.value("findings", nlohmann::json::array()) : nlohmann::json();
+    std::string message = findings.empty() ? textOf(error, "message", "no message")
+                                           : std::to_string(findings.size()) + " findings of the node";
+    std::string text = textOf(error, "type", "status " + std::to_string(response.status)) + ": " + message + " ("
+        + textOf(error, "outcome", "outcome unknown") + ")";
+    if (body.is_object() && body.contains("current_version")) {
+        text += "; the current version is " + body["current_version"].dump();
+    }
+    for (const nlohmann::json &finding : findings) {
+        text += "\n" + textOf(finding, "file", "?") + ":" + std::to_string(finding.value("line", 0)) + ": ["
+            + textOf(finding, "section", "") + "] " + textOf(finding, "key", "") + ": "
+            + textOf(finding, "message", "");
+    }
+    return text;
+}
+
+ChangeResult changeResult(const nlohmann::json &answer)
+{
+    ChangeResult result;
+    result.version = answer.value("version", ControlVersion(0));
+    result.inForce = answer.value("in_force", false);
+    result.waitingFor = answer.value("waiting_for", std::vector<std::string>());
+    return result;
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(OperatorTransport &transport, CliClock &clock, std::vector<std::string> nodes,
+                               Milliseconds timeout)
+    : m_transport(transport)
+    , m_clock(clock)
+    , m_nodes(std::move(nodes))
+    , m_deadline(clock.now() + timeout)
+{
+}
+
+Milliseconds OperatorClient::remaining()
+{
+    Milliseconds left = std::chrono::duration_cast<Milliseconds>(m_deadline - m_clock.now());
+    return std::clamp(left, leastTimeout, requestTimeout);
+}
+
+/// Tries the nodes in turn. A node that refuses with 503 is passed over if it surely did nothing.
+ApiResponse OperatorClient::sendToFirstReachable(const ApiRequest &request, bool repeatable)
+{
+    ApiResponse last;
+    for (const std::string &node : m_nodes) {
+        ApiResponse response = m_transport.send(node, request, remaining());
+        bool passed = response.delivery == ApiResponse::Delivery::NotSent;
+        if (response.delivery == ApiResponse::Delivery::Answered && response.status == statusUnavailable) {
+            passed = repeatable || surelyNotRun(response);
+        }
+        if (response.delivery == ApiResponse::Delivery::Lost) {
+            passed = repeatable;
+        }
+        if (!passed) {
+            return response;
+        }
+        if (last.delivery != ApiResponse::Delivery::Answered) {
+            last = response;
+        }
+    }
+    return last;
+}
+
+nlohmann::json OperatorClient::ask(const ApiRequest &request)
+{
+    ApiResponse response = sendToFirstReachable(request, true);
+    if (response.delivery != ApiResponse::Delivery::Answered) {
+        throw CommandFailure(ExitCode::Unreachable, "no node answered");
+    }
+    if (!isSuccess(response)) {
+        throw CommandFailure(ExitCode::Refused, describe(response));
+    }
+    nlohmann::json body = parsed(response);
+    if (body.is_discarded()) {
+        throw CommandFailure(ExitCode::Unreachable, "the node's answer is no JSON");
+    }
+    return body;
+}
+
+nlohmann::json OperatorClient::read(const std::string &path)
+{
+    return ask({"GET", path, ""});
+}
+
+std::optional<nlohmann::json> OperatorClient::sendOnce(const ApiRequest &request)
+{
+    ApiResponse response = sendToFirstReachable(request, false);
+    if (response.delivery == ApiResponse::Delivery::NotSent) {
+        throw CommandFailure(ExitCode::Unreachable, "no node could be reached; nothing was sent");
+    }
+    if (response.delivery == ApiResponse::Delivery::Lost) {
+        return std::nullopt;
+    }
+    if (response.status == statusConflict) {
+        throw CommandFailure(ExitCode::Conflict, describe(response));
+    }
+    nlohmann::json body = parsed(response);
+    if (isSuccess(response) && body.is_object()) {
+        return body;
+    }
+    if (isSuccess(response) || (response.status >= 500 && !surelyNotRun(response))) {
+        return std::nullopt;
+    }
+    throw CommandFailure(ExitCode::Refused, describe(response));
+}
+
+ChangeResult OperatorClient::change(const ChangeRequest &request)
+{
+    std::optional<nlohmann::json> answer = sendOnce({"POST", request.path, request.body.dump()});
+    return answer ? changeResult(*answer) : lookUp(request);
+}
+
+/// Searches the history for the change until the time of the command is over.
+ChangeResult OperatorClient::lookUp(const ChangeRequest &request)
+{
+    while (true) {
+        try {
+            std::optional<ChangeResult> found = findInHistory(request);
+            if (found) {
+                return *found;
+            }
+        } catch (const CommandFailure &failure) {
+            if (failure.code() == ExitCode::Conflict) {
+                throw;
+            }
+        }
+        if (m_clock.now() >= m_deadline) {
+            throw CommandFailure(ExitCode::Unknown,
+                                 "the answer was lost and change " + request.changeId
+                                     + " is not in the history yet; it may still be made. Look for it with: "
+                                       "fescueledge config history");
+        }
+        m_clock.sleepFor(pollInterval);
+    }
+}
+
+/// The change if it is in the history. Another change in the place that it asked for means that it never will be.
+std::optional<ChangeResult> OperatorClient::findInHistory(const ChangeRequest &request)
+{
+    nlohmann::json history = read("/v1/config/history?limit=" + std::to_string(lookUpLimit));
+    for (const nlohmann::json &change : history.value("changes", nlohmann::json::array())) {
+        ControlVersion version = change.value("version", ControlVersion(0));
+        if (change.value("change_id", std::string()) == request.changeId) {
+            return versionState(version);
+        }
+        if (request.expectedVersion != 0 && version == request.expectedVersion + 1) {
+            throw CommandFailure(ExitCode::Conflict,
+                                 "another change became version " + std::to_string(version)
+                                     + "; this one was not made");
+        }
+    }
+    return std::nullopt;
+}
+
+/// How far @p version, which was accepted, is; not in force if no node says so.
+ChangeResult OperatorClient::versionState(ControlVersion version)
+{
+    try {
+        return changeResult(read("/v1/config/version/" + std::to_string(version)));
+    } catch (const CommandFailure &) {
+        ChangeResult result;
+        result.version = version;
+        return result;
+    }
+}
+
+bool OperatorClient::awaitInForce(ChangeResult &result, const Progress &progress)
+{
+    TimePoint start = m_clock.now();
+    while (!result.inForce) {
+        progress(result, std::chrono::duration_cast<Milliseconds>(m_clock.now() - start));
+        if (m_clock.now() >= m_deadline) {
+            return false;
+        }
+        m_clock.sleepFor(pollInterval);
+        result = versionState(result.version);
+    }
+    return true;
+}
+
+} // namespace fescueledge
--- a/src/include/fescueledge/finding.h
+++ b/src/include/fescueledge/finding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -23,4 +24,10 @@
 
 using Findings = std::vector<Finding>;
 
+/// Puts findings about one file into the order of its lines.
+void sortByLine(Findings &findings);
+
+/// Members file, line, section, key and message.
+void to_json(nlohmann::json &json, const Finding &finding);
+
 } // namespace fescueledge
--- a/src/include/fescueledge/settingsschema.h
+++ b/src/include/fescueledge/settingsschema.h
@@ -62,6 +62,13 @@
 /// @p number as a value of @p type is written: `250ms`, `2GB`, `1.5`.
 std::string numberText(ValueType type, std::int64_t number);
 
+/// Reads @p text as a number of the type and range of @p key.
+/// @throws Error with ErrorKind::InvalidArgument that says what would be right.
+std::int64_t parseNumber(const SettingsKey &key, const std::string &text);
+/// Checks @p text as a value of the type of @p key.
+/// @throws Error as parseNumber does.
+void checkText(const SettingsKey &key, const std::string &text);
+
 /// A Markdown table of each section in @p schema.
 std::string schemaMarkdown(const std::vector<SectionSchema> &schema);
 /// The same as plain text for a terminal.
--- a/src/include/fescueledge/tableparser.h
+++ b/src/include/fescueledge/tableparser.h
@@ -14,8 +14,8 @@
 };
 
 /// Parses and checks the table of routes and the table of pools together. The result has both texts byte for byte,
-/// version 0 and no data centre out. Routes are in order of match: those with a host first, then longer paths first,
-/// then those with methods first.
+/// version 0 and no data centre out. Routes are in order of match: longer paths first, then those with a host, then
+/// those with methods.
 /// @throws SettingsError with everything that is wrong in both.
 ControlState parseTables(const std::string &routesText, const std::string &poolsText,
                          const TableFileNames &names = TableFileNames());
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -71,7 +71,7 @@
          [](PlatformSettings &target, const SettingValue &value) {
              target.vmListInterval = Milliseconds(value.number);
          }},
-        {{"worker-timeout", ValueType::Duration, false, "500ms", 50, 5000,
+        {{"worker-timeout", ValueType::Duration, false, "2s", 50, 10000,
           "Wait for an answer of the agent on a worker."},
          [](PlatformSettings &target, const SettingValue &value) {
              target.workerTimeout = Milliseconds(value.number);
@@ -98,22 +98,22 @@
 const std::vector<KeyBinding<LeaseSettings>> &leaseKeys()
 {
     static const std::vector<KeyBinding<LeaseSettings>> keys{
-        {{"store", ValueType::Duration, false, "3s", 500, 6000,
+        {{"store", ValueType::Duration, false, "3s", 2000, 6000,
           "How long a node may act after it renewed its row in the table service. The same on all nodes."},
          [](LeaseSettings &target, const SettingValue &value) {
              target.store = Milliseconds(value.number);
          }},
-        {{"grant", ValueType::Duration, false, "2s", 200, 5000,
+        {{"grant", ValueType::Duration, false, "2s", 1000, 5000,
           "How long a grant of another node lets a node act. Shorter than `store`. The same on all nodes."},
          [](LeaseSettings &target, const SettingValue &value) {
              target.grant = Milliseconds(value.number);
          }},
-        {{"worker", ValueType::Duration, false, "20s", 1000, 600000,
+        {{"worker", ValueType::Duration, false, "30s", 5000, 600000,
           "How long tasks on a worker run on without a message of the worker's owner. Longer than a takeover."},
          [](LeaseSettings &target, const SettingValue &value) {
              target.worker = Milliseconds(value.number);
          }},
-        {{"drift-percent", ValueType::Percent, false, "2%", 0, 20,
+        {{"drift-percent", ValueType::Percent, false, "3%", 0, 20,
           "Difference between the clock rates of two VMs, at most."},
          [](LeaseSettings &target, const SettingValue &value) {
              target.driftPercent = static_cast<int>(value.number);
--- a/src/libconfig/finding.cpp
+++ b/src/libconfig/finding.cpp
@@ -1,5 +1,8 @@
 #include "fescueledge/settingserror.h"
 
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
 namespace fescueledge {
 
 namespace {
@@ -35,6 +38,22 @@
     return text + message();
 }
 
+void sortByLine(Findings &findings)
+{
+    std::stable_sort(findings.begin(), findings.end(), [](const Finding &a, const Finding &b) {
+        return a.line < b.line;
+    });
+}
+
+void to_json(nlohmann::json &json, const Finding &finding)
+{
+    json = {{"file", finding.file},
+            {"line", finding.line},
+            {"section", finding.section},
+            {"key", finding.key},
+            {"message", finding.message()}};
+}
+
 SettingsError::SettingsError(Findings findings)
     : Error(ErrorKind::InvalidSettings, joined(findings))
     , m_findings(std::move(findings))
--- a/src/libconfig/settingsparser.cpp
+++ b/src/libconfig/settingsparser.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int percentBase = 100;
+constexpr Milliseconds adoptionTime{4000}; ///< For a new owner to see the takeover and reach its workers.
 
 Milliseconds withDrift(Milliseconds time, int driftPercent)
 {
@@ -22,7 +23,8 @@
 Milliseconds takeoverTime(const DaemonSettings &settings)
 {
     const LeaseSettings &leases = settings.leases;
-    return withDrift(leases.store + leases.grant, leases.driftPercent) + 2 * settings.platform.tableTimeout;
+    return withDrift(leases.store + leases.grant, leases.driftPercent) + 2 * settings.platform.tableTimeout
+        + adoptionTime;
 }
 
 using SectionMap = std::map<std::string, CheckedSection>;
@@ -144,6 +146,7 @@
     checks.checkToken(settings.operatorAccess);
     checks.checkLeases(settings);
     if (!findings.empty()) {
+        sortByLine(findings);
         throw SettingsError(findings);
     }
     return settings;
--- a/src/libconfig/settingvalue.cpp
+++ b/src/libconfig/settingvalue.cpp
@@ -1,5 +1,7 @@
 #include "settingvalue_pvt.h"
 
+#include "fescueledge/error.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
@@ -279,4 +281,18 @@
     return readers().at(key.type)(key, text);
 }
 
+std::int64_t parseNumber(const SettingsKey &key, const std::string &text)
+{
+    ValueResult result = readValue(key, text);
+    if (!result.problem.empty()) {
+        throw Error(ErrorKind::InvalidArgument, std::string(key.name) + ": " + result.problem + "; " + result.remedy);
+    }
+    return result.value.number;
+}
+
+void checkText(const SettingsKey &key, const std::string &text)
+{
+    parseNumber(key, text);
+}
+
 } // namespace fescueledge
--- a/src/libconfig/tableparser.cpp
+++ b/src/libconfig/tableparser.cpp
@@ -59,9 +59,9 @@
 /// True if @p a is matched before @p b: the more specific route first.
 bool matchesBefore(const Route &a, const Route &b)
 {
-    using Order = std::tuple<bool, std::size_t, bool, std::string>;
-    Order orderA(a.host.empty(), SIZE_MAX - a.pathPrefix.size(), a.methods.empty(), a.name);
-    Order orderB(b.host.empty(), SIZE_MAX - b.pathPrefix.size(), b.methods.empty(), b.name);
+    using Order = std::tuple<std::size_t, bool, bool, std::string>;
+    Order orderA(SIZE_MAX - a.pathPrefix.size(), a.host.empty(), a.methods.empty(), a.name);
+    Order orderB(SIZE_MAX - b.pathPrefix.size(), b.host.empty(), b.methods.empty(), b.name);
     return orderA < orderB;
 }
 
@@ -70,11 +70,15 @@
 ControlState parseTables(const std::string &routesText, const std::string &poolsText, const TableFileNames &names)
 {
     Findings findings;
+    Findings poolFindings;
     ParsedTables tables;
     readRoutes(routesText, names.routes, tables, findings);
-    readPools(poolsText, names.pools, tables, findings);
+    readPools(poolsText, names.pools, tables, poolFindings);
     checkRoutes(tables.routes, poolNames(tables), names.routes, findings);
-    checkPools(tables.pools, names.pools, findings);
+    checkPools(tables.pools, names.pools, poolFindings);
+    sortByLine(findings);
+    sortByLine(poolFindings);
+    findings.insert(findings.end(), poolFindings.begin(), poolFindings.end());
     if (!findings.empty()) {
         throw SettingsError(findings);
     }
