--- a/src/fescueledge/cli_test.cpp
+++ b/src/fescueledge/cli_test.cpp
@@ -11,7 +11,6 @@
 #include <sstream>
 
 using namespace fescueledge;
-using trompeloeil::_;
 
 namespace {
 
@@ -121,6 +120,7 @@
         std::vector<std::string> line{"fescueledge"};
         line.insert(line.end(), words.begin(), words.end());
         std::vector<char *> argv;
+        argv.reserve(line.size() + 1);
         for (std::string &word : line) {
             argv.push_back(word.data());
         }
@@ -162,9 +162,11 @@
 } // namespace
 
 #define EXPECT_SEND(verb, start) \
-    REQUIRE_CALL(transport, send(_, _, _)).WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
+    REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)) \
+        .WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
 #define ALLOW_SEND(verb, start) \
-    ALLOW_CALL(transport, send(_, _, _)).WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
+    ALLOW_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)) \
+        .WITH(_2.method == (verb) && _2.path.rfind((start), 0) == 0)
 
 TEST_CASE_METHOD(CliFixture, "wrong command lines are usage errors and send nothing")
 {
@@ -348,12 +350,15 @@
     variables["FESCUELEDGE_NODES"] = "10.0.0.1:1,10.0.0.2:1,10.0.0.3:1";
     ALLOW_SEND("GET", "/v1/config").RETURN(currentConfig(7));
     trompeloeil::sequence order;
-    REQUIRE_CALL(transport, send("10.0.0.1:1", _, _)).WITH(_2.method == "POST").IN_SEQUENCE(order).RETURN(notSent());
-    REQUIRE_CALL(transport, send("10.0.0.2:1", _, _))
+    REQUIRE_CALL(transport, send("10.0.0.1:1", trompeloeil::_, trompeloeil::_))
+        .WITH(_2.method == "POST")
+        .IN_SEQUENCE(order)
+        .RETURN(notSent());
+    REQUIRE_CALL(transport, send("10.0.0.2:1", trompeloeil::_, trompeloeil::_))
         .WITH(_2.method == "POST")
         .IN_SEQUENCE(order)
         .RETURN(answered(503, errorBody("shutting-down", "not run")));
-    REQUIRE_CALL(transport, send("10.0.0.3:1", _, _))
+    REQUIRE_CALL(transport, send("10.0.0.3:1", trompeloeil::_, trompeloeil::_))
         .WITH(_2.method == "POST")
         .IN_SEQUENCE(order)
         .RETURN(answered(200, accepted(8, true)));
@@ -403,8 +408,8 @@
 TEST_CASE_METHOD(CliFixture, "reads try the next node, also after a lost answer")
 {
     variables["FESCUELEDGE_NODES"] = "10.0.0.1:1,10.0.0.2:1";
-    REQUIRE_CALL(transport, send("10.0.0.1:1", _, _)).RETURN(lost());
-    REQUIRE_CALL(transport, send("10.0.0.2:1", _, _))
+    REQUIRE_CALL(transport, send("10.0.0.1:1", trompeloeil::_, trompeloeil::_)).RETURN(lost());
+    REQUIRE_CALL(transport, send("10.0.0.2:1", trompeloeil::_, trompeloeil::_))
         .RETURN(answered(200, {{"node", "east-2"}, {"shards", {{{"shard", "queue:00"}, {"owner", "east-1"}}}}}));
     CHECK(run({"status"}) == ExitCode::Ok);
     CHECK(out.str() == "node: east-2\n\nshards:\nowner   shard\neast-1  queue:00\n");
@@ -412,7 +417,7 @@
 
 TEST_CASE_METHOD(CliFixture, "no answer from any node is unreachable")
 {
-    ALLOW_CALL(transport, send(_, _, _)).RETURN(notSent());
+    ALLOW_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(notSent());
     for (const std::vector<std::string> &line : std::vector<std::vector<std::string>>{
              {"status"},
              {"audit"},
