--- a/src/fescueledge/cli_test.cpp
+++ b/src/fescueledge/cli_test.cpp
@@ -493,3 +493,18 @@
     EXPECT_SEND("GET", "/v1/explain/task/a%20b/7").RETURN(answered(200, {{"state", "running"}}));
     CHECK(run({"explain", "task", "a b/7"}) == ExitCode::Ok);
 }
+
+TEST_CASE_METHOD(CliFixture, "the audit trail shows each key before and after")
+{
+    nlohmann::json before = {{"routes", routes}, {"pools", pools}, {"data_centres_out", {"west"}}};
+    nlohmann::json after = {{"routes", routes}, {"pools", newPools}, {"data_centres_out", nlohmann::json::array()}};
+    nlohmann::json change = {{"version", 8},      {"when", "2026-01-02T03:04:05Z"},
+                             {"who", "asha"},     {"why", "more"},
+                             {"change_id", "c1"}, {"before", before},
+                             {"after", after}};
+    EXPECT_SEND("GET", "/v1/audit?limit=20").RETURN(answered(200, {{"changes", {change}}}));
+    CHECK(run({"audit"}) == ExitCode::Ok);
+    CHECK(out.str()
+          == "version 8, 2026-01-02T03:04:05Z, asha: more (change c1)\n"
+             "  ~ pool p: slots: 8 -> 9\n  - data-centre west: in\n");
+}
--- a/src/fescueledge/commands_pvt.h
+++ b/src/fescueledge/commands_pvt.h
@@ -93,6 +93,10 @@
 /// An identifier that no other change or job has.
 std::string uniqueId();
 
+/// The control state in @p content, which has members `routes`, `pools` and `data_centres_out`. Without the tables if
+/// this program can't read them.
+ControlState controlFrom(const nlohmann::json &content);
+
 /// @p text with everything but letters, digits and `-._~` percent-encoded.
 std::string urlEncoded(const std::string &text);
 
--- a/src/fescueledge/configcommands.cpp
+++ b/src/fescueledge/configcommands.cpp
@@ -32,14 +32,12 @@
     return text;
 }
 
-/// The tables that are in force on a node. Empty if this program can't read them.
-ControlState parseCurrent(const nlohmann::json &current)
+/// What @p proposed changes in @p current. Data centres stay as they are.
+std::vector<TableChange> diffAgainst(const nlohmann::json &current, const ControlState &proposed)
 {
-    try {
-        return parseTables(current.value("routes", std::string()), current.value("pools", std::string()));
-    } catch (const SettingsError &) {
-        return ControlState();
-    }
+    ControlState before = controlFrom(current);
+    before.dataCentresOut = proposed.dataCentresOut;
+    return diffTables(before, proposed);
 }
 
 nlohmann::json tablesBody(const ControlState &control)
@@ -56,6 +54,18 @@
 
 } // namespace
 
+ControlState controlFrom(const nlohmann::json &content)
+{
+    ControlState control;
+    try {
+        control = parseTables(content.value("routes", std::string()), content.value("pools", std::string()));
+    } catch (const SettingsError &) {
+        control = ControlState();
+    }
+    control.dataCentresOut = content.value("data_centres_out", std::set<DataCentreId>());
+    return control;
+}
+
 Commands::Tables Commands::readTables() const
 {
     const std::string &routes = m_arguments.words[0];
@@ -104,8 +114,7 @@
 
 void Commands::printDiff(const nlohmann::json &current, const Tables &tables)
 {
-    ControlState before = parseCurrent(current);
-    std::vector<TableChange> changes = diffTables(before, tables.control);
+    std::vector<TableChange> changes = diffAgainst(current, tables.control);
     for (const TableChange &change : changes) {
         m_environment.out << change.toString() << '\n';
     }
@@ -121,7 +130,7 @@
     nlohmann::json current = client().read("/v1/config");
     nlohmann::json answer = {{"version", current.value("version", ControlVersion(0))},
                              {"digest", tables.digest},
-                             {"changes", diffTables(parseCurrent(current), tables.control)}};
+                             {"changes", diffAgainst(current, tables.control)}};
     return print(answer, [&] {
         printDiff(current, tables);
         m_environment.out << "against version " << answer["version"] << "; apply just this with --expected-version "
--- a/src/fescueledge/inspectcommands.cpp
+++ b/src/fescueledge/inspectcommands.cpp
@@ -2,10 +2,30 @@
 
 #include "jsontext_pvt.h"
 
+#include "fescueledge/controlstate.h"
+#include "fescueledge/tablediff.h"
+
 #include <ostream>
 
 namespace fescueledge {
 
+namespace {
+
+/// Prints who changed what, when and why, with each key before and after.
+void printAudit(std::ostream &out, const nlohmann::json &change)
+{
+    out << "version " << change.value("version", ControlVersion(0)) << ", " << change.value("when", "?") << ", "
+        << change.value("who", "?") << ": " << change.value("why", "?") << " (change " << change.value("change_id", "?")
+        << ")\n";
+    ControlState before = controlFrom(change.value("before", nlohmann::json::object()));
+    ControlState after = controlFrom(change.value("after", nlohmann::json::object()));
+    for (const TableChange &it : diffTables(before, after)) {
+        out << "  " << it.toString() << '\n';
+    }
+}
+
+} // namespace
+
 ExitCode Commands::status()
 {
     nlohmann::json answer = client().read("/v1/status");
@@ -40,7 +60,9 @@
 {
     nlohmann::json answer = client().read("/v1/audit?" + limitQuery());
     return print(answer, [&] {
-        printObject(m_environment.out, answer);
+        for (const nlohmann::json &change : answer.value("changes", nlohmann::json::array())) {
+            printAudit(m_environment.out, change);
+        }
     });
 }
 
--- a/src/fescueledge/jsontext.cpp
+++ b/src/fescueledge/jsontext.cpp
@@ -16,10 +16,16 @@
     if (value.is_boolean()) {
         return value.get<bool>() ? "yes" : "no";
     }
+    std::string text;
+    if (value.is_object()) {
+        for (nlohmann::json::const_iterator it = value.begin(); it != value.end(); ++it) {
+            text += (text.empty() ? "" : " ") + it.key() + "=" + cellText(*it);
+        }
+        return text;
+    }
     if (!value.is_array()) {
         return value.is_null() ? std::string("-") : value.dump();
     }
-    std::string text;
     for (const nlohmann::json &item : value) {
         text += text.empty() ? cellText(item) : ", " + cellText(item);
     }
