Print a dash for an empty value

An empty member left a line with a trailing space (cancelled_by, detail, checkpoint) that looked cut off.

--- a/src/fescueledge/jsontext.cpp
+++ b/src/fescueledge/jsontext.cpp
@@ -11,7 +11,8 @@
 std::string cellText(const nlohmann::json &value)
 {
     if (value.is_string()) {
-        return value.get<std::string>();
+        std::string plain = value.get<std::string>();
+        return plain.empty() ? std::string("-") : plain;
     }
     if (value.is_boolean()) {
         return value.get<bool>() ? "yes" : "no";
