--- a/src/libmember/clusterfixture.cpp
+++ b/src/libmember/clusterfixture.cpp
@@ -144,6 +144,9 @@
         for (int j = 0; j < size(); ++j) {
             network.setCut(node(i).identity.id, node(j).identity.id, false);
         }
+        if (node(i).authority.isDraining()) {
+            kill(i);
+        }
         if (!node(i).isAlive()) {
             boot(i);
         } else if (node(i).paused) {
--- a/src/libmember/clusterfixture_pvt.h
+++ b/src/libmember/clusterfixture_pvt.h
@@ -73,7 +73,7 @@
     void run(Duration span);
     /// Runs until @p done holds or @p limit has passed; checks after each event.
     bool runUntil(const std::function<bool()> &done, Duration limit);
-    /// Ends all faults: links, store, VM list, pauses; boots what is down.
+    /// Ends all faults: links, store, VM list, pauses; boots what is down or drains.
     void heal();
 
     ClusterProcess &node(int index);
--- a/src/libmember/controlmessages_pvt.h
+++ b/src/libmember/controlmessages_pvt.h
@@ -11,7 +11,7 @@
 struct ApplyRequest
 {
     static constexpr const char *kind = "control-apply";
-    std::string rowValue; ///< As in the row `control/current`.
+    std::string rowValue; ///< As in the row `control/current`; empty before any version was accepted.
 };
 
 /// Answers an ApplyRequest once the version is in force on the node, or cannot be.
--- a/src/libmember/controlregister.cpp
+++ b/src/libmember/controlregister.cpp
@@ -65,7 +65,10 @@
     m_transport->setReceiver(
         ApplyRequest::kind,
         [this](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
-            load(message.body.get<ApplyRequest>().rowValue);
+            const std::string rowValue = message.body.get<ApplyRequest>().rowValue;
+            if (!rowValue.empty()) {
+                load(rowValue);
+            }
             respond(PeerMessage{ApplyReply::kind, ApplyReply{m_incarnation, m_state->version}});
         });
     m_transport->setReceiver(FetchRequest::kind,
@@ -143,7 +146,10 @@
             throw Error(ErrorKind::DigestMismatch, "control version " + std::to_string(row.version));
         }
         if (row.version > m_state->version) {
-            m_knownVersion = std::max(m_knownVersion, row.version);
+            if (row.version > m_knownVersion) {
+                m_knownVersion = row.version;
+                m_knownDigest = digest;
+            }
             install(parseControl(*m_parser, row), digest, rowValue);
         }
         return true;
