--- a/src/libmember/faultdriver.cpp
+++ b/src/libmember/faultdriver.cpp
@@ -206,16 +206,14 @@
 {
     const int index = anyNode();
     ClusterProcess *process = &m_cluster->node(index);
-    if (!process->isAlive() || process->authority.isDraining()) {
+    if (!m_cluster->isUp(index) || process->authority.isDraining()) {
         return;
     }
-    process->loop.post([this, index, process] {
-        process->authority.drain([this, index, process] {
-            if (m_active && &m_cluster->node(index) == process) {
-                m_cluster->kill(index);
-                m_cluster->boot(index);
-            }
-        });
+    process->authority.drain([this, index, process] {
+        if (m_active && &m_cluster->node(index) == process) {
+            m_cluster->kill(index);
+            m_cluster->boot(index);
+        }
     });
 }
 
