libmember: prove that a change of the grantor group needs both groups (P2)

Cause: with the mechanism taken out on a scratch copy (the node acts on the new group as soon as it sends the write, or on the old one until the write is acknowledged), the random runs of promise_p2_single_owner still passed: the loss has to meet a group that shrinks to one node or grows from one. Two tests now bring that about.

--- a/src/libmember/promise_p2_single_owner_test.cpp
+++ b/src/libmember/promise_p2_single_owner_test.cpp
@@ -121,3 +121,48 @@
     CHECK(settles(&cluster, settleLimit));
     checkNoViolations(cluster);
 }
+
+TEST_CASE("a node whose write of a smaller group was lost still needs the old group")
+{
+    ClusterFixture cluster(7, 3);
+    REQUIRE(settles(&cluster, settleLimit));
+    cluster.run(seconds(10));
+    cluster.pause(1, true);
+    cluster.pause(2, true);
+    cluster.run(seconds(8));
+    cluster.node(0).table.faults.loseRequest = 1.0;
+    cluster.run(seconds(6));
+    cluster.node(0).table.faults.down = true;
+    cluster.network.setIsolated("n0", true);
+    cluster.pause(1, false);
+    cluster.pause(2, false);
+    cluster.run(settleLimit);
+    CHECK(cluster.allOwned());
+    CHECK(cluster.node(0).loop.now() >= cluster.node(0).authority.actUntil());
+    checkNoViolations(cluster);
+}
+
+TEST_CASE("a node whose write of a larger group got no answer needs the new group")
+{
+    ClusterFixture cluster(8, 3);
+    cluster.kill(1);
+    cluster.kill(2);
+    cluster.run(seconds(15));
+    REQUIRE(cluster.allOwned());
+    cluster.node(0).table.faults.loseAnswer = 1.0;
+    cluster.boot(1);
+    cluster.boot(2);
+    const bool isWritten = cluster.runUntil(
+        [&cluster] {
+            const std::string value = cluster.rows.read({"node/n0"}).rows.front().value;
+            return value.find("\"n1\"") != std::string::npos;
+        },
+        seconds(10));
+    REQUIRE(isWritten);
+    cluster.node(0).table.faults.down = true;
+    cluster.network.setIsolated("n0", true);
+    cluster.run(settleLimit);
+    CHECK(cluster.allOwned());
+    CHECK(cluster.node(0).loop.now() >= cluster.node(0).authority.actUntil());
+    checkNoViolations(cluster);
+}
