libmember: load the configuration from peers when a daemon starts in a store outage

Cause: fetchFromPeers() stood but nothing called it, so a daemon that was restarted during an outage knew no routes until the store was back. It does not act: it has no incarnation.

--- a/src/libmember/promise_p10_configuration_test.cpp
+++ b/src/libmember/promise_p10_configuration_test.cpp
@@ -281,6 +281,21 @@
     checkNoViolations(cluster);
 }
 
+TEST_CASE("a daemon that starts while the store is down loads the configuration from its peers, and does not act")
+{
+    ClusterFixture cluster(6);
+    settle(&cluster);
+    REQUIRE(propose(&cluster, 0, changeTo(0, "routes"), inForceLimit)->status == Status::InForce);
+    cluster.noteInForce(1);
+    cluster.setStoreDown(true);
+    cluster.kill(4);
+    cluster.boot(4);
+    cluster.run(seconds(5));
+    CHECK(cluster.node(4).authority.control()->routesText == "routes");
+    CHECK(cluster.node(4).loop.now() >= cluster.node(4).authority.actUntil());
+    checkNoViolations(cluster);
+}
+
 TEST_CASE("the changes of racing operators are linearizable under random faults, and none reverts")
 {
     const std::uint64_t seed = GENERATE(range(1, 13));
--- a/src/libmember/storelease.cpp
+++ b/src/libmember/storelease.cpp
@@ -1,6 +1,7 @@
 #include "storelease_pvt.h"
 
 #include "fescueledge/controlregister.h"
+#include "fescueledge/controlstate.h"
 #include "fescueledge/digest.h"
 #include "fescueledge/loop.h"
 #include "fescueledge/tableservice.h"
@@ -136,6 +137,9 @@
 {
     m_busy = false;
     if (!result.available) {
+        if (m_control->current()->version == 0) {
+            m_control->fetchFromPeers();
+        }
         return;
     }
     const Row *row = result.find(nodeKey(m_identity.id));
