--- a/src/libmember/controlcodec.cpp
+++ b/src/libmember/controlcodec.cpp
@@ -1,5 +1,7 @@
 #include "controlcodec_pvt.h"
 
+#include "fescueledge/controlparser.h"
+#include "fescueledge/controlstate.h"
 #include "fescueledge/digest.h"
 #include "fescueledge/error.h"
 
@@ -97,4 +99,17 @@
     return entry;
 }
 
+std::shared_ptr<const ControlState> parseControl(const ControlParser &parser, const ControlRow &row)
+{
+    auto state = std::make_shared<ControlState>();
+    state->version = row.version;
+    state->routesText = row.content.routesText;
+    state->poolsText = row.content.poolsText;
+    state->dataCentresOut = row.content.dataCentresOut;
+    if (row.version != 0) {
+        parser.parse(state.get());
+    }
+    return state;
+}
+
 } // namespace fescueledge
--- a/src/libmember/controlcodec_pvt.h
+++ b/src/libmember/controlcodec_pvt.h
@@ -2,10 +2,14 @@
 
 #include "fescueledge/controlchange.h"
 
+#include <memory>
 #include <string>
 
 namespace fescueledge {
 
+class ControlParser;
+struct ControlState;
+
 /// The row `control/current`: the newest accepted content.
 struct ControlRow
 {
@@ -22,6 +26,9 @@
 /// Reads a control row. Throws Error with DigestMismatch if the content is not what was written.
 ControlRow decodeControlRow(const std::string &value);
 
+/// The control state that @p row describes. Throws Error with InvalidSettings if @p parser refuses its tables.
+std::shared_ptr<const ControlState> parseControl(const ControlParser &parser, const ControlRow &row);
+
 std::string encodeHistoryEntry(const ControlHistoryEntry &entry);
 ControlHistoryEntry decodeHistoryEntry(const std::string &value);
 
