libmember, libtesting: mend what the linter found

Strings built by repeated concatenation, one missing reserve, one constant that kept a result from being moved. The weight of rendezvous hashing stood three times and is one function now.

--- a/src/libmember/clusterfixture.cpp
+++ b/src/libmember/clusterfixture.cpp
@@ -27,6 +27,18 @@
     return entry;
 }
 
+std::string describeBreach(const char *what, const ShardId &shard, const std::vector<NodeId> &nodes)
+{
+    std::string text = what;
+    text += " of ";
+    text += shard;
+    for (const NodeId &node : nodes) {
+        text += ' ';
+        text += node;
+    }
+    return text;
+}
+
 } // namespace
 
 void FakeControlParser::parse(ControlState *state) const
@@ -240,6 +252,7 @@
 std::vector<ShardId> ClusterFixture::allShards() const
 {
     std::vector<ShardId> shards;
+    shards.reserve(queuePartitions + dataCentres);
     for (int i = 0; i < queuePartitions; ++i) {
         shards.push_back(queueShard(i));
     }
@@ -293,11 +306,11 @@
         }
         const auto [it, isFirst] = m_actors.emplace(shard, index);
         if (!isFirst) {
-            violations.push_back("two owners of " + shard + ": " + name + " and " + node(it->second).identity.id);
+            violations.push_back(describeBreach("two owners", shard, {name, node(it->second).identity.id}));
         }
         Epoch &latest = m_epochs[shard];
         if (*epoch < latest) {
-            violations.push_back("old epoch of " + shard + ": " + name);
+            violations.push_back(describeBreach("old epoch", shard, {name}));
         }
         latest = std::max(latest, *epoch);
     }
--- a/src/libmember/promise_p10_configuration_test.cpp
+++ b/src/libmember/promise_p10_configuration_test.cpp
@@ -310,7 +310,7 @@
     const ControlVersion newest = operators.history.back().version;
     CHECK(newest > 0);
     const std::optional<std::string> breach = checkLinearizable(operators.history);
-    CHECK(breach.value_or("") == "");
+    CHECK_FALSE(breach.has_value());
     for (int i = 0; i < cluster.size(); ++i) {
         CHECK(cluster.node(i).authority.control()->version == newest);
     }
--- a/src/libmember/shardassigner.cpp
+++ b/src/libmember/shardassigner.cpp
@@ -1,7 +1,7 @@
 #include "shardassigner_pvt.h"
 
-#include "fescueledge/digest.h"
 #include "nodetable_pvt.h"
+#include "rendezvous_pvt.h"
 
 #include <algorithm>
 #include <tuple>
@@ -35,7 +35,7 @@
     std::vector<std::tuple<bool, std::uint64_t, NodeId>> ranked;
     for (const auto &[node, entry] : m_nodes->entries()) {
         if (isCandidate(entry, now)) {
-            ranked.emplace_back(entry.row.identity.dataCentre == dataCentre, fastHash(shard + "|" + node), node);
+            ranked.emplace_back(entry.row.identity.dataCentre == dataCentre, rendezvousWeight(shard, node), node);
         }
     }
     std::sort(ranked.rbegin(), ranked.rend());
--- a/src/libmember/storelease.cpp
+++ b/src/libmember/storelease.cpp
@@ -2,11 +2,11 @@
 
 #include "fescueledge/controlregister.h"
 #include "fescueledge/controlstate.h"
-#include "fescueledge/digest.h"
 #include "fescueledge/loop.h"
 #include "fescueledge/tableservice.h"
 #include "fescueledge/vmdirectory.h"
 #include "nodetable_pvt.h"
+#include "rendezvous_pvt.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -361,7 +361,7 @@
     for (const auto &[node, entry] : m_nodes->entries()) {
         const bool silent = m_loop->now() - entry.heard > m_timings.silenceLimit;
         if (node != m_identity.id && !entry.row.fenced && !entry.row.draining && !silent) {
-            ranked.emplace_back(fastHash(m_identity.id + "|" + node), entry.row.grantor());
+            ranked.emplace_back(rendezvousWeight(m_identity.id, node), entry.row.grantor());
         }
     }
     std::sort(ranked.rbegin(), ranked.rend());
--- a/src/libmember/takeoversystem.cpp
+++ b/src/libmember/takeoversystem.cpp
@@ -1,11 +1,11 @@
 #include "takeoversystem_pvt.h"
 
-#include "fescueledge/digest.h"
 #include "fescueledge/loop.h"
 #include "fescueledge/peertransport.h"
 #include "fescueledge/tableservice.h"
 #include "membermessages_pvt.h"
 #include "nodetable_pvt.h"
+#include "rendezvous_pvt.h"
 #include "storelease_pvt.h"
 
 #include <glog/logging.h>
@@ -86,12 +86,12 @@
 /// The place of this node among the nodes that could fence @p node.
 int TakeoverSystem::rankFor(const NodeId &node) const
 {
-    const std::uint64_t own = fastHash(node + "|" + m_self);
+    const std::uint64_t own = rendezvousWeight(node, m_self);
     int rank = 0;
     for (const auto &[other, entry] : m_nodes->entries()) {
         const bool renews = m_loop->now() - entry.versionSeen < m_timings.storeLease;
         const bool isRival = other != m_self && other != node && !entry.row.fenced && renews;
-        if (isRival && fastHash(node + "|" + other) > own) {
+        if (isRival && rendezvousWeight(node, other) > own) {
             ++rank;
         }
     }
--- a/src/libtesting/historychecker.cpp
+++ b/src/libtesting/historychecker.cpp
@@ -182,7 +182,7 @@
 {
     std::map<TaskId, TaskHistory> tasks;
     for (const FinishEvent &event : history) {
-        const std::optional<std::string> breach = applyFinishEvent(event, &tasks[event.task]);
+        std::optional<std::string> breach = applyFinishEvent(event, &tasks[event.task]);
         if (breach.has_value()) {
             return breach;
         }
