--- a/src/include/fescueledge/testing/fakeendpoints.h
+++ b/src/include/fescueledge/testing/fakeendpoints.h
@@ -26,6 +26,7 @@
     {
         double refuse = 0; ///< No connection.
         double reset = 0; ///< Reset after some bytes; it may have run.
+        double cut = 0; ///< The connection breaks halfway; the endpoint runs it to the end.
         double truncated = 0; ///< It runs; the answer stops short.
         double crossed = 0; ///< It runs; the answer carries another request's id.
         double twice = 0; ///< It runs; the answer comes twice.
@@ -59,7 +60,7 @@
     /// The answer that a request with body @p body gets.
     static std::string answerTo(const std::string &body);
 
-    Milliseconds latency{1}; ///< One way between a node and an endpoint.
+    std::chrono::microseconds latency{1000}; ///< One way between a node and an endpoint.
     /// Gives the service time of one request in milliseconds; an exponential tail by default.
     std::function<double(const Endpoint &, Random &)> serviceTime;
 
@@ -70,6 +71,7 @@
 
     void arrive(const ExchangePtr &exchange);
     void serve(const ExchangePtr &exchange);
+    void cutLater(const ExchangePtr &exchange, Duration delay);
     void leave(Endpoint &endpoint);
     void reply(const ExchangePtr &exchange);
 
--- a/src/include/fescueledge/testing/fakenetwork.h
+++ b/src/include/fescueledge/testing/fakenetwork.h
@@ -25,7 +25,7 @@
     /// True if a message from @p from would reach @p to.
     bool connected(const NodeId &from, const NodeId &to) const;
 
-    Milliseconds latency{1}; ///< One way.
+    std::chrono::microseconds latency{1000}; ///< One way.
     double loss = 0; ///< Probability that a message is lost.
 
 private:
--- a/src/librequest/notrun_test.cpp
+++ b/src/librequest/notrun_test.cpp
@@ -36,6 +36,7 @@
         case 5:
             endpoint.refuse = 0.7;
             endpoint.reset = 0.2;
+            endpoint.cut = 0.2;
             break;
         case 6:
             endpoint.late = 0.5;
--- a/src/librequest/requestdispatcher_test.cpp
+++ b/src/librequest/requestdispatcher_test.cpp
@@ -178,3 +178,14 @@
     CHECK(statistics.retries + statistics.hedges <= 500 / 10 + 10);
     CHECK(statistics.retries >= 30);
 }
+
+TEST_CASE("an answered request frees everything that its handler holds")
+{
+    RequestWorld world(9);
+    world.addRack("r1", 2, "n1");
+    RequestNode &node = world.addNode("n1");
+    const auto token = std::make_shared<int>(0);
+    node.dispatch(previewRequest("x"), [token](const DispatchResult &) {});
+    world.world.runFor(std::chrono::seconds(5));
+    CHECK(token.use_count() == 1);
+}
--- a/src/librequest/requestrunner.cpp
+++ b/src/librequest/requestrunner.cpp
@@ -17,6 +17,8 @@
 /// Attempts that were refused before a byte was sent and may be made again elsewhere.
 constexpr int maxReroutes = 3;
 constexpr Milliseconds minHedgeDelay{1};
+/// Hedges are sent only while this share of all slots is free: under load they would delay others.
+constexpr double minSpareShare = 0.3;
 constexpr int serverErrorStatus = 500;
 
 bool isServerError(const DispatchResult &result)
@@ -45,7 +47,7 @@
     std::vector<WorkerId> avoidWorkers;
     std::set<NodeId> avoidNodes;
     NodeId lastNode;
-    AttemptPtr lastAttempt;
+    std::weak_ptr<LocalAttempt> lastAttempt; ///< Weak, as the attempt's handler keeps this run.
     DispatchResult last;
 
     bool isIdempotent() const
@@ -108,12 +110,13 @@
     ++run->open;
     ++run->inDoubt;
     run->lastNode = *node;
-    run->lastAttempt = makeAttempt(run, *node);
+    const AttemptPtr attempt = makeAttempt(run, *node);
+    run->lastAttempt = attempt;
     if (*node == m_authority->self()) {
-        m_sender->submit(run->lastAttempt);
+        m_sender->submit(attempt);
     } else {
         m_capacity->noteForward(*node, run->admitted.pool->name);
-        m_forwarder->forward(*node, m_random.uniqueId(), run->lastAttempt);
+        m_forwarder->forward(*node, m_random.uniqueId(), attempt);
     }
     return true;
 }
@@ -212,16 +215,27 @@
     });
 }
 
+bool RequestRunner::hasSpareSlots(const Pool &pool)
+{
+    PoolLoad sum = m_sender->load(pool);
+    for (const RemoteCapacity::Place &it : m_capacity->places(pool.name)) {
+        sum.freeSlots += it.load.freeSlots;
+        sum.totalSlots += it.load.totalSlots;
+    }
+    return sum.freeSlots >= minSpareShare * sum.totalSlots;
+}
+
 void RequestRunner::hedge(const RunPtr &run)
 {
     if (run->finished || run->open != 1 || run->attempts - run->reroutes >= run->maxAttempts()) {
         return;
     }
-    if (!m_pools[run->admitted.pool->name].budget.take()) {
+    if (!hasSpareSlots(*run->admitted.pool) || !m_pools[run->admitted.pool->name].budget.take()) {
         return;
     }
-    if (!run->lastAttempt->sentTo.empty()) {
-        run->avoidWorkers.push_back(run->lastAttempt->sentTo);
+    const AttemptPtr attempt = run->lastAttempt.lock();
+    if (attempt && !attempt->sentTo.empty()) {
+        run->avoidWorkers.push_back(attempt->sentTo);
     } else {
         run->avoidNodes.insert(run->lastNode);
     }
--- a/src/librequest/requestrunner_pvt.h
+++ b/src/librequest/requestrunner_pvt.h
@@ -57,6 +57,7 @@
     void onResult(const RunPtr &run, const NodeId &node, const DispatchResult &result);
     bool mayRetry(const RunPtr &run, const DispatchResult &result);
     void scheduleHedge(const RunPtr &run);
+    bool hasSpareSlots(const Pool &pool);
     void hedge(const RunPtr &run);
     void finish(const RunPtr &run, DispatchResult result);
 
--- a/src/librequest/slots_test.cpp
+++ b/src/librequest/slots_test.cpp
@@ -50,6 +50,7 @@
             endpoint.serviceMs = 30;
             endpoint.faults.slowdown = random.chance(0.3) ? 30 : 1;
             endpoint.faults.reset = random.chance(0.3) ? 0.2 : 0;
+            endpoint.faults.cut = random.chance(0.3) ? 0.2 : 0;
             endpoint.faults.late = random.chance(0.3) ? 0.2 : 0;
         }
         RequestHistory history;
--- a/src/libtesting/fakeendpoints.cpp
+++ b/src/libtesting/fakeendpoints.cpp
@@ -123,6 +123,9 @@
     const Duration service = fromMs(serviceTime(endpoint, m_random));
     ++m_runs[exchange->request.body];
     ++m_runsOfRequest[exchange->request.id];
+    if (m_random.chance(endpoint.faults.cut)) {
+        cutLater(exchange, std::min(service, left) / 2);
+    }
     m_world->after(std::min(service, left), [this, exchange, service, left] {
         if (service < left) {
             reply(exchange);
@@ -131,6 +134,15 @@
     });
 }
 
+void FakeEndpoints::cutLater(const ExchangePtr &exchange, Duration delay)
+{
+    m_world->after(delay, [exchange] {
+        exchange->loop->post([exchange] {
+            exchange->finish(failure(RunOutcome::Unknown, "connection lost"));
+        });
+    });
+}
+
 void FakeEndpoints::leave(Endpoint &endpoint)
 {
     --endpoint.serving;
