Keep a draining node up until no other forwards to it

A node with nothing in flight ended while a forward was under way to it, as the other node had not yet heard that it drains.

A drain now tells all nodes at once and lasts one second at least, refusing what still arrives as not run, so that the caller's node takes another owner. Waiting for every node's acknowledgement was weighed: it does not cover forwards that overtake it, and a cut link would hold up the stop.

--- a/src/librequest/remotecapacity.cpp
+++ b/src/librequest/remotecapacity.cpp
@@ -48,6 +48,17 @@
 
 void RemoteCapacity::tick()
 {
+    announce();
+    m_loop->postAfter(m_period, [this] {
+        tick();
+    });
+}
+
+void RemoteCapacity::announce()
+{
+    if (!m_source) {
+        return;
+    }
     EndpointCapacityNotice notice;
     notice.incarnation = m_authority->incarnation();
     notice.sequence = ++m_sequence;
@@ -67,9 +78,6 @@
             }
         });
     }
-    m_loop->postAfter(m_period, [this] {
-        tick();
-    });
 }
 
 void RemoteCapacity::onNotice(const NodeId &from, const EndpointCapacityNotice &notice)
--- a/src/librequest/remotecapacity_pvt.h
+++ b/src/librequest/remotecapacity_pvt.h
@@ -31,6 +31,8 @@
     void setDataCentre(const DataCentreId &dataCentre);
     /// Registers the receiver and sends notices each @p period.
     void start(Milliseconds period, LoadSource source);
+    /// Sends a notice to all live nodes now.
+    void announce();
     /// Other live nodes with endpoints of @p pool, by fresh notices.
     std::vector<Place> places(const std::string &pool) const;
     /// Counts a request handed to @p node until its next notice.
--- a/src/librequest/requestdispatcher.cpp
+++ b/src/librequest/requestdispatcher.cpp
@@ -19,6 +19,8 @@
 
 constexpr Milliseconds tickPeriod{20};
 constexpr Milliseconds limitRetryAfter{100};
+/// A drain lasts this long at least: other nodes may forward until a notice says that this one takes no more.
+constexpr Milliseconds drainLinger{1000};
 /// A drain waits this long for the final rows of keyed requests after the last answer.
 constexpr Milliseconds drainOrderPatience{10000};
 
@@ -61,6 +63,7 @@
     DecisionLog decisions;
     std::map<std::pair<std::string, std::string>, int> inFlightOfCustomer; ///< By pool and customer.
     bool draining = false;
+    bool lingerOver = false;
     bool orderPatienceOver = false;
     std::function<void()> drained;
 };
@@ -232,14 +235,16 @@
         d->orderPatienceOver = true;
         d->checkDrained();
     });
-    d->loop->post([this] {
+    d->capacity.announce();
+    d->loop->postAfter(drainLinger, [this] {
+        d->lingerOver = true;
         d->checkDrained();
     });
 }
 
 void RequestDispatcher::Private::checkDrained()
 {
-    if (!drained || statistics.inFlight > 0 || forwarder.serving() > 0) {
+    if (!drained || !lingerOver || statistics.inFlight > 0 || forwarder.serving() > 0) {
         return;
     }
     if (orders.unsettled() > 0 && !orderPatienceOver) {
