--- a/src/include/fescueledge/endpointchoice.h
+++ b/src/include/fescueledge/endpointchoice.h
@@ -38,7 +38,7 @@
 std::shared_ptr<EndpointChoice> makeRoundRobinChoice();
 /// The one with less own load of two picked at random.
 std::shared_ptr<EndpointChoice> makeTwoRandomChoice();
-/// The largest carry; each choice takes 1 off and each round adds the free share as weight (CubeFS).
+/// The largest carry; each choice takes 1 off, and rounds add the free share as weight (CubeFS).
 std::shared_ptr<EndpointChoice> makeWeightCarryChoice();
 /// The least expected latency: recent latency, grown by the load and by the failures that would need a retry.
 std::shared_ptr<EndpointChoice> makeLatencyAwareChoice();
--- a/src/librequest/endpointchoice.cpp
+++ b/src/librequest/endpointchoice.cpp
@@ -77,7 +77,8 @@
     }
 };
 
-/// Weight plus carry, as in section "Meta Partition Creation" of the CubeFS paper.
+/// Weight plus carry, as in the CubeFS paper: the largest carry wins and loses 1; once no carry reaches 1, each grows
+/// by its weight, the free share.
 class WeightCarryChoice : public EndpointChoice
 {
 public:
@@ -91,25 +92,36 @@
         return it == m_carry.end() ? 0 : -it->second;
     }
     std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        std::size_t best = largestCarry(candidates, random);
+        while (m_carry[candidates[best].worker] < 1) {
+            for (const EndpointCandidate &it : candidates) {
+                m_carry[it.worker] += std::max(minWeight, 1 - ownLoad(it));
+            }
+            best = largestCarry(candidates, random);
+        }
+        m_carry[candidates[best].worker] -= 1;
+        return best;
+    }
+
+private:
+    static constexpr double minWeight = 0.01;
+
+    std::size_t largestCarry(const std::vector<EndpointCandidate> &candidates, Random &random)
     {
         std::size_t best = 0;
         double bestCarry = -1;
         for (std::size_t n = 0; n < candidates.size(); ++n) {
-            const auto it = m_carry.emplace(candidates[n].worker, random.unit()).first;
-            // The weight of an unused node is 1; below 1 the carry only grows, so it wins sooner or later.
-            if (it->second < 1) {
-                it->second += 1 - ownLoad(candidates[n]);
-            }
-            if (it->second > bestCarry) {
+            const auto it = m_carry.find(candidates[n].worker);
+            const double carry = it != m_carry.end() ? it->second : m_carry[candidates[n].worker] = random.unit();
+            if (carry > bestCarry) {
                 best = n;
-                bestCarry = it->second;
+                bestCarry = carry;
             }
         }
-        m_carry[candidates[best].worker] -= 1;
         return best;
     }
 
-private:
     std::map<WorkerId, double> m_carry;
 };
 
