--- a/src/bench/requests/experiment.cpp
+++ b/src/bench/requests/experiment.cpp
@@ -54,7 +54,7 @@
         const int n = std::min(workersPerRack, m_deployment.workers - rack * workersPerRack);
         const int dataCentre = rack % m_deployment.dataCentres;
         const std::vector<NodeId> near = nodesOf(dataCentre);
-        const NodeId owner = near[static_cast<std::size_t>(rack / m_deployment.dataCentres) % near.size()];
+        const NodeId &owner = near[static_cast<std::size_t>(rack / m_deployment.dataCentres) % near.size()];
         m_world.addRack("r" + std::to_string(rack), n, policy.hasOwners ? owner : "", dataCentreName(dataCentre));
     }
     m_world.network.latency = m_deployment.hop;
--- a/src/include/fescueledge/requestdispatcher.h
+++ b/src/include/fescueledge/requestdispatcher.h
@@ -42,7 +42,7 @@
 
     /// Runs @p request. The deadline is the route's, or @p callerDeadline if that is shorter. The handler runs exactly
     /// once, also when the request is refused, and never before this call returns. An empty request id is filled in.
-    void dispatch(const ServiceRequest &request, std::optional<Milliseconds> callerDeadline, Handler handler);
+    void dispatch(const ServiceRequest &request, std::optional<Milliseconds> callerDeadline, const Handler &handler);
 
     /// Refuses new requests, also those of other nodes, and calls @p done once all accepted ones are answered.
     void drain(std::function<void()> done);
@@ -57,7 +57,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace fescueledge
--- a/src/include/fescueledge/testing/requestworld.h
+++ b/src/include/fescueledge/testing/requestworld.h
@@ -84,7 +84,7 @@
     RequestNode(class RequestWorld *world, const NodeId &name, Incarnation incarnation, const RequestPolicy &policy,
                 std::uint64_t seed);
 
-    void dispatch(const ServiceRequest &request, RequestDispatcher::Handler handler);
+    void dispatch(const ServiceRequest &request, const RequestDispatcher::Handler &handler);
 
     NodeId name;
     SimLoop loop;
--- a/src/librequest/notrun_test.cpp
+++ b/src/librequest/notrun_test.cpp
@@ -12,7 +12,7 @@
 void injectFaults(RequestWorld &world, Random &random)
 {
     for (int n = 0; n < 2; ++n) {
-        const NodeId node = nodeNames[random.below(nodeNames.size())];
+        const NodeId &node = nodeNames[random.below(nodeNames.size())];
         FakeEndpoints::Faults &endpoint =
             world.endpoints.at(world.ownership.endpoints[random.below(world.ownership.endpoints.size())].address)
                 .faults;
--- a/src/librequest/requestdispatcher.cpp
+++ b/src/librequest/requestdispatcher.cpp
@@ -70,7 +70,7 @@
 
 RequestDispatcher::RequestDispatcher(Loop *loop, EndpointClient *client, PeerTransport *transport, TableService *table,
                                      Authority *authority, EndpointDirectory *directory, std::uint64_t seed)
-    : d(std::make_unique<Private>(loop, client, transport, table, authority, directory, seed))
+    : m_private(std::make_unique<Private>(loop, client, transport, table, authority, directory, seed))
 {
 }
 
@@ -78,29 +78,29 @@
 
 void RequestDispatcher::setPolicy(const RequestPolicy &policy)
 {
-    d->policy = policy;
-    d->sender.setPolicy(policy);
-    d->runner.setPolicy(policy);
+    m_private->policy = policy;
+    m_private->sender.setPolicy(policy);
+    m_private->runner.setPolicy(policy);
 }
 
 void RequestDispatcher::setDataCentre(const DataCentreId &dataCentre)
 {
-    d->capacity.setDataCentre(dataCentre);
+    m_private->capacity.setDataCentre(dataCentre);
 }
 
 void RequestDispatcher::start()
 {
     const auto onIdle = [this] {
-        d->checkDrained();
+        m_private->checkDrained();
     };
-    d->forwarder.setIdleHandler(onIdle);
-    d->orders.setIdleHandler(onIdle);
-    d->forwarder.start();
-    d->orders.start();
-    d->capacity.start(d->policy.noticePeriod, [this] {
-        return d->loads();
+    m_private->forwarder.setIdleHandler(onIdle);
+    m_private->orders.setIdleHandler(onIdle);
+    m_private->forwarder.start();
+    m_private->orders.start();
+    m_private->capacity.start(m_private->policy.noticePeriod, [this] {
+        return m_private->loads();
     });
-    d->tick();
+    m_private->tick();
 }
 
 std::map<std::string, PoolLoad> RequestDispatcher::Private::loads()
@@ -127,27 +127,27 @@
 }
 
 void RequestDispatcher::dispatch(const ServiceRequest &request, std::optional<Milliseconds> callerDeadline,
-                                 Handler handler)
+                                 const Handler &handler)
 {
-    ++d->statistics.requests;
+    ++m_private->statistics.requests;
     AdmittedRequest admitted;
     admitted.request = request;
     if (admitted.request.id.empty()) {
-        admitted.request.id = d->random.uniqueId();
+        admitted.request.id = m_private->random.uniqueId();
     }
-    const DispatchResult refusal = d->admit(admitted.request, callerDeadline, admitted);
+    const DispatchResult refusal = m_private->admit(admitted.request, callerDeadline, admitted);
     if (admitted.route == nullptr) {
-        d->refuse(admitted.request.id, refusal, handler);
+        m_private->refuse(admitted.request.id, refusal, handler);
         return;
     }
-    ++d->statistics.inFlight;
-    ++d->inFlightOfCustomer[{admitted.pool->name, request.customer}];
+    ++m_private->statistics.inFlight;
+    ++m_private->inFlightOfCustomer[{admitted.pool->name, request.customer}];
     if (!request.key.empty() && !admitted.route->idempotent) {
-        d->runKeyed(admitted, handler);
+        m_private->runKeyed(admitted, handler);
         return;
     }
-    d->runner.run(admitted, [this, admitted, handler](const DispatchResult &result) {
-        d->answered(admitted, result, handler);
+    m_private->runner.run(admitted, [this, admitted, handler](const DispatchResult &result) {
+        m_private->answered(admitted, result, handler);
     });
 }
 
@@ -228,17 +228,17 @@
 
 void RequestDispatcher::drain(std::function<void()> done)
 {
-    d->draining = true;
-    d->drained = std::move(done);
-    d->forwarder.stopServing();
-    d->loop->postAfter(drainOrderPatience, [this] {
-        d->orderPatienceOver = true;
-        d->checkDrained();
+    m_private->draining = true;
+    m_private->drained = std::move(done);
+    m_private->forwarder.stopServing();
+    m_private->loop->postAfter(drainOrderPatience, [this] {
+        m_private->orderPatienceOver = true;
+        m_private->checkDrained();
     });
-    d->capacity.announce();
-    d->loop->postAfter(drainLinger, [this] {
-        d->lingerOver = true;
-        d->checkDrained();
+    m_private->capacity.announce();
+    m_private->loop->postAfter(drainLinger, [this] {
+        m_private->lingerOver = true;
+        m_private->checkDrained();
     });
 }
 
@@ -257,25 +257,25 @@
 
 int RequestDispatcher::inFlight(const WorkerId &worker) const
 {
-    return d->sender.endpoints().inFlight(worker);
+    return m_private->sender.endpoints().inFlight(worker);
 }
 
 int RequestDispatcher::inFlightOfShard(const ShardId &shard) const
 {
-    return d->sender.endpoints().inFlightOfShard(shard);
+    return m_private->sender.endpoints().inFlightOfShard(shard);
 }
 
 std::optional<DecisionRecord> RequestDispatcher::explain(const std::string &requestId) const
 {
-    return d->decisions.find(requestId);
+    return m_private->decisions.find(requestId);
 }
 
 RequestStatistics RequestDispatcher::statistics() const
 {
-    RequestStatistics statistics = d->statistics;
-    statistics.queued = static_cast<std::uint64_t>(d->sender.queued());
-    statistics.ejected = static_cast<std::uint64_t>(d->sender.endpoints().ejectedCount(d->loop->now()));
-    statistics.ordersUnsettled = static_cast<std::uint64_t>(d->orders.unsettled());
+    RequestStatistics statistics = m_private->statistics;
+    statistics.queued = static_cast<std::uint64_t>(m_private->sender.queued());
+    statistics.ejected = static_cast<std::uint64_t>(m_private->sender.endpoints().ejectedCount(m_private->loop->now()));
+    statistics.ordersUnsettled = static_cast<std::uint64_t>(m_private->orders.unsettled());
     return statistics;
 }
 
--- a/src/librequest/requestrunner.cpp
+++ b/src/librequest/requestrunner.cpp
@@ -134,7 +134,7 @@
 
 RequestRunner::AttemptPtr RequestRunner::makeAttempt(const RunPtr &run, const NodeId &node)
 {
-    const auto attempt = std::make_shared<LocalAttempt>();
+    auto attempt = std::make_shared<LocalAttempt>();
     attempt->request = run->admitted.request;
     attempt->pool = run->admitted.pool->name;
     attempt->deadline = run->admitted.deadline;
--- a/src/librequest/requestworld.cpp
+++ b/src/librequest/requestworld.cpp
@@ -153,7 +153,7 @@
     dispatcher.start();
 }
 
-void RequestNode::dispatch(const ServiceRequest &request, RequestDispatcher::Handler handler)
+void RequestNode::dispatch(const ServiceRequest &request, const RequestDispatcher::Handler &handler)
 {
     loop.post([this, request, handler] {
         dispatcher.dispatch(request, std::nullopt, handler);
