Choose by load among endpoints of similar latency, and hedge with fewer spare slots

Chance alone makes the recent latencies of equal endpoints differ; following it sent requests to busier ones. Latencies up to twice the lowest now count as equal.

--- a/src/librequest/endpointchoice.cpp
+++ b/src/librequest/endpointchoice.cpp
@@ -134,22 +134,36 @@
     }
     double cost(const EndpointCandidate &candidate) const override
     {
-        const double successShare = std::max(0.05, 1 - candidate.failureShare);
-        return candidate.latencyMs * (1 + ownLoad(candidate)) / successShare;
+        return cost(candidate, candidate.latencyMs);
     }
     std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
     {
+        double lowestMs = candidates.front().latencyMs;
+        for (const EndpointCandidate &it : candidates) {
+            lowestMs = std::min(lowestMs, it.latencyMs);
+        }
+        // Latencies up to this are taken for equal, as chance alone makes them differ; then the load decides.
+        const double similarMs = similarFactor * lowestMs;
         // Starts at a random place, so that equal costs do not all go to the first.
         const std::size_t start = random.below(candidates.size());
         std::size_t best = start;
         for (std::size_t n = 1; n < candidates.size(); ++n) {
             const std::size_t it = (start + n) % candidates.size();
-            if (cost(candidates[it]) < cost(candidates[best])) {
+            if (cost(candidates[it], similarMs) < cost(candidates[best], similarMs)) {
                 best = it;
             }
         }
         return best;
     }
+
+private:
+    static constexpr double similarFactor = 2.0;
+
+    static double cost(const EndpointCandidate &candidate, double floorMs)
+    {
+        const double successShare = std::max(0.05, 1 - candidate.failureShare);
+        return std::max(candidate.latencyMs, floorMs) * (1 + ownLoad(candidate)) / successShare;
+    }
 };
 
 } // namespace
--- a/src/librequest/requestrunner.cpp
+++ b/src/librequest/requestrunner.cpp
@@ -18,7 +18,7 @@
 constexpr int maxReroutes = 3;
 constexpr Milliseconds minHedgeDelay{1};
 /// Hedges are sent only while this share of all slots is free: under load they would delay others.
-constexpr double minSpareShare = 0.3;
+constexpr double minSpareShare = 0.05;
 constexpr int serverErrorStatus = 500;
 
 bool isServerError(const DispatchResult &result)
