Survive malformed messages of other nodes

A body that does not parse threw out of the loop's event and would have ended the daemon during a rolling change of releases.

--- a/src/librequest/forwarder.cpp
+++ b/src/librequest/forwarder.cpp
@@ -1,12 +1,12 @@
 #include "forwarder_pvt.h"
 
 #include "localsender_pvt.h"
+#include "peerbody_pvt.h"
 
 #include "fescueledge/loop.h"
 #include "fescueledge/peertransport.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace fescueledge {
 
@@ -78,12 +78,12 @@
                               attempt->handler(lostAnswer(node));
                               return;
                           }
-                          const ForwardReply reply = result.reply.body.get<ForwardReply>();
-                          if (reply.attemptId != attemptId) {
+                          const std::optional<ForwardReply> reply = parseBody<ForwardReply>(result.reply);
+                          if (!reply || reply->attemptId != attemptId) {
                               attempt->handler(lostAnswer(node));
                               return;
                           }
-                          DispatchResult out = reply.result;
+                          DispatchResult out = reply->result;
                           out.node = node;
                           attempt->handler(out);
                       });
@@ -91,7 +91,11 @@
 
 void Forwarder::onForward(const PeerMessage &message, const std::function<void(const PeerMessage &)> &respond)
 {
-    const ForwardRequest request = message.body.get<ForwardRequest>();
+    const std::optional<ForwardRequest> parsed = parseBody<ForwardRequest>(message);
+    if (!parsed) {
+        return;
+    }
+    const ForwardRequest &request = *parsed;
     const std::string attemptId = request.attemptId;
     const auto answer = [respond, attemptId](const DispatchResult &result) {
         respond(PeerMessage{forwardKind, ForwardReply{attemptId, result}});
--- a/src/librequest/orderlog.cpp
+++ b/src/librequest/orderlog.cpp
@@ -2,6 +2,7 @@
 
 #include "forwardmessages_pvt.h"
 #include "localattempt_pvt.h"
+#include "peerbody_pvt.h"
 
 #include "fescueledge/authority.h"
 #include "fescueledge/error.h"
@@ -10,7 +11,6 @@
 
 #include <algorithm>
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 
 namespace fescueledge {
 
@@ -99,10 +99,13 @@
 {
     m_transport->setReceiver(
         statusKind, [this](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
-            const OrderStatusRequest request = message.body.get<OrderStatusRequest>();
+            const std::optional<OrderStatusRequest> request = parseBody<OrderStatusRequest>(message);
+            if (!request) {
+                return;
+            }
             OrderStatusReply reply;
             reply.incarnation = m_authority->incarnation();
-            const auto it = m_entries.find(request.rowKey);
+            const auto it = m_entries.find(request->rowKey);
             reply.active = it != m_entries.end();
             respond(PeerMessage{statusKind, reply});
         });
@@ -277,8 +280,8 @@
         lookLater(inquiry, pollDelay, mayHaveRun("the node that took the key does not answer"));
         return;
     }
-    const OrderStatusReply reply = result.reply.body.get<OrderStatusReply>();
-    if (reply.incarnation == row.incarnation && reply.active) {
+    const std::optional<OrderStatusReply> reply = parseBody<OrderStatusReply>(result.reply);
+    if (!reply || (reply->incarnation == row.incarnation && reply->active)) {
         lookLater(inquiry, pollDelay, inProgress());
         return;
     }
--- a/src/librequest/remotecapacity.cpp
+++ b/src/librequest/remotecapacity.cpp
@@ -1,6 +1,7 @@
 #include "remotecapacity_pvt.h"
 
 #include "latencytracker_pvt.h"
+#include "peerbody_pvt.h"
 
 #include "fescueledge/authority.h"
 #include "fescueledge/loop.h"
@@ -40,7 +41,10 @@
     m_source = std::move(source);
     m_transport->setReceiver(
         noticeKind, [this](const NodeId &from, const PeerMessage &message, const PeerTransport::Responder &respond) {
-            onNotice(from, message.body.get<EndpointCapacityNotice>());
+            const std::optional<EndpointCapacityNotice> notice = parseBody<EndpointCapacityNotice>(message);
+            if (notice) {
+                onNotice(from, *notice);
+            }
             respond(PeerMessage{noticeKind, nlohmann::json::object()});
         });
     tick();
