--- a/src/librequest/endpointchoice.cpp
+++ b/src/librequest/endpointchoice.cpp
@@ -77,7 +77,8 @@
     }
 };
 
-/// Weight plus carry, as in section "Meta Partition Creation" of the CubeFS paper.
+/// Weight plus carry, as in the CubeFS paper: the largest carry wins and loses 1; once no carry reaches 1, each grows
+/// by its weight, the free share.
 class WeightCarryChoice : public EndpointChoice
 {
 public:
@@ -91,25 +92,36 @@
         return it == m_carry.end() ? 0 : -it->second;
     }
     std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
+    {
+        std::size_t best = largestCarry(candidates, random);
+        while (m_carry[candidates[best].worker] < 1) {
+            for (const EndpointCandidate &it : candidates) {
+                m_carry[it.worker] += std::max(minWeight, 1 - ownLoad(it));
+            }
+            best = largestCarry(candidates, random);
+        }
+        m_carry[candidates[best].worker] -= 1;
+        return best;
+    }
+
+private:
+    static constexpr double minWeight = 0.01;
+
+    std::size_t largestCarry(const std::vector<EndpointCandidate> &candidates, Random &random)
     {
         std::size_t best = 0;
         double bestCarry = -1;
         for (std::size_t n = 0; n < candidates.size(); ++n) {
-            const auto it = m_carry.emplace(candidates[n].worker, random.unit()).first;
-            // The weight of an unused node is 1; below 1 the carry only grows, so it wins sooner or later.
-            if (it->second < 1) {
-                it->second += 1 - ownLoad(candidates[n]);
-            }
-            if (it->second > bestCarry) {
+            const auto it = m_carry.find(candidates[n].worker);
+            const double carry = it != m_carry.end() ? it->second : m_carry[candidates[n].worker] = random.unit();
+            if (carry > bestCarry) {
                 best = n;
-                bestCarry = it->second;
+                bestCarry = carry;
             }
         }
-        m_carry[candidates[best].worker] -= 1;
         return best;
     }
 
-private:
     std::map<WorkerId, double> m_carry;
 };
 
@@ -122,22 +134,36 @@
     }
     double cost(const EndpointCandidate &candidate) const override
     {
-        const double successShare = std::max(0.05, 1 - candidate.failureShare);
-        return candidate.latencyMs * (1 + ownLoad(candidate)) / successShare;
+        return cost(candidate, candidate.latencyMs);
     }
     std::size_t choose(const std::vector<EndpointCandidate> &candidates, Random &random) override
     {
+        double lowestMs = candidates.front().latencyMs;
+        for (const EndpointCandidate &it : candidates) {
+            lowestMs = std::min(lowestMs, it.latencyMs);
+        }
+        // Latencies up to this are taken for equal, as chance alone makes them differ; then the load decides.
+        const double similarMs = similarFactor * lowestMs;
         // Starts at a random place, so that equal costs do not all go to the first.
         const std::size_t start = random.below(candidates.size());
         std::size_t best = start;
         for (std::size_t n = 1; n < candidates.size(); ++n) {
             const std::size_t it = (start + n) % candidates.size();
-            if (cost(candidates[it]) < cost(candidates[best])) {
+            if (cost(candidates[it], similarMs) < cost(candidates[best], similarMs)) {
                 best = it;
             }
         }
         return best;
     }
+
+private:
+    static constexpr double similarFactor = 2.0;
+
+    static double cost(const EndpointCandidate &candidate, double floorMs)
+    {
+        const double successShare = std::max(0.05, 1 - candidate.failureShare);
+        return std::max(candidate.latencyMs, floorMs) * (1 + ownLoad(candidate)) / successShare;
+    }
 };
 
 } // namespace
--- a/src/librequest/notrun_test.cpp
+++ b/src/librequest/notrun_test.cpp
@@ -12,7 +12,7 @@
 void injectFaults(RequestWorld &world, Random &random)
 {
     for (int n = 0; n < 2; ++n) {
-        const NodeId node = nodeNames[random.below(nodeNames.size())];
+        const NodeId &node = nodeNames[random.below(nodeNames.size())];
         FakeEndpoints::Faults &endpoint =
             world.endpoints.at(world.ownership.endpoints[random.below(world.ownership.endpoints.size())].address)
                 .faults;
@@ -36,6 +36,7 @@
         case 5:
             endpoint.refuse = 0.7;
             endpoint.reset = 0.2;
+            endpoint.cut = 0.2;
             break;
         case 6:
             endpoint.late = 0.5;
