Prove single attempts, resumes and finishes of the queue in randomised runs

QueueChaos runs four simulated daemons over one store: moves of partitions and racks, node kills, pauses longer than a lease, cut links, lost requests and answers, slow and failed stores, two kinds at once, with worker losses, evictions, cancellations and repeated old reports. The workers keep the truth; each start is held against the claim in the store.

Now closing and archiving a job are conditioned on the cancellation row as known, and the row is written under a condition on the job row.

--- a/src/libqueue/batchbuilder.cpp
+++ b/src/libqueue/batchbuilder.cpp
@@ -48,8 +48,14 @@
 void BatchBuilder::addClose(const Change &change, const Job &job)
 {
     m_puts[jobRowKey(job.id)] = nlohmann::json(change.close).dump();
-    if (change.cancelRow != 0) {
-        m_conditions[cancelRowKey(job.id)] = change.cancelRow;
+    takeCancelRow(job);
+}
+
+void BatchBuilder::takeCancelRow(const Job &job)
+{
+    // An acknowledged cancellation that is not known here yet makes the transaction fail, so it can't be passed over.
+    m_conditions[cancelRowKey(job.id)] = job.cancelRow;
+    if (job.cancelRow != 0) {
         m_removals.push_back(cancelRowKey(job.id));
     }
 }
@@ -65,6 +71,7 @@
             blocks[std::to_string(number)] = blockToJson(block.tasks);
         }
     }
+    takeCancelRow(job);
     const std::string done = doneRowKey(job.id);
     m_conditions[done] = 0;
     m_puts[done] = nlohmann::json({{"job", job.record}, {"blocks", blocks}}).dump();
--- a/src/libqueue/change_pvt.h
+++ b/src/libqueue/change_pvt.h
@@ -21,7 +21,6 @@
     TaskRecord next;
     Duration delay{0}; ///< Task: time before a task that is pending again may be offered.
     JobRecord close;
-    RowVersion cancelRow = 0; ///< Close: version of the row that asked for it, which is removed; 0 for none.
     bool urgent = false; ///< Write it without waiting for more.
     std::function<void(bool committed)> done; ///< Runs once, unless the partition is dropped first.
 
--- a/src/libqueue/fakeworkers.cpp
+++ b/src/libqueue/fakeworkers.cpp
@@ -137,6 +137,7 @@
         }
         m_checkpoints[task].saveMayBeLost = true;
         for (const auto &[attempt, run] : runs) {
+            finishedLost[task] += run.report.state == TaskReport::State::Finished ? 1 : 0;
             losses[{task, attempt}] = Loss{id, worker.rack, m_random.chance(0.5)};
         }
     }
--- a/src/libqueue/fakeworkers_pvt.h
+++ b/src/libqueue/fakeworkers_pvt.h
@@ -59,6 +59,7 @@
     std::vector<std::string> violations; ///< What must never happen and did.
     std::map<TaskId, TimePoint> firstStart;
     std::map<TaskId, std::set<Attempt>> finishedRuns; ///< Attempts that ended with success.
+    std::map<TaskId, std::size_t> finishedLost; ///< Of these, how many vanished with their worker.
     std::map<std::pair<TaskId, Attempt>, Loss> losses;
     std::uint64_t starts = 0;
     std::uint64_t resumes = 0; ///< Starts from a checkpoint.
--- a/src/libqueue/job_pvt.h
+++ b/src/libqueue/job_pvt.h
@@ -31,6 +31,7 @@
     JobId id;
     JobRecord record;
     RowVersion version = 0; ///< Version of the job row.
+    RowVersion cancelRow = 0; ///< Version of the row that asks to cancel the job; 0 for none.
     std::map<int, Block> blocks; ///< Blocks with a task that was offered or claimed.
     std::array<int, taskStateCount> counts{}; ///< Tasks by state.
 
--- a/src/libqueue/jobdirectory.cpp
+++ b/src/libqueue/jobdirectory.cpp
@@ -123,7 +123,7 @@
     }
     const std::weak_ptr<QueuePartition> weak = partition;
     const bool staged =
-        !job->closing && partition->close(*job, TaskState::Cancelled, who, "cancelled", 0, [weak, id, respond](bool) {
+        !job->closing && partition->close(*job, TaskState::Cancelled, who, "cancelled", [weak, id, respond](bool) {
             const std::shared_ptr<QueuePartition> again = weak.lock();
             const Job *closed = again ? again->jobs().find(id) : nullptr;
             if (closed != nullptr) {
@@ -217,11 +217,21 @@
             handler(result);
             return;
         }
-        m_submitter->writeCancel(job, who, [result, handler](const std::optional<Error> &error) {
-            JobQueue::CancelResult written = result;
-            written.error = error;
-            handler(written);
-        });
+        if (stored.job->cancelRow != 0) {
+            // A cancellation waits there already.
+            handler(result);
+            return;
+        }
+        m_submitter->writeCancel(job, stored.job->version, who,
+                                 [this, job, who, result, handler](const std::optional<Error> &error) {
+                                     if (error && error->kind() == ErrorKind::Conflict) {
+                                         cancelInStore(job, who, handler);
+                                         return;
+                                     }
+                                     JobQueue::CancelResult written = result;
+                                     written.error = error;
+                                     handler(written);
+                                 });
     });
 }
 
--- a/src/libqueue/jobendsystem.cpp
+++ b/src/libqueue/jobendsystem.cpp
@@ -69,7 +69,7 @@
         if (waits && neverRunnable(*job)) {
             LOG(WARNING) << "job_never_runnable job=" << id << " pool=" << job->record.spec.pool;
             partition.close(*job, TaskState::NeverRunnable, "",
-                            "no worker of the pool could hold a task, even if empty", 0, nullptr);
+                            "no worker of the pool could hold a task, even if empty", nullptr);
         }
     }
 }
--- a/src/libqueue/jobsubmitter.cpp
+++ b/src/libqueue/jobsubmitter.cpp
@@ -179,12 +179,12 @@
                                });
 }
 
-void JobSubmitter::writeCancel(const JobId &job, const std::string &who,
+void JobSubmitter::writeCancel(const JobId &job, RowVersion version, const std::string &who,
                                std::function<void(std::optional<Error>)> handler)
 {
     Transaction transaction;
     transaction.writeId = m_context->random.uniqueId();
-    transaction.conditions = {{cancelRowKey(job), 0}};
+    transaction.conditions = {{cancelRowKey(job), 0}, {jobRowKey(job), version}};
     transaction.puts.push_back({cancelRowKey(job), nlohmann::json({{"who", who}}).dump()});
     m_context->resolver.commit(
         transaction, insertPatience, [this, job, handler = std::move(handler)](const CommitResult &result) {
@@ -196,8 +196,11 @@
                 handler(Error(ErrorKind::StoreOutcomeUnknown, "the store did not answer", RunOutcome::Unknown));
                 return;
             }
-            // A conflict means that a cancellation waits there already.
             hint(job, 0);
+            if (result.status == CommitStatus::Conflict) {
+                handler(Error(ErrorKind::Conflict, "the job changed or is being cancelled"));
+                return;
+            }
             handler(std::nullopt);
         });
 }
--- a/src/libqueue/jobsubmitter_pvt.h
+++ b/src/libqueue/jobsubmitter_pvt.h
@@ -20,8 +20,10 @@
 
     void start();
     void submit(const JobSpec &spec, JobQueue::SubmitHandler handler);
-    /// Writes a row that cancels @p job once an owner of its partition reads it.
-    void writeCancel(const JobId &job, const std::string &who, std::function<void(std::optional<Error>)> handler);
+    /// Writes a row that cancels @p job once an owner of its partition reads it, if the job row still has version
+    /// @p version. Errors: Conflict if it has not, or if such a row is there already.
+    void writeCancel(const JobId &job, RowVersion version, const std::string &who,
+                     std::function<void(std::optional<Error>)> handler);
 
 private:
     struct Submission;
--- a/src/libqueue/jobtable.cpp
+++ b/src/libqueue/jobtable.cpp
@@ -179,6 +179,7 @@
 {
     const int pending = job.count(TaskState::Pending);
     job.record = next;
+    job.cancelRow = 0;
     job.closing = false;
     count(job, TaskState::Pending, -pending);
     count(job, job.record.rest, pending);
--- /dev/null
+++ b/src/libqueue/promise_finish_exactly_once.cpp
@@ -0,0 +1,23 @@
+#include "queuechaos_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+// Batch work finishes exactly once: every accepted job ends, each finish on record was a finish on a worker, and
+// nothing starts after its finish was recorded. Cancellations race with the finishes.
+TEST_CASE("each task finishes once or is cancelled, and no acknowledged job is lost")
+{
+    QueueChaos::Options options;
+    options.cancellations = 0.4;
+    options.oldReports = 0.9;
+    options.failures = 0.15;
+    options.workerLosses = 0.2;
+    for (const std::uint64_t seed : {501, 502, 503, 504, 505, 506, 507, 508}) {
+        QueueChaos chaos(seed, options);
+        INFO("seed " << seed);
+        CHECK(chaos.run());
+        CHECK(chaos.faultsFound() == std::vector<std::string>());
+        CHECK(!chaos.cancelled.empty());
+    }
+}
--- /dev/null
+++ b/src/libqueue/promise_p2_task_single_attempt.cpp
@@ -0,0 +1,18 @@
+#include "queuechaos_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+// P2: no task runs in two places at once. The workers keep their own list of what runs, and hold every start against
+// the claim in the store.
+TEST_CASE("no task runs in two places under faults of two kinds at once")
+{
+    for (const std::uint64_t seed : {101, 102, 103, 104, 105, 106, 107, 108, 109, 110}) {
+        QueueChaos chaos(seed, QueueChaos::Options());
+        INFO("seed " << seed);
+        CHECK(chaos.run());
+        CHECK(chaos.faultsFound() == std::vector<std::string>());
+        CHECK(chaos.fleet.workers.starts > 100);
+    }
+}
--- /dev/null
+++ b/src/libqueue/queuechaos_pvt.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "queueworld_pvt.h"
+
+namespace fescueledge {
+
+/// A randomised run of a job queue under faults of several kinds at once. One seed gives one run.
+class QueueChaos
+{
+public:
+    /// What a run injects, beside node kills, pauses, cut links, moves of shards, lost answers and store outages.
+    struct Options
+    {
+        int jobs = 30;
+        int maxTasks = 80;
+        double evictions = 0.3; ///< Probability of a wave of evictions at each step.
+        double workerLosses = 0.1;
+        double cancellations = 0.05;
+        double oldReports = 0.3; ///< Probability that a message carries a report of an attempt that is over.
+        double failures = 0.05; ///< Probability that an attempt fails.
+        Duration span = std::chrono::seconds(30); ///< Time with faults.
+    };
+
+    QueueChaos(std::uint64_t seed, const Options &options);
+    /// Runs the faults, heals everything, and waits until all accepted jobs ended. False if they did not.
+    bool run();
+    /// What was wrong at the end, beside what the workers saw.
+    std::vector<std::string> faultsFound();
+
+    QueueWorld fleet;
+    std::map<JobId, bool> cancelled; ///< Acknowledged cancellations; true if the job had ended before.
+
+private:
+    void submitAll();
+    void step();
+    void storeFault();
+    void killNode();
+    void pauseNode();
+    void isolateNode();
+    void moveShard();
+    void loseWorker();
+    void evictSome();
+    void cancelSome();
+    void releaseShards(const NodeId &node);
+    void adoptShards();
+    void heal();
+    void checkJob(const JobId &job, std::vector<std::string> &found);
+
+    Options m_options;
+    std::map<std::string, JobSpec> m_specs;
+    std::set<int> m_paused;
+    std::set<int> m_isolated;
+    std::map<ShardId, TimePoint> m_adoptAt;
+};
+
+} // namespace fescueledge
--- a/src/libqueue/queuepartition.cpp
+++ b/src/libqueue/queuepartition.cpp
@@ -191,15 +191,19 @@
 void QueuePartition::applyCancelRow(const Row &row)
 {
     Job *job = m_jobs.find(lastKeyPart(row.key));
-    if (job == nullptr || job->closing || job->record.isClosed()) {
+    if (job == nullptr) {
+        return;
+    }
+    job->cancelRow = row.version;
+    if (job->closing || job->record.isClosed()) {
         return;
     }
     const std::string who = nlohmann::json::parse(row.value).at("who").get<std::string>();
-    close(*job, TaskState::Cancelled, who, "cancelled", row.version, nullptr);
+    close(*job, TaskState::Cancelled, who, "cancelled", nullptr);
 }
 
 bool QueuePartition::close(Job &job, TaskState rest, const std::string &who, const std::string &detail,
-                           RowVersion cancelRow, std::function<void(bool)> done)
+                           std::function<void(bool)> done)
 {
     Change change;
     change.kind = Change::Kind::Close;
@@ -208,7 +212,6 @@
     change.close.rest = rest;
     change.close.cancelledBy = who;
     change.close.detail = detail;
-    change.cancelRow = cancelRow;
     change.urgent = true;
     change.done = std::move(done);
     if (!m_writer->stage(std::move(change))) {
--- a/src/libqueue/storedjob.cpp
+++ b/src/libqueue/storedjob.cpp
@@ -26,7 +26,8 @@
     return result;
 }
 
-void onBlocks(const Row &row, const ReadResult &blocks, const std::function<void(const StoredJob &)> &handler)
+void onBlocks(const Row &row, RowVersion cancelRow, const ReadResult &blocks,
+              const std::function<void(const StoredJob &)> &handler)
 {
     if (!blocks.available) {
         handler(failure(ErrorKind::StoreUnavailable, "the store does not answer"));
@@ -38,6 +39,7 @@
     }
     StoredJob result;
     result.job = decodeJobRow(row, std::move(decoded));
+    result.job->cancelRow = cancelRow;
     handler(result);
 }
 
@@ -62,27 +64,30 @@
 
 void readStoredJob(QueueContext *context, const JobId &id, const std::function<void(const StoredJob &)> &handler)
 {
-    context->table->read({jobRowKey(id), doneRowKey(id)}, [context, id, handler](const ReadResult &result) {
-        if (!result.available) {
-            handler(failure(ErrorKind::StoreUnavailable, "the store does not answer"));
-            return;
-        }
-        if (const Row *done = result.find(doneRowKey(id))) {
-            StoredJob stored;
-            stored.job = decodeDoneRow(*done);
-            stored.ended = true;
-            handler(stored);
-            return;
-        }
-        const Row *row = result.find(jobRowKey(id));
-        if (row == nullptr) {
-            handler(failure(ErrorKind::NotFound, "no such job"));
-            return;
-        }
-        context->table->scan(blockRowPrefix(id), [row = *row, handler](const ReadResult &blocks) {
-            onBlocks(row, blocks, handler);
+    context->table->read(
+        {jobRowKey(id), doneRowKey(id), cancelRowKey(id)}, [context, id, handler](const ReadResult &result) {
+            if (!result.available) {
+                handler(failure(ErrorKind::StoreUnavailable, "the store does not answer"));
+                return;
+            }
+            if (const Row *done = result.find(doneRowKey(id))) {
+                StoredJob stored;
+                stored.job = decodeDoneRow(*done);
+                stored.ended = true;
+                handler(stored);
+                return;
+            }
+            const Row *row = result.find(jobRowKey(id));
+            if (row == nullptr) {
+                handler(failure(ErrorKind::NotFound, "no such job"));
+                return;
+            }
+            const Row *cancel = result.find(cancelRowKey(id));
+            const RowVersion cancelRow = cancel == nullptr ? 0 : cancel->version;
+            context->table->scan(blockRowPrefix(id), [row = *row, cancelRow, handler](const ReadResult &blocks) {
+                onBlocks(row, cancelRow, blocks, handler);
+            });
         });
-    });
 }
 
 std::shared_ptr<Job> decodeDoneRow(const Row &row)
