Start urgent tasks in time when all workers are full of batch tasks

Now an urgent task goes back to the node that refused it last for a few offers, and its delay stays below 150 ms. The rack owner of the tests holds the room that it makes.

--- a/src/libqueue/dispatchsystem.cpp
+++ b/src/libqueue/dispatchsystem.cpp
@@ -25,9 +25,26 @@
 constexpr Milliseconds reserveTimeout{1000};
 constexpr Milliseconds firstRefusalDelay{50};
 constexpr int maxRefusalDoublings = 5;
+constexpr int maxUrgentRefusalDoublings = 1;
+/// An urgent task is offered to the same node so often before it looks elsewhere.
+constexpr int offersWhileRoomIsMade = 6;
 constexpr Milliseconds unansweredDelay{200};
 constexpr Milliseconds staleClaimDelay{100};
 
+/// Leaves only the candidates of @p node, if there are any.
+void preferNode(std::vector<CapacityTable::Candidate> &candidates, const NodeId &node)
+{
+    std::vector<CapacityTable::Candidate> preferred;
+    for (const CapacityTable::Candidate &it : candidates) {
+        if (it.node == node) {
+            preferred.push_back(it);
+        }
+    }
+    if (!preferred.empty()) {
+        candidates = std::move(preferred);
+    }
+}
+
 } // namespace
 
 DispatchSystem::DispatchSystem(QueueContext *context, PartitionSet *partitions, TeamUsageSystem *usage,
@@ -116,6 +133,9 @@
         skip(team, "room on a worker");
         return team.skipped() < maxSkippedPerTeam;
     }
+    if (urgent && job.refusalsInRow % offersWhileRoomIsMade != 0) {
+        preferNode(candidates, job.lastRefusedBy);
+    }
     const std::shared_ptr<QueuePartition> partition = team.headPartition();
     offer.partition = partition;
     offer.job = job.id;
@@ -223,7 +243,10 @@
     ++m_context->counters.refusals;
     job.refusals[offer.candidate.node] = reason;
     job.waitsFor = "room on a worker";
-    const Duration delay = firstRefusalDelay * (1 << std::min(job.refusalsInRow, maxRefusalDoublings));
+    const bool urgent = job.record.spec.taskClass == TaskClass::LatencyCritical;
+    const int most = urgent ? maxUrgentRefusalDoublings : maxRefusalDoublings;
+    const Duration delay = firstRefusalDelay * (1 << std::min(job.refusalsInRow, most));
+    job.lastRefusedBy = offer.candidate.node;
     if (!job.backingOff) {
         ++job.refusalsInRow;
     }
--- a/src/libqueue/fakerackowner.cpp
+++ b/src/libqueue/fakerackowner.cpp
@@ -95,6 +95,8 @@
     reservation.task = offer.task;
     reservation.attempt = offer.attempt;
     reservation.reason = "no room";
+    // Room that is made for an urgent task is held for it.
+    m_holds.erase({offer.task, offer.attempt});
     for (const bool avoid : {true, false}) {
         for (FakeWorkers::Worker *worker : ownWorkers()) {
             const bool avoided = std::count(offer.avoid.begin(), offer.avoid.end(), worker->id) != 0;
@@ -124,6 +126,7 @@
                 const bool evictable = !run.report.isTerminal() && run.offer.taskClass == TaskClass::Batch;
                 if (evictable && offer.resources.fitsIn(run.offer.resources)) {
                     m_workers->stop(*worker, task, attempt, true);
+                    m_holds[{offer.task, offer.attempt}] = Hold{worker->id, offer, m_loop->now() + holdTime};
                     return;
                 }
             }
--- a/src/libqueue/job_pvt.h
+++ b/src/libqueue/job_pvt.h
@@ -44,6 +44,7 @@
     int refusalsInRow = 0;
     TimePoint loadedAt; ///< When this node first saw the job.
     TimePoint lastStopSent; ///< When its running tasks were last told to stop.
+    NodeId lastRefusedBy; ///< Node that refused last; it may be making room.
     std::map<NodeId, std::string> refusals; ///< Last refusal of each node.
     std::string waitsFor; ///< What the order last held it back for.
 
