Halve what a team may start between two exchanges, and measure the queue

A team with a limit of 20 cores reached 30 on three partition owners (queue_test): each owner started up to a third of what was left in each round of 250 ms, while its view of the others lagged by up to two rounds. Now it is a third of half of it.

Ruled out: a share of the limit for each partition, which strands most of it when one job is all that a team has.

--- a/src/include/fescueledge/jobqueue.h
+++ b/src/include/fescueledge/jobqueue.h
@@ -121,7 +121,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 } // namespace fescueledge
--- a/src/libqueue/jobqueue.cpp
+++ b/src/libqueue/jobqueue.cpp
@@ -83,7 +83,7 @@
 
 JobQueue::JobQueue(Loop *loop, TableService *table, PeerTransport *transport, Authority *authority, std::uint64_t seed,
                    const QueuePolicy &policy)
-    : d(std::make_unique<Private>(loop, table, transport, authority, seed, policy))
+    : m_private(std::make_unique<Private>(loop, table, transport, authority, seed, policy))
 {
 }
 
@@ -91,38 +91,38 @@
 
 void JobQueue::start()
 {
-    d->start();
+    m_private->start();
 }
 
 void JobQueue::submit(const JobSpec &spec, SubmitHandler handler)
 {
-    d->submitter.submit(spec, std::move(handler));
+    m_private->submitter.submit(spec, std::move(handler));
 }
 
 void JobQueue::cancel(const JobId &job, const std::string &who, CancelHandler handler)
 {
-    d->directory.cancel(job, who, std::move(handler));
+    m_private->directory.cancel(job, who, std::move(handler));
 }
 
 void JobQueue::show(const JobId &job, ShowHandler handler)
 {
-    d->directory.show(job, std::move(handler));
+    m_private->directory.show(job, std::move(handler));
 }
 
 void JobQueue::list(const JobFilter &filter, ListHandler handler)
 {
-    d->directory.list(filter, std::move(handler));
+    m_private->directory.list(filter, std::move(handler));
 }
 
 void JobQueue::explain(const TaskId &task, ExplainHandler handler)
 {
-    d->directory.explain(task, std::move(handler));
+    m_private->directory.explain(task, std::move(handler));
 }
 
 QueueCounters JobQueue::counters() const
 {
-    QueueCounters counters = d->context.counters;
-    for (const std::shared_ptr<QueuePartition> &it : d->partitions.acting()) {
+    QueueCounters counters = m_private->context.counters;
+    for (const std::shared_ptr<QueuePartition> &it : m_private->partitions.acting()) {
         counters.openJobs += it->jobs().all().size();
         counters.pendingTasks += it->jobs().pendingTasks();
         counters.claimedTasks += it->jobs().claimedTasks();
--- a/src/libqueue/jobqueue_test.cpp
+++ b/src/libqueue/jobqueue_test.cpp
@@ -229,8 +229,9 @@
             return false;
         },
         30s);
-    // Twice two other owners times the larger of one task and a third of the limit.
-    CHECK(most <= 20000 + 2 * 2 * (20000 / 3));
+    // Twice two other owners times the larger of one task and a sixth of the limit.
+    CHECK(most <= 20000 + 2 * 2 * (20000 / 6));
+    INFO("most " << most);
     CHECK(most >= 18000);
     CHECK(fleet.workers.starts > 100);
 }
--- a/src/libqueue/teamusage.cpp
+++ b/src/libqueue/teamusage.cpp
@@ -47,10 +47,10 @@
         || (limit.accelerators > 0 && used.accelerators > limit.accelerators);
 }
 
-/// True if @p added plus @p need is one task or keeps to 1/@p owners of what @p used left of @p limit.
+/// True if @p added plus @p need is one task, or keeps to an equal part of half of what @p used left of @p limit.
 bool withinPart(std::int64_t added, std::int64_t need, std::int64_t limit, std::int64_t used, std::int64_t owners)
 {
-    return limit <= 0 || added == 0 || added + need <= std::max<std::int64_t>(0, limit - used) / owners;
+    return limit <= 0 || added == 0 || added + need <= std::max<std::int64_t>(0, limit - used) / (2 * owners);
 }
 
 } // namespace
--- a/src/libqueue/teamusage_pvt.h
+++ b/src/libqueue/teamusage_pvt.h
@@ -16,9 +16,9 @@
 /// What the claimed and offered tasks of each team use on all partitions, as far as this node knows.
 ///
 /// The owners of partitions tell each other their own sums several times a second. Between two rounds an owner
-/// starts for a team with a limit no more than an equal part of what was left at the beginning of the round, or one
-/// task. So with n owners a limit is exceeded by at most what the n - 1 others may start within the two rounds that
-/// a notice may lag: 2 (n - 1) times the larger of one task and 1/n of what was left. Tasks of a partition without
+/// starts for a team with a limit no more than an equal part of half of what was left at the beginning of the round, or
+/// one task. So with n owners a limit is exceeded by at most what the n - 1 others may start within the two rounds that
+/// a notice may lag: 2 (n - 1) times the larger of one task and 1/(2 n) of what was left. Tasks of a partition without
 /// an owner are not counted until its next owner has loaded it. An excess that becomes known is logged.
 class TeamUsageSystem
 {
