--- a/src/libqueue/queueworld.cpp
+++ b/src/libqueue/queueworld.cpp
@@ -19,9 +19,8 @@
 
 } // namespace
 
-ShardBoard::ShardBoard(SimWorld *world, MemoryTable *rows)
-    : m_world(world)
-    , m_rows(rows)
+ShardBoard::ShardBoard(MemoryTable *rows)
+    : m_rows(rows)
 {
 }
 
@@ -140,7 +139,7 @@
     : network(&world, seed)
     , random(seed + 1)
     , controlNow(std::make_shared<ControlState>())
-    , board(&world, &rows)
+    , board(&rows)
     , workers(&world, &rows, seed + 2)
     , m_policy(policy)
 {
--- a/src/libqueue/queueworld_pvt.h
+++ b/src/libqueue/queueworld_pvt.h
@@ -34,13 +34,12 @@
         RowVersion version = 0;
     };
 
-    ShardBoard(SimWorld *world, MemoryTable *rows);
+    explicit ShardBoard(MemoryTable *rows);
     void give(const ShardId &shard, const NodeId &to, Incarnation incarnation);
     void revoke(const ShardId &shard);
     std::map<ShardId, Right> rights;
 
 private:
-    SimWorld *m_world;
     MemoryTable *m_rows;
 };
 
