--- a/src/libqueue/job_pvt.h
+++ b/src/libqueue/job_pvt.h
@@ -31,6 +31,7 @@
     JobId id;
     JobRecord record;
     RowVersion version = 0; ///< Version of the job row.
+    RowVersion cancelRow = 0; ///< Version of the row that asks to cancel the job; 0 for none.
     std::map<int, Block> blocks; ///< Blocks with a task that was offered or claimed.
     std::array<int, taskStateCount> counts{}; ///< Tasks by state.
 
@@ -43,6 +44,7 @@
     int refusalsInRow = 0;
     TimePoint loadedAt; ///< When this node first saw the job.
     TimePoint lastStopSent; ///< When its running tasks were last told to stop.
+    NodeId lastRefusedBy; ///< Node that refused last; it may be making room.
     std::map<NodeId, std::string> refusals; ///< Last refusal of each node.
     std::string waitsFor; ///< What the order last held it back for.
 
