--- a/src/include/fescueledge/testing/fakeworkerfleet.h
+++ b/src/include/fescueledge/testing/fakeworkerfleet.h
@@ -81,6 +81,7 @@
     Duration reportLag = std::chrono::seconds(2);
     Duration checkpointTime = std::chrono::seconds(1);
     Milliseconds latency{1}; ///< One way.
+    bool tellsLimits = true; ///< False for workers that repeat neither the limit nor the label of a start.
 
 private:
     friend class FakeWorkerAgent;
--- a/src/libtesting/fakeworkerfleet.cpp
+++ b/src/libtesting/fakeworkerfleet.cpp
@@ -245,8 +245,8 @@
     run.command = command;
     run.report.task = command.task;
     run.report.attempt = command.attempt;
-    run.report.limit = command.resources;
-    run.report.label = command.label;
+    run.report.limit = tellsLimits ? command.resources : Resources();
+    run.report.label = tellsLimits ? command.label : std::string();
     if (!inTime) {
         run.report.state = TaskReport::State::Refused;
         run.report.detail = "the start command came too late";
--- a/src/libworker/attemptsystem.cpp
+++ b/src/libworker/attemptsystem.cpp
@@ -1,7 +1,9 @@
 #include "attemptsystem_pvt.h"
 
+#include "fescueledge/authority.h"
 #include "fescueledge/invariant.h"
 #include "fescueledge/loop.h"
+#include "fescueledge/vmdirectory.h"
 #include "fescueledge/workermessages.h"
 #include "quarantinesystem_pvt.h"
 #include "workercontext_pvt.h"
@@ -41,6 +43,9 @@
     if (row == nullptr || row->worker != worker.vm.name) {
         row = adopt(worker, report);
     }
+    if (row == nullptr) {
+        return;
+    }
     if (row->phase == Phase::Ended) {
         row->stillRuns = !report.isTerminal();
         return;
@@ -62,9 +67,11 @@
 {
     WorkerTables &tables = m_context->tables;
     const AttemptRow *other = tables.findAttempt(report.task, report.attempt);
+    if (other != nullptr && report.isTerminal()) {
+        return nullptr;
+    }
     if (other != nullptr) {
-        const bool harmless = other->phase == Phase::Held || other->phase == Phase::Ended || report.isTerminal();
-        assertInvariant(harmless, Invariant::SingleAttempt,
+        assertInvariant(other->phase == Phase::Held || other->phase == Phase::Ended, Invariant::SingleAttempt,
                         "task=" + report.task + " worker=" + worker.vm.name + " worker=" + other->worker);
         tables.removeAttempt({report.task, report.attempt}, m_context->loop->now());
     }
@@ -102,6 +109,7 @@
     for (auto it = workers.begin(); it != workers.end(); ++it) {
         runOn(it->second);
     }
+    removeOrphans();
     m_context->tables.expireForgotten(m_context->loop->now());
 }
 
@@ -149,32 +157,61 @@
 
 void AttemptSystem::endUnknown(const WorkerRow &worker, const TaskId &task, Attempt attempt, Epoch claimEpoch)
 {
-    if (m_context->tables.wasForgotten({task, attempt})) {
+    if (!worker.gone && !worker.adopted && !leasesLapsed(worker)) {
         return;
     }
-    const bool over = worker.gone || worker.adopted || leasesLapsed(worker);
-    if (!over) {
+    if (claimEpoch == worker.epoch) {
+        addEnded(worker.vm.name, worker.shard, {task, attempt}, TaskReport::State::Refused, "no room is held for it");
+    } else {
+        addEnded(worker.vm.name, worker.shard, {task, attempt}, TaskReport::State::Stopped,
+                 "the worker does not have the attempt");
+    }
+}
+
+void AttemptSystem::endMissing(const WorkerId &worker, const ShardId &shard, const TaskId &task, Attempt attempt)
+{
+    const bool vanished = m_context->vmDirectory->vanishedAt(worker).has_value();
+    const bool unlisted = m_context->vmDirectory->find(worker) == nullptr;
+    if (vanished || (unlisted && m_context->earlierLeasesLapsed(shard))) {
+        addEnded(worker, shard, {task, attempt}, TaskReport::State::Stopped, "the VM is not listed");
+    }
+}
+
+void AttemptSystem::addEnded(const WorkerId &worker, const ShardId &shard, const AttemptKey &key,
+                             TaskReport::State state, const std::string &detail)
+{
+    const std::optional<Epoch> epoch = m_context->authority->ownedEpoch(shard);
+    if (m_context->tables.wasForgotten(key) || !epoch.has_value()) {
         return;
     }
     AttemptRow row;
-    row.task = task;
-    row.attempt = attempt;
-    row.worker = worker.vm.name;
-    row.shard = worker.shard;
-    row.epoch = worker.epoch;
-    AttemptRow &stored = m_context->tables.addAttempt(row);
-    if (claimEpoch == worker.epoch) {
-        end(&stored, TaskReport::State::Refused, "no room is held for the attempt", false);
-    } else {
-        end(&stored, TaskReport::State::Stopped, "the worker does not have the attempt", true);
+    row.task = key.first;
+    row.attempt = key.second;
+    row.worker = worker;
+    row.shard = shard;
+    row.epoch = *epoch;
+    end(&m_context->tables.addAttempt(row), state, detail, state != TaskReport::State::Refused);
+}
+
+void AttemptSystem::removeOrphans()
+{
+    std::vector<AttemptKey> orphans;
+    std::map<AttemptKey, AttemptRow> &attempts = m_context->tables.attempts;
+    for (auto it = attempts.begin(); it != attempts.end(); ++it) {
+        const AttemptRow &row = it->second;
+        const bool owned = m_context->acquired.count(row.shard) > 0;
+        if (m_context->tables.findWorker(row.worker) == nullptr && (row.settled || !owned)) {
+            orphans.push_back(it->first);
+        }
+    }
+    for (const AttemptKey &key : orphans) {
+        m_context->tables.removeAttempt(key, m_context->loop->now());
     }
 }
 
 bool AttemptSystem::leasesLapsed(const WorkerRow &worker) const
 {
-    const Duration allowance(static_cast<Duration::rep>(
-        static_cast<double>(Duration(m_context->timings.workerLease).count()) * (1 + m_context->timings.drift)));
-    return m_context->mayAct(worker) && m_context->loop->now() > worker.renewLimit + allowance;
+    return m_context->mayAct(worker) && m_context->leaseLapsed(worker.renewLimit);
 }
 
 bool AttemptSystem::mayStart(const WorkerRow &worker) const
--- a/src/libworker/attemptsystem_pvt.h
+++ b/src/libworker/attemptsystem_pvt.h
@@ -2,6 +2,7 @@
 
 #include "fescueledge/taskreport.h"
 #include "fescueledge/types.h"
+#include "workertable_pvt.h"
 
 #include <set>
 #include <string>
@@ -9,10 +10,8 @@
 namespace fescueledge {
 
 class QuarantineSystem;
-struct AttemptRow;
 struct WorkerContext;
 struct WorkerReply;
-struct WorkerRow;
 
 /// Moves attempts through their phases: by what workers report, and by time.
 class AttemptSystem
@@ -28,6 +27,8 @@
     void end(AttemptRow *row, TaskReport::State state, const std::string &detail, bool workerLost);
     /// Records that an attempt that this node does not know is over, for the report to its queue owner.
     void endUnknown(const WorkerRow &worker, const TaskId &task, Attempt attempt, Epoch claimEpoch);
+    /// The same for an attempt on a worker that has no row, in a rack that this node owns.
+    void endMissing(const WorkerId &worker, const ShardId &shard, const TaskId &task, Attempt attempt);
     /// True if no task started under a message of this or an earlier owner can run on @p worker any more.
     bool leasesLapsed(const WorkerRow &worker) const;
     /// True if start commands may be sent to @p worker.
@@ -35,8 +36,12 @@
 
 private:
     void applyReport(const WorkerRow &worker, const TaskReport &report);
+    /// Returns nullptr if the report is of no use.
     AttemptRow *adopt(const WorkerRow &worker, const TaskReport &report);
     void applyAbsence(const WorkerRow &worker, AttemptRow *row);
+    void addEnded(const WorkerId &worker, const ShardId &shard, const AttemptKey &key, TaskReport::State state,
+                  const std::string &detail);
+    void removeOrphans();
     void runOn(const WorkerRow &worker);
     void runWaiting(const WorkerRow &worker, AttemptRow *row);
 
--- /dev/null
+++ b/src/libworker/promise_p8_leaving_endpoint_test.cpp
@@ -0,0 +1,83 @@
+// P8: an endpoint that is leaving receives no new work more than 3 s after the VM list shows it.
+
+#include "workertestworld_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+namespace {
+
+const WorkerId leaving = "w01";
+constexpr std::chrono::seconds bound{3};
+
+bool takesNew(const WorkerTestWorld &world)
+{
+    for (const std::unique_ptr<WorkerTestNode> &node : world.nodes) {
+        for (const EndpointEntry &entry : node->controller->endpointsOf("counter")) {
+            if (entry.worker == leaving && entry.takesNew && node->loop.isAlive()) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/// Lets w01 leave under a steady flow of tasks; returns the starts there after the bound.
+int startsAfterBound(std::uint64_t seed, bool killOwner)
+{
+    WorkerTestSettings settings;
+    settings.nodes = 3;
+    settings.seed = seed;
+    WorkerTestWorld world(settings);
+    world.fleet.faults.late = 0.3;
+    world.fleet.faults.duplicate = 0.3;
+    world.fleet.faults.lateBy = std::chrono::seconds(12);
+    world.fleet.truthOf = [](const TaskCommand &) {
+        FakeTaskTruth truth;
+        truth.duration = std::chrono::seconds(2);
+        return truth;
+    };
+    int before = 0;
+    int after = 0;
+    TimePoint shown = TimePoint::max();
+    world.fleet.onStart = [&world, &before, &after, &shown](const VmEntry &vm, const TaskCommand &) {
+        const bool late = shown != TimePoint::max() && world.world.now() > shown + bound;
+        before += vm.name == leaving && !late ? 1 : 0;
+        after += vm.name == leaving && late ? 1 : 0;
+    };
+    world.addJob("job", 1500, {1000, 2000, 0});
+    world.world.runFor(Milliseconds(10000 + 130 * static_cast<int>(seed)));
+    REQUIRE(takesNew(world));
+    world.vm(leaving).state = VmEntry::State::Leaving;
+    shown = world.world.now();
+    if (killOwner) {
+        world.killNode(world.ownerOf(leaving).authority.self());
+    }
+    world.world.runFor(bound);
+    CHECK_FALSE(takesNew(world));
+    world.world.runFor(std::chrono::seconds(30));
+    CHECK_FALSE(takesNew(world));
+    CHECK(world.fleet.runningOn(leaving) == 0);
+    CHECK(world.fleet.violations.empty());
+    CHECK(before > 5);
+    return after;
+}
+
+} // namespace
+
+TEST_CASE("P8: a leaving worker gets no start with late and repeated messages")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        CHECK(startsAfterBound(seed, false) == 0);
+    }
+}
+
+TEST_CASE("P8: a leaving worker gets no start from the next owner either")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        CHECK(startsAfterBound(seed, true) == 0);
+    }
+}
--- a/src/libworker/reservationsystem.cpp
+++ b/src/libworker/reservationsystem.cpp
@@ -106,11 +106,14 @@
     bool complete = true;
     for (const Reservation &claim : request.claims) {
         WorkerRow *worker = m_context->tables.findWorker(claim.worker);
-        if (worker == nullptr || !m_context->mayAct(*worker)) {
+        if (worker == nullptr) {
+            complete = complete && m_context->authority->ownedEpoch(claim.shard).has_value();
+            m_attempts->endMissing(claim.worker, claim.shard, claim.task, claim.attempt);
+        } else if (!m_context->mayAct(*worker)) {
             complete = false;
-            continue;
+        } else {
+            startClaim(worker, claim);
         }
-        startClaim(worker, claim);
     }
     return complete;
 }
--- a/src/libworker/rostersystem.cpp
+++ b/src/libworker/rostersystem.cpp
@@ -21,6 +21,7 @@
 {
     const std::vector<ShardId> shards = m_context->authority->ownedShards();
     const std::set<ShardId> owned(shards.begin(), shards.end());
+    refreshAcquired(owned);
     removeLost(owned);
     for (const VmEntry &vm : m_context->vmDirectory->entries()) {
         const ShardId shard = rackShard(vm.dataCentre, vm.rack);
@@ -31,6 +32,21 @@
     refreshPools();
 }
 
+void RosterSystem::refreshAcquired(const std::set<ShardId> &owned)
+{
+    std::map<ShardId, std::pair<Epoch, TimePoint>> &acquired = m_context->acquired;
+    for (auto it = acquired.begin(); it != acquired.end();) {
+        it = owned.count(it->first) == 0 ? acquired.erase(it) : std::next(it);
+    }
+    for (const ShardId &shard : owned) {
+        const std::optional<Epoch> epoch = m_context->authority->ownedEpoch(shard);
+        const auto it = acquired.find(shard);
+        if (epoch.has_value() && (it == acquired.end() || it->second.first != *epoch)) {
+            acquired[shard] = {*epoch, m_context->loop->now()};
+        }
+    }
+}
+
 void RosterSystem::removeLost(const std::set<ShardId> &owned)
 {
     std::vector<WorkerId> lost;
@@ -66,8 +82,8 @@
     fresh.vm = vm;
     fresh.shard = shard;
     fresh.epoch = *epoch;
-    fresh.acquiredAt = m_context->loop->now();
-    fresh.lastReply = fresh.acquiredAt;
+    fresh.acquiredAt = m_context->acquired.at(shard).second;
+    fresh.lastReply = m_context->loop->now();
     fresh.renewLimit = fresh.acquiredAt;
     fresh.urgent = true;
     fresh.serial = m_nextSerial++;
--- a/src/libworker/rostersystem_pvt.h
+++ b/src/libworker/rostersystem_pvt.h
@@ -21,6 +21,7 @@
     void refreshPools();
 
 private:
+    void refreshAcquired(const std::set<ShardId> &owned);
     void removeLost(const std::set<ShardId> &owned);
     void refresh(const VmEntry &vm, const ShardId &shard);
 
--- a/src/libworker/workercontext.cpp
+++ b/src/libworker/workercontext.cpp
@@ -12,6 +12,20 @@
     return epoch.has_value() && *epoch == worker.epoch;
 }
 
+bool WorkerContext::earlierLeasesLapsed(const ShardId &shard) const
+{
+    const std::optional<Epoch> epoch = authority->ownedEpoch(shard);
+    const auto it = acquired.find(shard);
+    return epoch.has_value() && it != acquired.end() && it->second.first == *epoch && leaseLapsed(it->second.second);
+}
+
+bool WorkerContext::leaseLapsed(TimePoint renewLimit) const
+{
+    const double lease = static_cast<double>(Duration(timings.workerLease).count());
+    const Duration longest(static_cast<Duration::rep>(lease * (1 + timings.drift)));
+    return loop->now() > renewLimit + longest;
+}
+
 bool WorkerContext::dataCentreOut(const WorkerRow &worker) const
 {
     return authority->control()->dataCentresOut.count(worker.vm.dataCentre) > 0;
--- a/src/libworker/workercontroller.cpp
+++ b/src/libworker/workercontroller.cpp
@@ -132,7 +132,7 @@
                                    const WorkerPolicy &policy)
 {
     const WorkerContext context{loop,   agent,        transport, authority, vmDirectory, timings,
-                                policy, Random(seed), {},        {},        {}};
+                                policy, Random(seed), {},        {},        {},          {}};
     m_systems = std::make_unique<Systems>(context);
 }
 
