--- a/src/libworker/promise_p1_capacity_test.cpp
+++ b/src/libworker/promise_p1_capacity_test.cpp
@@ -120,7 +120,7 @@
     world.addJob("job", 8, {2000, 4000, 0});
     world.world.runFor(std::chrono::seconds(5));
     world.killNode("n0");
-    world.addJob("more", 60, {1000, 2000, 0});
-    REQUIRE(world.runUntilDone(68, std::chrono::minutes(30)));
+    world.addJob("more", 140, {1000, 2000, 0});
+    REQUIRE(world.runUntilDone(148, std::chrono::minutes(30)));
     CHECK(world.fleet.violations.empty());
 }
