Lose requests to workers in the test of starts after out

So start commands are sent again until their hold lapses, also by an owner whose right lapses meanwhile. Also reserves a vector in the measurements, as the linter asks.

--- a/src/bench/placement/placementbench.cpp
+++ b/src/bench/placement/placementbench.cpp
@@ -35,6 +35,7 @@
 void printColumn(const std::vector<PlacementResult> &results, Member member, const char *format)
 {
     std::vector<double> values;
+    values.reserve(results.size());
     for (const PlacementResult &result : results) {
         values.push_back(static_cast<double>(result.*member));
     }
--- a/src/libworker/promise_p4_start_after_out_test.cpp
+++ b/src/libworker/promise_p4_start_after_out_test.cpp
@@ -29,6 +29,7 @@
     world.fleet.faults.duplicate = 0.3;
     world.fleet.faults.lateBy = std::chrono::seconds(12);
     world.fleet.faults.loseReply = 0.1;
+    world.fleet.faults.loseRequest = 0.4;
     world.fleet.truthOf = [](const TaskCommand &) {
         FakeTaskTruth truth;
         truth.duration = std::chrono::seconds(2);
