--- a/src/bench/requests/main.cpp
+++ b/src/bench/requests/main.cpp
@@ -15,11 +15,13 @@
     std::string deployment; ///< Empty for all.
     std::string scenario; ///< Empty for all.
     std::string policy; ///< Empty for all.
+    std::uint64_t firstSeed = 1;
     std::uint64_t seeds = 5;
+    double load = 0; ///< Share of the nominal capacity; 0 for the deployment's own.
     std::chrono::seconds span{6};
 };
 
-std::vector<Deployment> deployments()
+std::vector<Deployment> deployments(double load)
 {
     Deployment kilima;
     kilima.name = "kilima";
@@ -29,6 +31,10 @@
     nadelwerk.workers = 65;
     nadelwerk.entryNodes = 7;
     nadelwerk.hop = std::chrono::microseconds(500);
+    if (load > 0) {
+        kilima.load = load;
+        nadelwerk.load = load;
+    }
     return {kilima, nadelwerk};
 }
 
@@ -51,7 +57,7 @@
 void measure(const Deployment &deployment, const Scenario &scenario, const BenchPolicy &policy, const Options &options)
 {
     std::vector<Figures> runs;
-    for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
+    for (std::uint64_t seed = options.firstSeed; seed < options.firstSeed + options.seeds; ++seed) {
         const auto experiment = std::make_unique<Experiment>(deployment, policy, seed);
         scenario.install(*experiment);
         runs.push_back(experiment->run(options.span));
@@ -69,7 +75,7 @@
 
 void measureAll(const Options &options)
 {
-    for (const Deployment &deployment : deployments()) {
+    for (const Deployment &deployment : deployments(options.load)) {
         if (!options.deployment.empty() && options.deployment != deployment.name) {
             continue;
         }
@@ -95,6 +101,7 @@
     const option longOptions[] = {
         {"deployment", required_argument, nullptr, 'd'}, {"scenario", required_argument, nullptr, 's'},
         {"policy", required_argument, nullptr, 'p'},     {"seeds", required_argument, nullptr, 'n'},
+        {"first-seed", required_argument, nullptr, 'f'}, {"load", required_argument, nullptr, 'l'},
         {"seconds", required_argument, nullptr, 't'},    {nullptr, 0, nullptr, 0}};
     int it = 0;
     while ((it = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
@@ -111,6 +118,12 @@
         case 'n':
             options.seeds = std::max<std::uint64_t>(1, std::strtoull(optarg, nullptr, 10));
             break;
+        case 'f':
+            options.firstSeed = std::strtoull(optarg, nullptr, 10);
+            break;
+        case 'l':
+            options.load = std::strtod(optarg, nullptr);
+            break;
         case 't':
             options.span = std::chrono::seconds(std::strtol(optarg, nullptr, 10));
             break;
@@ -129,7 +142,7 @@
     if (!parse(argc, argv, options)) {
         std::fprintf(stderr,
                      "usage: fescueledge-bench-requests [--deployment NAME] [--scenario NAME] [--policy NAME] "
-                     "[--seeds N] [--seconds N]\n");
+                     "[--first-seed N] [--seeds N] [--load SHARE] [--seconds N]\n");
         return 2;
     }
     google::InitGoogleLogging(argv[0]);
