--- a/src/libqueue/jobqueue_test.cpp
+++ b/src/libqueue/jobqueue_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const Resources workerSize{32000, 125000, 0};
+const std::vector<std::string> nothing;
 
 JobQueue::SubmitResult submitNow(QueueWorld &fleet, int node, const JobSpec &spec)
 {
@@ -47,7 +48,7 @@
     fleet.world.runFor(1s);
     REQUIRE(fleet.accepted().size() == 20);
     CHECK(runUntilEnded(fleet, 60s));
-    CHECK(fleet.workers.violations == std::vector<std::string>());
+    CHECK(fleet.workers.violations == nothing);
     CHECK(fleet.workers.starts == 2000);
     CHECK(fleet.counters().finishes == 2000);
 }
--- a/src/libqueue/promise_finish_exactly_once.cpp
+++ b/src/libqueue/promise_finish_exactly_once.cpp
@@ -4,6 +4,12 @@
 
 using namespace fescueledge;
 
+namespace {
+
+const std::vector<std::string> nothing;
+
+} // namespace
+
 // Batch work finishes exactly once: every accepted job ends, each finish on record was a finish on a worker, and
 // nothing starts after its finish was recorded. Cancellations race with the finishes.
 TEST_CASE("each task finishes once or is cancelled, and no acknowledged job is lost")
@@ -13,11 +19,11 @@
     options.oldReports = 0.9;
     options.failures = 0.15;
     options.workerLosses = 0.2;
-    for (const std::uint64_t seed : {501, 502, 503, 504, 505, 506, 507, 508}) {
+    for (const std::uint64_t seed : {501, 502, 503, 504, 505, 506, 507, 508, 2000}) {
         QueueChaos chaos(seed, options);
         INFO("seed " << seed);
         CHECK(chaos.run());
-        CHECK(chaos.faultsFound() == std::vector<std::string>());
+        CHECK(chaos.faultsFound() == nothing);
         CHECK(!chaos.cancelled.empty());
     }
 }
--- a/src/libqueue/promise_p2_task_single_attempt.cpp
+++ b/src/libqueue/promise_p2_task_single_attempt.cpp
@@ -4,6 +4,12 @@
 
 using namespace fescueledge;
 
+namespace {
+
+const std::vector<std::string> nothing;
+
+} // namespace
+
 // P2: no task runs in two places at once. The workers keep their own list of what runs, and hold every start against
 // the claim in the store.
 TEST_CASE("no task runs in two places under faults of two kinds at once")
@@ -12,7 +18,7 @@
         QueueChaos chaos(seed, QueueChaos::Options());
         INFO("seed " << seed);
         CHECK(chaos.run());
-        CHECK(chaos.faultsFound() == std::vector<std::string>());
+        CHECK(chaos.faultsFound() == nothing);
         CHECK(chaos.fleet.workers.starts > 100);
     }
 }
--- a/src/libqueue/promise_p3_resume_exactly_once.cpp
+++ b/src/libqueue/promise_p3_resume_exactly_once.cpp
@@ -4,6 +4,12 @@
 
 using namespace fescueledge;
 
+namespace {
+
+const std::vector<std::string> nothing;
+
+} // namespace
+
 // P3: evicted work resumes exactly once. The workers know what each attempt saved; the next attempt must begin from
 // it, and no attempt number may start twice.
 TEST_CASE("evicted work resumes exactly once from what it saved")
@@ -16,7 +22,7 @@
         QueueChaos chaos(seed, options);
         INFO("seed " << seed);
         CHECK(chaos.run());
-        CHECK(chaos.faultsFound() == std::vector<std::string>());
+        CHECK(chaos.faultsFound() == nothing);
         CHECK(chaos.fleet.workers.resumes > 50);
     }
 }
--- a/src/libqueue/queuepartition.cpp
+++ b/src/libqueue/queuepartition.cpp
@@ -191,11 +191,12 @@
 void QueuePartition::applyCancelRow(const Row &row)
 {
     Job *job = m_jobs.find(lastKeyPart(row.key));
-    if (job == nullptr) {
+    if (job == nullptr || job->closing) {
+        // A change that ends the job was decided without this row: its condition fails and the partition loads anew.
         return;
     }
     job->cancelRow = row.version;
-    if (job->closing || job->record.isClosed()) {
+    if (job->record.isClosed()) {
         return;
     }
     const std::string who = nlohmann::json::parse(row.value).at("who").get<std::string>();
