--- a/src/bench/placement/placementbench.cpp
+++ b/src/bench/placement/placementbench.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <glog/logging.h>
 #include <vector>
 
@@ -86,6 +87,11 @@
                     "| evictions | lost and redone s | work during change s |\n");
         std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
         for (const Candidate &candidate : candidates) {
+            const bool skipped = (argc > 3 && std::strcmp(argv[3], candidate.placement) != 0)
+                || (argc > 4 && std::strcmp(argv[4], candidate.interference) != 0);
+            if (skipped) {
+                continue;
+            }
             runCandidate(deployment, candidate, seeds);
         }
     }
