End a drained daemon, and run the demonstration to its end

Cause: after a complete drain the process hung in the destructor of IoPool. The stack showed it joining threads that wait in pop(): clear() on oneTBB's bounded queue is not safe beside a waiting pop and loses the wake-ups that follow. Ruled out: the listeners (both had ended) and the loop (stopped before). Also: fixed ports lie below the range that the system hands out, as a node once found its port taken.

--- a/src/libpeer/websockettransport_test.cpp
+++ b/src/libpeer/websockettransport_test.cpp
@@ -53,8 +53,8 @@
 
 TEST_CASE("a call reaches another node and its reply comes back")
 {
-    EchoNode a("a", 42601, "secret");
-    EchoNode b("b", 42602, "secret");
+    EchoNode a("a", 22601, "secret");
+    EchoNode b("b", 22602, "secret");
     a.connectTo(b.address);
 
     for (int i = 0; i < 20; ++i) {
@@ -67,34 +67,34 @@
 
 TEST_CASE("a node may call itself")
 {
-    EchoNode a("a", 42603, "secret");
+    EchoNode a("a", 22603, "secret");
     CHECK(a.call("a", "hello", longTimeout).answered);
 }
 
 TEST_CASE("a call to a node that is not there ends at its timeout, and a later one gets through")
 {
-    EchoNode a("a", 42604, "secret");
-    a.connectTo("127.0.0.1:42605");
+    EchoNode a("a", 22604, "secret");
+    a.connectTo("127.0.0.1:22605");
     CHECK_FALSE(a.call("b", 1, shortTimeout).answered);
 
-    EchoNode b("b", 42605, "secret");
+    EchoNode b("b", 22605, "secret");
     CHECK(a.call("b", 2, longTimeout).answered);
 }
 
 TEST_CASE("a peer with a wrong token is not served")
 {
-    EchoNode a("a", 42606, "guess");
-    EchoNode b("b", 42607, "secret");
+    EchoNode a("a", 22606, "guess");
+    EchoNode b("b", 22607, "secret");
     a.connectTo(b.address);
     CHECK_FALSE(a.call("b", 1, shortTimeout).answered);
 }
 
 TEST_CASE("an address in use is a typed error")
 {
-    EchoNode a("a", 42608, "secret");
+    EchoNode a("a", 22608, "secret");
     EventLoop loop;
     try {
-        WebsocketTransport second(&loop, "b", "127.0.0.1:42608", "secret");
+        WebsocketTransport second(&loop, "b", "127.0.0.1:22608", "secret");
         FAIL("listened twice");
     } catch (const Error &error) {
         CHECK(error.kind() == ErrorKind::InvalidSettings);
--- a/src/libplatform/iopool.cpp
+++ b/src/libplatform/iopool.cpp
@@ -1,5 +1,6 @@
 #include "fescueledge/iopool.h"
 
+#include <atomic>
 #include <tbb/concurrent_queue.h>
 #include <thread>
 #include <utility>
@@ -10,6 +11,7 @@
 struct IoPool::State
 {
     tbb::concurrent_bounded_queue<std::function<void()>> work;
+    std::atomic<bool> stopping{false};
     std::vector<std::thread> threads;
 };
 
@@ -24,7 +26,9 @@
                 if (!fn) {
                     return;
                 }
-                fn();
+                if (!state->stopping) {
+                    fn();
+                }
             }
         });
     }
@@ -32,7 +36,7 @@
 
 IoPool::~IoPool()
 {
-    m_state->work.clear();
+    m_state->stopping = true;
     for (std::size_t i = 0; i < m_state->threads.size(); ++i) {
         m_state->work.push({});
     }
--- a/src/standin/standinworker.cpp
+++ b/src/standin/standinworker.cpp
@@ -46,8 +46,8 @@
         m_epoch = request.epoch;
         if (clock(now) <= request.startBefore) {
             if (clock(now) <= request.startBefore) {
-            m_leaseEnds = now + request.lease;
-        }
+                m_leaseEnds = now + request.lease;
+            }
         }
         for (const TaskCommand &command : request.commands) {
             carryOut(command, request.startBefore, now);
--- a/testsuite/demo/run.sh
+++ b/testsuite/demo/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "$0")/.." && pwd)
 build=$(cd "${1:-build}" && pwd)
-base=${2:-41000}
+base=${2:-21000}
 . "$here/common/cluster.sh"
 
 get() { curl -s -o /dev/null -w '%{http_code}' --max-time 5 "http://$(caller_of "$1")$2"; }
@@ -84,9 +84,9 @@
 check "all 16 tasks finish" wait_until 40 finished 1 "$job" 16
 check "no task started in dc2 after the answer" no_new_start_in_dc2
 check "dc2 is brought back" operate 3 datacentre in dc2 --who demo --why "maintenance done"
-job=$(submit 3 plans-2 24 500)
+job=$(submit 3 plans-2 60 1500)
 check "tasks start in dc2 again" wait_until 20 new_start_in_dc2
-check "all 24 tasks finish" wait_until 20 finished 3 "$job" 24
+check "all 60 tasks finish" wait_until 30 finished 3 "$job" 60
 
 say "== a daemon killed"
 job=$(submit 2 plans-3 16 3000)
