Free the fake rack owner's tick

Cause: the address sanitizer's build of queue_test and the three promise tests of the queue failed with a leak, though all their assertions passed: a function in a shared pointer held itself. All 22 reports name that one place, in a fake. Change: the tick is a member function.

--- a/src/libqueue/fakerackowner.cpp
+++ b/src/libqueue/fakerackowner.cpp
@@ -51,16 +51,21 @@
             }
             respond(PeerMessage{"control", nlohmann::json::object()});
         });
-    const auto tick = std::make_shared<std::function<void()>>();
-    *tick = [this, tick] {
-        startDue();
-        sendOutcomes();
-        if (m_rounds++ % 10 == 0) {
-            sendCapacity();
-        }
-        m_loop->postAfter(period, *tick);
-    };
-    m_loop->post(*tick);
+    m_loop->post([this] {
+        tick();
+    });
+}
+
+void FakeRackOwner::tick()
+{
+    startDue();
+    sendOutcomes();
+    if (m_rounds++ % 10 == 0) {
+        sendCapacity();
+    }
+    m_loop->postAfter(period, [this] {
+        tick();
+    });
 }
 
 std::vector<FakeWorkers::Worker *> FakeRackOwner::ownWorkers()
--- a/src/libqueue/fakerackowner_pvt.h
+++ b/src/libqueue/fakerackowner_pvt.h
@@ -21,6 +21,7 @@
     int startsPerSecond = 0; ///< Bound of this node; 0 for none.
 
 private:
+    void tick();
     using Key = std::pair<TaskId, Attempt>;
     struct Hold
     {
