Keep the check for violations of the cluster's observer in one place

Cause: three promise tests of libmember each had the same function, letter for letter. Ruled out: putting it into the fixture, which the soak program links without Catch2. Change: one test header; the check itself is as it was. Shown: the three programs pass, 3 of 3.

--- /dev/null
+++ b/src/libmember/clusterchecks_pvt.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "clusterfixture_pvt.h"
+
+#include <catch2/catch.hpp>
+
+namespace fescueledge {
+
+/// Fails the running test, with the first breach, if the observer of @p cluster saw any.
+inline void checkNoViolations(const ClusterFixture &cluster)
+{
+    for (const std::string &violation : cluster.violations) {
+        FAIL_CHECK(violation);
+        return;
+    }
+}
+
+} // namespace fescueledge
--- a/src/libmember/promise_p10_configuration_test.cpp
+++ b/src/libmember/promise_p10_configuration_test.cpp
@@ -1,3 +1,4 @@
+#include "clusterchecks_pvt.h"
 #include "clusterfixture_pvt.h"
 #include "faultdriver_pvt.h"
 #include "fescueledge/controlstate.h"
@@ -51,14 +52,6 @@
     return answer;
 }
 
-void checkNoViolations(const ClusterFixture &cluster)
-{
-    for (const std::string &violation : cluster.violations) {
-        FAIL_CHECK(violation);
-        return;
-    }
-}
-
 /// Operators at all nodes who read the state, edit it and propose the edit, and write down what they saw.
 class RacingOperators
 {
--- a/src/libmember/promise_p2_single_owner_test.cpp
+++ b/src/libmember/promise_p2_single_owner_test.cpp
@@ -1,3 +1,4 @@
+#include "clusterchecks_pvt.h"
 #include "clusterfixture_pvt.h"
 #include "faultdriver_pvt.h"
 
@@ -21,14 +22,6 @@
         limit);
 }
 
-void checkNoViolations(const ClusterFixture &cluster)
-{
-    for (const std::string &violation : cluster.violations) {
-        FAIL_CHECK(violation);
-        return;
-    }
-}
-
 } // namespace
 
 TEST_CASE("no two nodes act for one shard under random faults, and all shards are owned soon after them")
--- a/src/libmember/promise_p4_data_centre_out_test.cpp
+++ b/src/libmember/promise_p4_data_centre_out_test.cpp
@@ -1,3 +1,4 @@
+#include "clusterchecks_pvt.h"
 #include "clusterfixture_pvt.h"
 #include "faultdriver_pvt.h"
 #include "fescueledge/controlstate.h"
@@ -44,14 +45,6 @@
     return answer;
 }
 
-void checkNoViolations(const ClusterFixture &cluster)
-{
-    for (const std::string &violation : cluster.violations) {
-        FAIL_CHECK(violation);
-        return;
-    }
-}
-
 /// Takes data centres out and brings them back at random nodes, and notes what is answered to be in force.
 class Operators
 {
