--- a/src/fescueledged/main.cpp
+++ b/src/fescueledged/main.cpp
@@ -4,6 +4,7 @@
 #include "fescueledge/daemonsettings.h"
 #include "fescueledge/settingserror.h"
 #include "fescueledge/settingsparser.h"
+#include "platform/platformnode.h"
 
 #include <atomic>
 #include <csignal>
@@ -143,6 +144,9 @@
             return exitOk;
         }
         startLog(settings.log, argv[0]);
+        if (settings.workflow.enabled) {
+            return platform::runNode(settings);
+        }
         return runDaemon(settings);
     } catch (const SettingsError &error) {
         for (const Finding &finding : error.findings()) {
--- /dev/null
+++ b/src/include/fescueledge/asynchttpclient.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "fescueledge/httpmessages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fescueledge {
+
+class AsioLoop;
+
+/// HTTP/1.1 calls on a loop, over connections that are kept open and reused.
+///
+/// A connection whose call failed or timed out is closed, so an answer that comes late never reaches a later call.
+class AsyncHttpClient
+{
+public:
+    using Handler = std::function<void(const HttpAnswer &)>;
+
+    /// @p connectTimeout bounds the wait for a new connection, within the call's own timeout.
+    AsyncHttpClient(AsioLoop *loop, Milliseconds connectTimeout);
+    ~AsyncHttpClient();
+    AsyncHttpClient(const AsyncHttpClient &) = delete;
+    AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
+
+    /// Sends @p call to @p address (`ip:port`). The handler runs on the loop, exactly once.
+    void call(const std::string &address, HttpCall call, Handler handler);
+    /// Closes the idle connections to @p address.
+    void forget(const std::string &address);
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace fescueledge
--- a/src/include/fescueledge/daemonsettings.h
+++ b/src/include/fescueledge/daemonsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescueledge/types.h"
+#include "fescueledge/workflow/coordinatorsettings.h"
 
 #include <string>
 
@@ -66,6 +67,15 @@
     bool toStderr = false;
 };
 
+/// Section `[workflow]`: running on a platform that registers its own workers and keeps the configuration.
+struct WorkflowSettings
+{
+    bool enabled = false;
+    std::string ready; ///< Listener for the balancer's question whether this node takes callers.
+    double cores = 1; ///< Processor time of this VM, in cores.
+    workflow::CoordinatorSettings times;
+};
+
 /// The settings file of one daemon, checked.
 struct DaemonSettings
 {
@@ -76,6 +86,7 @@
     LeaseSettings leases;
     LimitSettings limits;
     LogSettings log;
+    WorkflowSettings workflow;
 };
 
 /// A change must be in force on every node within this time.
--- /dev/null
+++ b/src/include/fescueledge/eventlog.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <string>
+#include <string_view>
+
+namespace fescueledge {
+
+/// One structured log line under construction: `event=name key=value ...`.
+class LogLine
+{
+public:
+    explicit LogLine(std::string_view event);
+
+    LogLine &with(std::string_view key, std::string_view value);
+    LogLine &with(std::string_view key, std::int64_t value);
+    LogLine &with(std::string_view key, Milliseconds value); ///< The key should end in `_ms`.
+
+    const std::string &text() const
+    {
+        return m_text;
+    }
+    std::string_view event() const
+    {
+        return std::string_view(m_text).substr(m_eventStart, m_eventSize);
+    }
+
+private:
+    std::string m_text;
+    std::size_t m_eventStart = 0;
+    std::size_t m_eventSize = 0;
+};
+
+/// Where the structured log of a process goes. Never blocks its caller.
+class EventLog
+{
+public:
+    virtual ~EventLog() = default;
+    virtual void write(const LogLine &line) = 0;
+};
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/include/fescueledge/workflow/catalogsource.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace fescueledge::workflow {
+
+struct Catalog;
+
+/// What operators have configured, as it changes.
+class CatalogSource
+{
+public:
+    using Handler = std::function<void(const std::shared_ptr<const Catalog> &)>;
+
+    virtual ~CatalogSource() = default;
+    /// Starts to follow; the handler is called with each newer catalog.
+    virtual void follow(Handler handler) = 0;
+};
+
+} // namespace fescueledge::workflow
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -2,6 +2,12 @@
 
 namespace fescueledge {
 
+namespace {
+
+constexpr double thousandths = 1000; ///< Decimals are kept as whole thousandths.
+
+} // namespace
+
 // Each row: name, type, required, default, least, greatest, meaning; then where the value goes.
 
 const std::vector<KeyBinding<NodeSettings>> &nodeKeys()
@@ -161,6 +167,40 @@
     return keys;
 }
 
+const std::vector<KeyBinding<WorkflowSettings>> &workflowKeys()
+{
+    static const std::vector<KeyBinding<WorkflowSettings>> keys{
+        {{"enabled", ValueType::Boolean, false, "no", 0, 0,
+          "Whether this node runs workflows on a platform that lists its own workers and keeps the configuration; the "
+          "node then serves no operators of its own."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.enabled = value.number != 0;
+         }},
+        {{"ready", ValueType::Address, false, "", 0, 0,
+          "Listener that tells a balancer whether this node takes callers. Needed with `enabled`."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.ready = value.text;
+         }},
+        {{"cores", ValueType::Decimal, false, "1", 1, 1000000,
+          "Processor time of this VM, in cores. Of the nodes that live, the one with the most coordinates."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.cores = static_cast<double>(value.number) / thousandths;
+         }},
+        {{"worker-lease", ValueType::Duration, false, "4s", 1000, 60000,
+          "How long tasks on a worker run on without a call of the coordinator. Longer than a takeover, at most what "
+          "the platform allows."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.workerLease = Milliseconds(value.number);
+         }},
+        {{"status-retention", ValueType::Duration, false, "130s", 1000, 86400000,
+          "How long the state of an ended workflow can be asked for."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.statusRetention = Milliseconds(value.number);
+         }},
+    };
+    return keys;
+}
+
 const std::vector<SectionSchema> &daemonSchema()
 {
     static const std::vector<SectionSchema> schema{
@@ -171,6 +211,7 @@
         makeSection("leases", false, "Times of the right to act.", leaseKeys()),
         makeSection("limits", false, "Bounds on what this node takes on.", limitKeys()),
         makeSection("log", false, "Where log lines go.", logKeys()),
+        makeSection("workflow", false, "Workflows on a platform with its own list of workers.", workflowKeys()),
     };
     return schema;
 }
--- a/src/libconfig/daemonkeys_pvt.h
+++ b/src/libconfig/daemonkeys_pvt.h
@@ -16,5 +16,6 @@
 const std::vector<KeyBinding<LeaseSettings>> &leaseKeys();
 const std::vector<KeyBinding<LimitSettings>> &limitKeys();
 const std::vector<KeyBinding<LogSettings>> &logKeys();
+const std::vector<KeyBinding<WorkflowSettings>> &workflowKeys();
 
 } // namespace fescueledge
--- a/src/libconfig/settingsparser.cpp
+++ b/src/libconfig/settingsparser.cpp
@@ -39,6 +39,7 @@
     applyKeys(leaseKeys(), sections.at("leases"), settings.leases);
     applyKeys(limitKeys(), sections.at("limits"), settings.limits);
     applyKeys(logKeys(), sections.at("log"), settings.log);
+    applyKeys(workflowKeys(), sections.at("workflow"), settings.workflow);
     return settings;
 }
 
--- /dev/null
+++ b/src/libhttp/asynchttpclient.cpp
@@ -0,0 +1,207 @@
+#include "fescueledge/asynchttpclient.h"
+
+#include "fescueledge/asioloop.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <utility>
+
+namespace fescueledge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int httpVersion = 11;
+constexpr std::uint64_t maxAnswerBytes = 16U << 20U; ///< A page of rows holds 1 MB, base64 included less than 2.
+constexpr std::size_t maxIdlePerAddress = 8; ///< More than the concurrent calls to one worker in any test.
+
+} // namespace
+
+class AsyncHttpClient::Impl : public std::enable_shared_from_this<AsyncHttpClient::Impl>
+{
+public:
+    Impl(AsioLoop *loop, Milliseconds connectTimeout)
+        : m_loop(loop)
+        , m_connectTimeout(connectTimeout)
+    {
+    }
+
+    void call(const std::string &address, HttpCall call, Handler handler);
+
+    void forget(const std::string &address)
+    {
+        m_idle.erase(address);
+    }
+
+private:
+    /// One connection with the call that it carries.
+    struct Connection
+    {
+        Connection(asio::io_context &io, std::string to)
+            : stream(io)
+            , address(std::move(to))
+        {
+        }
+
+        beast::tcp_stream stream;
+        std::string address;
+        beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        std::unique_ptr<http::response_parser<http::string_body>> parser;
+        TimePoint deadline;
+        Handler handler;
+    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void connect(const ConnectionPtr &connection);
+    void send(const ConnectionPtr &connection);
+    void receive(const ConnectionPtr &connection);
+    void finish(const ConnectionPtr &connection);
+    static void fail(const ConnectionPtr &connection, HttpFate fate)
+    {
+        Handler handler;
+        handler.swap(connection->handler);
+        beast::error_code ec;
+        connection->stream.socket().close(ec);
+        HttpAnswer answer;
+        answer.fate = fate;
+        handler(answer);
+    }
+
+    AsioLoop *m_loop;
+    Milliseconds m_connectTimeout;
+    std::map<std::string, std::vector<ConnectionPtr>> m_idle;
+};
+
+void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
+{
+    std::vector<ConnectionPtr> &idle = m_idle[address];
+    const bool reused = !idle.empty();
+    ConnectionPtr connection;
+    if (reused) {
+        connection = idle.back();
+        idle.pop_back();
+    } else {
+        connection = std::make_shared<Connection>(m_loop->context(), address);
+    }
+    connection->deadline = m_loop->now() + call.timeout;
+    connection->handler = std::move(handler);
+    connection->request = {};
+    connection->request.version(httpVersion);
+    connection->request.method_string(call.method);
+    connection->request.target(call.target);
+    connection->request.set(http::field::host, address);
+    if (!call.contentType.empty()) {
+        connection->request.set(http::field::content_type, call.contentType);
+    }
+    for (const std::pair<std::string, std::string> &header : call.headers) {
+        connection->request.set(header.first, header.second);
+    }
+    connection->request.body() = std::move(call.body);
+    connection->request.prepare_payload();
+    if (reused) {
+        send(connection);
+    } else {
+        connect(connection);
+    }
+}
+
+void AsyncHttpClient::Impl::connect(const ConnectionPtr &connection)
+{
+    const std::size_t colon = connection->address.rfind(':');
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(connection->address.substr(0, colon), ec);
+    const int port = colon == std::string::npos ? 0 : std::atoi(connection->address.c_str() + colon + 1);
+    if (ec || port <= 0) {
+        m_loop->post([connection] {
+            fail(connection, HttpFate::NotSent);
+        });
+        return;
+    }
+    connection->stream.expires_at(std::min(connection->deadline, m_loop->now() + m_connectTimeout));
+    const std::shared_ptr<Impl> self = shared_from_this();
+    connection->stream.async_connect(asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port)),
+                                     [self, connection](const beast::error_code &error) {
+                                         if (error) {
+                                             fail(connection, HttpFate::NotSent);
+                                             return;
+                                         }
+                                         beast::error_code ignored;
+                                         connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+                                         self->send(connection);
+                                     });
+}
+
+void AsyncHttpClient::Impl::send(const ConnectionPtr &connection)
+{
+    connection->stream.expires_at(connection->deadline);
+    const std::shared_ptr<Impl> self = shared_from_this();
+    http::async_write(connection->stream, connection->request,
+                      [self, connection](const beast::error_code &ec, std::size_t) {
+                          if (ec) {
+                              fail(connection, HttpFate::NoAnswer);
+                              return;
+                          }
+                          self->receive(connection);
+                      });
+}
+
+void AsyncHttpClient::Impl::receive(const ConnectionPtr &connection)
+{
+    connection->parser = std::make_unique<http::response_parser<http::string_body>>();
+    connection->parser->body_limit(maxAnswerBytes);
+    const std::shared_ptr<Impl> self = shared_from_this();
+    http::async_read(connection->stream, connection->buffer, *connection->parser,
+                     [self, connection](const beast::error_code &ec, std::size_t) {
+                         if (ec) {
+                             fail(connection, HttpFate::NoAnswer);
+                             return;
+                         }
+                         self->finish(connection);
+                     });
+}
+
+void AsyncHttpClient::Impl::finish(const ConnectionPtr &connection)
+{
+    HttpAnswer answer;
+    answer.fate = HttpFate::Answered;
+    answer.status = connection->parser->get().result_int();
+    answer.body = std::move(connection->parser->get().body());
+    const bool reusable = connection->parser->get().keep_alive();
+    connection->parser.reset();
+    connection->stream.expires_never();
+    Handler handler;
+    handler.swap(connection->handler);
+    std::vector<ConnectionPtr> &idle = m_idle[connection->address];
+    if (reusable && idle.size() < maxIdlePerAddress) {
+        idle.push_back(connection);
+    }
+    handler(answer);
+}
+
+AsyncHttpClient::AsyncHttpClient(AsioLoop *loop, Milliseconds connectTimeout)
+    : m_impl(std::make_shared<Impl>(loop, connectTimeout))
+{
+}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::call(const std::string &address, HttpCall call, Handler handler)
+{
+    m_impl->call(address, std::move(call), std::move(handler));
+}
+
+void AsyncHttpClient::forget(const std::string &address)
+{
+    m_impl->forget(address);
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libhttp/asynchttpserver.cpp
@@ -0,0 +1,240 @@
+#include "fescueledge/asynchttpserver.h"
+
+#include "fescueledge/asioloop.h"
+#include "fescueledge/error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdlib>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace fescueledge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr const char *patienceHeader = "X-Deadline-Ms";
+constexpr Milliseconds writeTimeout{5000}; ///< A client that does not read for so long has gone.
+
+} // namespace
+
+class AsyncHttpServer::Impl : public std::enable_shared_from_this<AsyncHttpServer::Impl>
+{
+public:
+    Impl(AsioLoop *loop, Handler handler)
+        : m_loop(loop)
+        , m_handler(std::move(handler))
+        , m_acceptor(loop->context())
+    {
+    }
+
+    void listen(const std::string &address);
+    void accept();
+    void drain();
+    void close()
+    {
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+    }
+
+    Limits limits;
+    std::size_t inFlight = 0;
+    bool closing = false; ///< Answers announce the end of their connection.
+
+private:
+    /// One client connection.
+    struct Session
+    {
+        explicit Session(tcp::socket socket)
+            : stream(std::move(socket))
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        std::optional<http::request_parser<http::string_body>> parser;
+        http::response<http::string_body> response;
+        bool busy = false; ///< A request is being answered.
+    };
+    using SessionPtr = std::shared_ptr<Session>;
+
+    void read(const SessionPtr &session);
+    void dispatch(const SessionPtr &session);
+    void write(const SessionPtr &session, const HttpReply &reply, bool keepAlive);
+    void end(const SessionPtr &session)
+    {
+        boost::system::error_code ec;
+        session->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        session->stream.close();
+        m_sessions.erase(session);
+    }
+
+    AsioLoop *m_loop;
+    Handler m_handler;
+    tcp::acceptor m_acceptor;
+    std::set<SessionPtr> m_sessions;
+};
+
+void AsyncHttpServer::Impl::listen(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    boost::system::error_code ec;
+    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), ec);
+    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+    if (ec || port < 0) {
+        throw Error(ErrorKind::InvalidSettings, "address '" + address + "' is not of the form ip:port");
+    }
+    const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
+    try {
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+    } catch (const boost::system::system_error &error) {
+        throw Error(ErrorKind::InvalidSettings, "cannot listen on " + address + ": " + error.what());
+    }
+    accept();
+}
+
+void AsyncHttpServer::Impl::accept()
+{
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_acceptor.async_accept([self](const boost::system::error_code &ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
+            return;
+        }
+        if (!ec) {
+            boost::system::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            const SessionPtr session = std::make_shared<Session>(std::move(socket));
+            self->m_sessions.insert(session);
+            self->read(session);
+        }
+        self->accept();
+    });
+}
+
+void AsyncHttpServer::Impl::read(const SessionPtr &session)
+{
+    session->parser.emplace();
+    session->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    session->parser->body_limit(limits.bodyBytes);
+    session->stream.expires_after(limits.headerTimeout);
+    const std::shared_ptr<Impl> self = shared_from_this();
+    http::async_read(session->stream, session->buffer, *session->parser,
+                     [self, session](const beast::error_code &ec, std::size_t) {
+                         if (ec == http::error::body_limit || ec == http::error::header_limit) {
+                             HttpReply reply;
+                             reply.status = ec == http::error::body_limit ? 413 : 431;
+                             self->write(session, reply, false);
+                         } else if (ec) {
+                             self->end(session);
+                         } else {
+                             self->dispatch(session);
+                         }
+                     });
+}
+
+void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
+{
+    const http::request<http::string_body> &message = session->parser->get();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.body = message.body();
+    request.patience = Milliseconds(std::atoi(std::string(message[patienceHeader]).c_str()));
+    const bool keepAlive = message.keep_alive();
+    session->stream.expires_never();
+    session->busy = true;
+    ++inFlight;
+    const std::shared_ptr<Impl> self = shared_from_this();
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    m_handler(request, [self, session, keepAlive, answered](const HttpReply &reply) {
+        if (*answered) {
+            return;
+        }
+        *answered = true;
+        --self->inFlight;
+        self->write(session, reply, keepAlive);
+    });
+}
+
+void AsyncHttpServer::Impl::write(const SessionPtr &session, const HttpReply &reply, bool keepAlive)
+{
+    session->response = {};
+    session->response.version(11);
+    session->response.result(static_cast<unsigned>(reply.status));
+    if (!reply.contentType.empty()) {
+        session->response.set(http::field::content_type, reply.contentType);
+    }
+    if (reply.retryAfter.count() > 0) {
+        session->response.set(http::field::retry_after, std::to_string(reply.retryAfter.count()));
+    }
+    session->response.body() = reply.body;
+    session->response.keep_alive(keepAlive && !closing);
+    session->response.prepare_payload();
+    session->stream.expires_after(writeTimeout);
+    const std::shared_ptr<Impl> self = shared_from_this();
+    http::async_write(session->stream, session->response, [self, session](const beast::error_code &ec, std::size_t) {
+        session->busy = false;
+        if (ec || !session->response.keep_alive()) {
+            self->end(session);
+        } else {
+            self->read(session);
+        }
+    });
+}
+
+void AsyncHttpServer::Impl::drain()
+{
+    closing = true;
+    const std::set<SessionPtr> sessions = m_sessions;
+    for (const SessionPtr &session : sessions) {
+        if (!session->busy && session->buffer.size() == 0) {
+            end(session);
+        }
+    }
+}
+
+AsyncHttpServer::AsyncHttpServer(AsioLoop *loop, const std::string &address, Handler handler)
+    : m_impl(std::make_shared<Impl>(loop, std::move(handler)))
+{
+    m_impl->listen(address);
+}
+
+AsyncHttpServer::~AsyncHttpServer()
+{
+    m_impl->close();
+}
+
+void AsyncHttpServer::setLimits(const Limits &limits)
+{
+    m_impl->limits = limits;
+}
+
+std::size_t AsyncHttpServer::inFlight() const
+{
+    return m_impl->inFlight;
+}
+
+void AsyncHttpServer::drain()
+{
+    m_impl->drain();
+}
+
+void AsyncHttpServer::announceClose()
+{
+    m_impl->closing = true;
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/libworkflow/context_pvt.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "fescueledge/eventlog.h"
+#include "fescueledge/loop.h"
+#include "fescueledge/workflow/coordinatorsettings.h"
+#include "fleettable_pvt.h"
+#include "jobtable_pvt.h"
+
+namespace fescueledge::workflow {
+
+/// What the systems of one coordinator share during one term.
+struct Context
+{
+    Loop *loop = nullptr;
+    WorkerGateway *gateway = nullptr;
+    EventLog *log = nullptr;
+    CoordinatorSettings settings;
+    std::function<WallTime()> wallClock;
+    std::function<bool()> mayOrder; ///< False while this node can't confirm that its term is the latest.
+    std::function<void()> superseded; ///< Called when a worker has seen a later term.
+
+    Term term = 0;
+    TimePoint tookOverAt{};
+    bool ended = false; ///< The term is over: answers that still come are ignored.
+    const Catalog *catalog = nullptr;
+    JobTable jobs;
+    FleetTable fleet;
+
+    std::function<void()> wakeDispatch; ///< Something may be startable.
+    std::function<void()> wakeWriter; ///< Something is to be made durable.
+
+    TimePoint now() const
+    {
+        return loop->now();
+    }
+};
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/coordinator.cpp
@@ -0,0 +1,394 @@
+#include "coordinator_pvt.h"
+
+#include "jobrow_pvt.h"
+#include "rows_pvt.h"
+#include "workerrecord_pvt.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Time-outs, due occurrences and expired leases are looked for this often.
+constexpr Milliseconds tickInterval{50};
+/// Ended jobs and gone workers are looked for this often.
+constexpr Milliseconds cleanInterval{2000};
+/// What becomes startable within this time is placed together.
+constexpr Milliseconds dispatchDelay{3};
+/// Job changes are gathered for so long before the next are asked for.
+constexpr Milliseconds jobPause{15};
+constexpr const char *cancelSuffix = ".cancel";
+constexpr const char *jobPrefix = "job/";
+
+bool endsWith(const std::string &text, const std::string &end)
+{
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+} // namespace
+
+Coordinator::Coordinator(std::shared_ptr<Context> context, WatchableTable *table, FleetSource *fleet,
+                         const TermStart &start, std::uint64_t seed)
+    : m_context(std::move(context))
+    , m_table(table)
+    , m_fleetSource(fleet)
+    , m_orders(m_context)
+    , m_observations(m_context, &m_orders)
+    , m_dispatch(m_context, &m_orders, &m_observations)
+    , m_pacing(m_context, &m_orders)
+    , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
+    , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchWait)
+    , m_start(start)
+{
+    m_context->term = start.term;
+    m_context->tookOverAt = m_context->now();
+    m_orders.wakeObservation = [this](Worker *worker) {
+        m_observations.wake(worker);
+    };
+    m_observations.observed = [this](Worker *worker) {
+        m_pacing.observe(worker);
+    };
+    m_context->wakeDispatch = [this] {
+        scheduleDispatch();
+    };
+    m_context->wakeWriter = [this] {
+        m_writer.wake();
+    };
+    m_writer.committed = [this] {
+        for (const auto &[id, worker] : m_context->fleet.all()) {
+            if (worker->endsDurable > worker->endsAcknowledged) {
+                m_observations.wake(worker.get());
+            }
+        }
+        scheduleDispatch();
+    };
+    m_writer.storeReachable = [this](bool reachable) {
+        noteStore(reachable);
+    };
+    loadProgress();
+}
+
+Coordinator::~Coordinator()
+{
+    m_context->ended = true;
+    m_fleetSource->stop();
+}
+
+void Coordinator::loadProgress()
+{
+    const std::shared_ptr<Context> context = m_context;
+    m_table->scan("progress/", [this, context](const ReadResult &result) {
+        if (context->ended) {
+            return;
+        }
+        noteStore(result.available);
+        if (!result.available) {
+            context->loop->postAfter(context->settings.orderRetry, [this, context] {
+                if (!context->ended) {
+                    loadProgress();
+                }
+            });
+            return;
+        }
+        for (const Row &row : result.rows) {
+            m_progress[row.key.substr(row.key.find('/') + 1)] = row.value;
+        }
+        m_jobFollower.setPause(jobPause);
+        m_jobFollower.onContact([this](bool answered) {
+            noteStore(answered);
+        });
+        m_jobFollower.start(
+            [this](const std::vector<Row> &rows) {
+                onJobRows(rows, true);
+            },
+            [this](const std::vector<WatchResult::Change> &changes) {
+                onJobChanges(changes);
+            });
+    });
+}
+
+void Coordinator::onJobRows(const std::vector<Row> &rows, bool snapshot)
+{
+    for (const Row &row : rows) {
+        if (m_context->ended) {
+            return;
+        }
+        takeJobRow(row);
+    }
+    if (snapshot && !m_jobsLoaded && !m_context->ended) {
+        m_jobsLoaded = true;
+        m_progress.clear();
+        begin();
+    }
+    scheduleDispatch();
+}
+
+void Coordinator::onJobChanges(const std::vector<WatchResult::Change> &changes)
+{
+    std::vector<Row> rows;
+    for (const WatchResult::Change &change : changes) {
+        if (!change.removed) {
+            rows.push_back(change.row);
+        }
+    }
+    onJobRows(rows, false);
+}
+
+void Coordinator::takeJobRow(const Row &row)
+{
+    if (row.key == rows::termMarker()) {
+        if (static_cast<Term>(std::atoll(row.value.c_str())) > m_context->term) {
+            m_context->superseded();
+        }
+        return;
+    }
+    const std::string name = row.key.substr(std::string(jobPrefix).size());
+    if (endsWith(name, cancelSuffix)) {
+        cancel(name.substr(0, name.size() - std::string(cancelSuffix).size()));
+        return;
+    }
+    if (m_context->jobs.find(name) != nullptr) {
+        return;
+    }
+    try {
+        const JobRow accepted = decodeJobRow(row.value);
+        const QueuePolicy *policy =
+            m_context->catalog == nullptr ? nullptr : m_context->catalog->queue(accepted.policy.name);
+        const TimePoint now = m_context->now();
+        Job *job = m_context->jobs.add(name, accepted.spec, policy == nullptr ? accepted.policy : *policy,
+                                       accepted.acceptedAt, now, m_context->wallClock());
+        job->beforeTerm = !m_jobsLoaded;
+        const auto it = m_progress.find(name);
+        if (it != m_progress.end()) {
+            m_context->jobs.applyProgress(job, it->second, now, m_context->wallClock());
+        }
+        if (m_cancelledEarly.erase(name) > 0) {
+            cancel(name);
+        }
+    } catch (const nlohmann::json::exception &error) {
+        m_context->log->write(LogLine("job_row_unreadable").with("job", name).with("detail", error.what()));
+    }
+}
+
+void Coordinator::cancel(const JobId &id)
+{
+    Job *job = m_context->jobs.find(id);
+    if (job == nullptr) {
+        m_cancelledEarly.insert(id);
+        return;
+    }
+    if (job->ended()) {
+        return;
+    }
+    m_context->log->write(LogLine("job_cancelled").with("job", id));
+    m_context->jobs.end(job, JobPhase::Cancelled, m_context->now());
+    m_orders.stopJob(job);
+    m_writer.wake();
+    scheduleDispatch();
+}
+
+void Coordinator::begin()
+{
+    m_context->log->write(LogLine("jobs_loaded")
+                              .with("term", static_cast<std::int64_t>(m_context->term))
+                              .with("jobs", static_cast<std::int64_t>(m_context->jobs.all().size())));
+    const std::shared_ptr<Context> context = m_context;
+    m_fleetSource->follow([this, context](const FleetNews &news) {
+        if (!context->ended) {
+            onFleetNews(news);
+        }
+    });
+}
+
+void Coordinator::expectRecordedWorkers(const std::string &record)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    for (const RecordedWorker &recorded : decodeWorkerRecord(record)) {
+        Worker *worker = context.fleet.find(recorded.entry.id);
+        if (worker == nullptr) {
+            worker = context.fleet.upsert(recorded.entry, now);
+            worker->listed = false;
+            worker->unlistedAt = now;
+        }
+        worker->recorded = true;
+        worker->runsRecorded = recorded.namesRuns;
+        for (const auto &[key, run] : recorded.runs) {
+            Task *task = context.jobs.findTask(key);
+            if (task != nullptr && task->phase == TaskPhase::Idle) {
+                task->run = std::max(task->run, run);
+                FleetTable::place(task, worker);
+                context.jobs.setPhase(task, TaskPhase::Uncertain, now);
+            }
+        }
+    }
+}
+
+void Coordinator::onFleetNews(const FleetNews &news)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    std::set<WorkerId> present;
+    for (const WorkerEntry &entry : news.present) {
+        present.insert(entry.id);
+        const Worker *known = context.fleet.find(entry.id);
+        const bool isNew = known == nullptr;
+        const bool nowDraining = entry.draining && (isNew || !known->entry.draining);
+        Worker *worker = context.fleet.upsert(entry, now);
+        if (isNew) {
+            FleetTable::noteForeignLease(worker, context.settings.isolationLimit + context.settings.workerLease, now);
+        }
+        if (isNew || nowDraining) {
+            context.log->write(LogLine("worker_listed")
+                                   .with("worker", entry.id)
+                                   .with("data_centre", entry.dataCentre)
+                                   .with("rack", entry.rack)
+                                   .with("draining", entry.draining ? 1 : 0));
+        }
+    }
+    for (const auto &[id, worker] : context.fleet.all()) {
+        if (news.complete && worker->listed && present.count(id) == 0) {
+            worker->listed = false;
+            worker->unlistedAt = now;
+        }
+    }
+    for (const WorkerId &id : news.gone) {
+        Worker *worker = context.fleet.find(id);
+        if (worker != nullptr && worker->listed) {
+            worker->listed = false;
+            worker->unlistedAt = now;
+            context.log->write(LogLine("worker_unlisted").with("worker", id));
+        }
+    }
+    if (!m_fleetLoaded) {
+        m_fleetLoaded = true;
+        if (!m_start.occupiedWorkers.empty()) {
+            expectRecordedWorkers(m_start.occupiedWorkers);
+        }
+        for (const auto &[id, worker] : context.fleet.all()) {
+            FleetTable::noteForeignLease(worker.get(), context.settings.isolationLimit + context.settings.workerLease,
+                                         now);
+        }
+        tick();
+    }
+    m_writer.wake();
+    for (const auto &[id, worker] : context.fleet.all()) {
+        if (worker->contact == WorkerContact::Unadopted) {
+            m_observations.wake(worker.get());
+        }
+    }
+}
+
+void Coordinator::tick()
+{
+    Context &context = *m_context;
+    context.jobs.openAllDue(context.wallClock());
+    m_observations.tick();
+    if (context.jobs.hasDirty()) {
+        m_writer.wake();
+    }
+    const TimePoint now = context.now();
+    if (now - m_cleanedAt > cleanInterval) {
+        m_cleanedAt = now;
+        forgetOldJobs();
+        forgetGoneWorkers();
+    }
+    if (!context.jobs.openSteps().empty()) {
+        scheduleDispatch();
+    }
+    const std::shared_ptr<Context> shared = m_context;
+    context.loop->postAfter(tickInterval, [this, shared] {
+        if (!shared->ended) {
+            tick();
+        }
+    });
+}
+
+void Coordinator::forgetOldJobs()
+{
+    const TimePoint now = m_context->now();
+    for (const auto &[id, job] : m_context->jobs.all()) {
+        JobTable::trim(job.get());
+        if (job->ended() && job->phaseDurable && job->open.empty()
+            && now > job->endedAt + m_context->settings.statusRetention) {
+            m_writer.remove(id);
+        }
+    }
+}
+
+void Coordinator::forgetGoneWorkers()
+{
+    const TimePoint now = m_context->now();
+    std::vector<WorkerId> gone;
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        if (!worker->listed && worker->tasks.empty() && now > worker->leaseOver && !worker->observing) {
+            gone.push_back(id);
+        }
+    }
+    for (const WorkerId &id : gone) {
+        m_context->log->write(LogLine("worker_forgotten").with("worker", id));
+        m_context->fleet.erase(id);
+    }
+    if (!gone.empty()) {
+        m_writer.wake();
+    }
+}
+
+void Coordinator::scheduleDispatch()
+{
+    if (m_dispatchScheduled || !m_fleetLoaded) {
+        return;
+    }
+    m_dispatchScheduled = true;
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->loop->postAfter(dispatchDelay, [this, shared] {
+        if (!shared->ended) {
+            m_dispatchScheduled = false;
+            m_dispatch.run();
+        }
+    });
+}
+
+void Coordinator::noteStore(bool reachable)
+{
+    if (m_storeContact) {
+        m_storeContact(reachable);
+    }
+}
+
+void Coordinator::onStoreContact(std::function<void(bool)> handler)
+{
+    m_storeContact = std::move(handler);
+}
+
+void Coordinator::setCatalog(const Catalog *catalog)
+{
+    m_context->catalog = catalog;
+    for (const auto &[id, job] : m_context->jobs.all()) {
+        const QueuePolicy *policy = catalog->queue(job->policy.name);
+        if (policy != nullptr && !job->ended()) {
+            job->policy = *policy;
+        }
+    }
+    scheduleDispatch();
+}
+
+std::optional<JobPhase> Coordinator::status(const JobId &id) const
+{
+    const Job *job = m_context->jobs.find(id);
+    if (job == nullptr) {
+        return std::nullopt;
+    }
+    return job->phaseDurable ? job->phase : JobPhase::InProgress;
+}
+
+std::optional<std::size_t> Coordinator::pending(const std::string &queue) const
+{
+    if (!m_jobsLoaded) {
+        return std::nullopt;
+    }
+    return m_context->jobs.pending(queue);
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/election.cpp
@@ -0,0 +1,429 @@
+#include "election_pvt.h"
+
+#include "rows_pvt.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge::workflow {
+
+using nlohmann::json;
+
+namespace {
+
+/// Between two questions to the coordinator.
+constexpr Milliseconds pingInterval{200};
+constexpr Milliseconds pingTimeout{350};
+/// Without an answer for so long the coordinator is suspected; four questions are lost by then.
+constexpr Milliseconds suspicion{800};
+/// Nodes less fit to coordinate leave the others this much time each.
+constexpr Milliseconds rankStep{60};
+/// A coordinator whose calls to the store failed so often in a row says so, and another may take over.
+constexpr int failuresToDoubt = 3;
+/// Members are read again at least this often.
+constexpr Milliseconds memberWait{5000};
+constexpr Milliseconds registerPatience{3000};
+constexpr Milliseconds electionPatience{1000};
+
+} // namespace
+
+Election::Election(NodeParts parts, NodeSelf self, CoordinatorSettings settings)
+    : m_parts(std::move(parts))
+    , m_self(std::move(self))
+    , m_settings(settings)
+    , m_resolver(m_parts.loop, m_parts.table)
+    , m_random(m_self.seed)
+    , m_alive(std::make_shared<bool>(true))
+{
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.peers->setReceiver(
+        "coordinator-ping",
+        [this, alive](const NodeId &from, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            if (*alive) {
+                respond(answerPing(from, message.body));
+            }
+        });
+}
+
+Election::~Election()
+{
+    *m_alive = false;
+}
+
+std::string Election::encode(const CoordinatorRow &row)
+{
+    const json out{{"term", row.term}, {"node", row.node}, {"address", row.address}, {"resigned", row.resigned}};
+    return out.dump();
+}
+
+Election::CoordinatorRow Election::decode(const std::string &value)
+{
+    const json in = json::parse(value);
+    CoordinatorRow row;
+    row.term = in.at("term").get<Term>();
+    row.node = in.at("node").get<std::string>();
+    row.address = in.at("address").get<std::string>();
+    row.resigned = in.at("resigned").get<bool>();
+    return row;
+}
+
+void Election::start()
+{
+    m_heardAt = m_parts.loop->now();
+    registerSelf();
+    m_memberFollower = std::make_unique<CollectionFollower>(m_parts.loop, m_parts.table, "node", memberWait);
+    m_memberFollower->start(
+        [this](const std::vector<Row> &rows) {
+            takeMemberRows(rows);
+        },
+        [this](const std::vector<WatchResult::Change> &changes) {
+            std::vector<Row> rows;
+            for (const WatchResult::Change &change : changes) {
+                if (!change.removed) {
+                    rows.push_back(change.row);
+                }
+            }
+            takeMemberRows(rows);
+        });
+    readCoordinator();
+    watchOver();
+}
+
+void Election::registerSelf()
+{
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    const json value{{"address", m_self.peerAddress}, {"cores", m_self.cores}};
+    transaction.puts.push_back({rows::node(m_self.name), value.dump()});
+    const std::shared_ptr<bool> alive = m_alive;
+    // The row says the same each time, so a late copy does no harm and no condition is needed.
+    m_parts.table->commit(transaction, [this, alive](const CommitResult &result) {
+        if (*alive && result.status != CommitStatus::Committed) {
+            m_parts.loop->postAfter(m_settings.orderRetry, [this, alive] {
+                if (*alive) {
+                    registerSelf();
+                }
+            });
+        }
+    });
+}
+
+void Election::takeMemberRows(const std::vector<Row> &rows)
+{
+    for (const Row &row : rows) {
+        const json value = json::parse(row.value, nullptr, false);
+        if (value.is_object() && value.contains("address")) {
+            m_members[row.key.substr(row.key.find('/') + 1)] =
+                Member{value.value("address", std::string()), value.value("cores", 0.0)};
+        }
+    }
+}
+
+std::string Election::addressOf(const NodeId &node) const
+{
+    if (node == m_coordinator && !m_coordinatorAddress.empty()) {
+        return m_coordinatorAddress;
+    }
+    const auto it = m_members.find(node);
+    return it == m_members.end() ? std::string() : it->second.address;
+}
+
+void Election::watchOver()
+{
+    if (!m_own) {
+        if (!m_coordinator.empty()) {
+            ping();
+        }
+        if (suspects() && !m_resigned) {
+            readCoordinator();
+        }
+    }
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.loop->postAfter(pingInterval, [this, alive] {
+        if (*alive) {
+            watchOver();
+        }
+    });
+}
+
+bool Election::suspects() const
+{
+    return m_coordinator.empty() || m_parts.loop->now() > m_heardAt + suspicion;
+}
+
+void Election::ping()
+{
+    const std::shared_ptr<bool> alive = m_alive;
+    const json body{{"term", m_term}};
+    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout,
+                        [this, alive](const PeerResult &result) {
+                            if (*alive && !m_own) {
+                                onPong(result);
+                            }
+                        });
+}
+
+void Election::onPong(const PeerResult &result)
+{
+    if (!result.answered) {
+        return;
+    }
+    const json &body = result.reply.body;
+    const Term term = body.value("term", Term{0});
+    if (term > m_term && body.contains("node")) {
+        adoptCoordinator(
+            CoordinatorRow{term, body.value("node", std::string()), body.value("address", std::string()), false});
+        return;
+    }
+    if (term == m_term && body.value("leads", false)) {
+        if (body.value("store", true)) {
+            m_heardAt = m_parts.loop->now();
+        }
+    } else if (term == m_term) {
+        m_heardAt = std::min(m_heardAt, m_parts.loop->now() - suspicion - pingInterval); // It no longer coordinates.
+    }
+}
+
+PeerMessage Election::answerPing(const NodeId &from, const json &body)
+{
+    const Term theirs = body.value("term", Term{0});
+    if (m_own) {
+        if (theirs > m_term) {
+            stepDown("a peer knows a later term");
+        } else if (theirs == m_term) {
+            m_pingedBy[from] = m_parts.sinceBoot();
+        }
+    }
+    json reply{{"term", m_term}, {"leads", m_own != nullptr}, {"store", m_storeFailures < failuresToDoubt}};
+    if (!m_coordinator.empty()) {
+        reply["node"] = m_coordinator;
+        reply["address"] = m_coordinatorAddress;
+    }
+    return PeerMessage{"coordinator-pong", reply};
+}
+
+void Election::readCoordinator()
+{
+    if (m_reading || m_own) {
+        return;
+    }
+    m_reading = true;
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.table->read({rows::coordinator()}, [this, alive](const ReadResult &result) {
+        if (*alive) {
+            m_reading = false;
+            onCoordinatorRow(result);
+        }
+    });
+}
+
+void Election::onCoordinatorRow(const ReadResult &result)
+{
+    if (!result.available || m_own || m_resigned) {
+        return;
+    }
+    const Row *row = result.find(rows::coordinator());
+    const CoordinatorRow current = row == nullptr ? CoordinatorRow{} : decode(row->value);
+    const RowVersion version = row == nullptr ? 0 : row->version;
+    if (current.term > m_term) {
+        adoptCoordinator(current);
+        // A process that has just started under the name in the row is not the one that wrote it.
+        if (!current.resigned && current.node != m_self.name) {
+            return;
+        }
+    }
+    if (!suspects() && !current.resigned && current.node != m_self.name) {
+        return;
+    }
+    m_reading = true;
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.loop->postAfter(rankDelay(), [this, alive, current, version] {
+        if (*alive) {
+            m_reading = false;
+            if (!m_own && m_term <= current.term && (suspects() || current.resigned || current.node == m_self.name)) {
+                takeOver(current, version);
+            }
+        }
+    });
+}
+
+void Election::adoptCoordinator(const CoordinatorRow &row)
+{
+    if (m_own) {
+        stepDown("a later term has begun");
+    }
+    m_term = row.term;
+    m_coordinator = row.node;
+    m_coordinatorAddress = row.address;
+    m_heardAt = m_parts.loop->now();
+    m_parts.log->write(
+        LogLine("coordinator_known").with("node", row.node).with("term", static_cast<std::int64_t>(row.term)));
+}
+
+Duration Election::rankDelay() const
+{
+    int better = 0;
+    for (const auto &[name, member] : m_members) {
+        if (name == m_self.name || name == m_coordinator) {
+            continue;
+        }
+        if (member.cores > m_self.cores || (member.cores == m_self.cores && name < m_self.name)) {
+            ++better;
+        }
+    }
+    return better * rankStep;
+}
+
+void Election::takeOver(const CoordinatorRow &current, RowVersion version)
+{
+    CoordinatorRow next;
+    next.term = current.term + 1;
+    next.node = m_self.name;
+    next.address = m_self.peerAddress;
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions.push_back({rows::coordinator(), version});
+    transaction.puts.push_back({rows::coordinator(), encode(next)});
+    transaction.puts.push_back({rows::termMarker(), std::to_string(next.term)});
+    m_parts.log->write(
+        LogLine("takeover_tried")
+            .with("term", static_cast<std::int64_t>(next.term))
+            .with("from", current.node)
+            .with("silent_ms", std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - m_heardAt)));
+    m_reading = true;
+    const std::shared_ptr<bool> alive = m_alive;
+    m_resolver.commit(transaction, electionPatience, [this, alive, next](const CommitResult &result) {
+        if (!*alive) {
+            return;
+        }
+        m_reading = false;
+        if (result.status == CommitStatus::Committed) {
+            onElected(next, result.version);
+        }
+    });
+}
+
+void Election::onElected(const CoordinatorRow &row, RowVersion version)
+{
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.table->read({rows::occupiedWorkers()}, [this, alive, row, version](const ReadResult &result) {
+        if (!*alive) {
+            return;
+        }
+        if (!result.available) {
+            m_parts.loop->postAfter(m_settings.orderRetry, [this, alive, row, version] {
+                if (*alive) {
+                    onElected(row, version);
+                }
+            });
+            return;
+        }
+        const Row *occupied = result.find(rows::occupiedWorkers());
+        lead(row, version, occupied == nullptr ? std::string() : occupied->value);
+    });
+}
+
+void Election::lead(const CoordinatorRow &row, RowVersion version, const std::string &occupied)
+{
+    if (m_own || m_term > row.term) {
+        return;
+    }
+    m_term = row.term;
+    m_coordinator = m_self.name;
+    m_coordinatorAddress = m_self.peerAddress;
+    m_pingedBy.clear();
+    m_storeFailures = 0;
+    m_storeAt = m_parts.sinceBoot();
+    m_parts.log->write(LogLine("term_begun").with("term", static_cast<std::int64_t>(row.term)));
+    const std::shared_ptr<Context> context = std::make_shared<Context>();
+    context->loop = m_parts.loop;
+    context->gateway = m_parts.gateway;
+    context->log = m_parts.log;
+    context->settings = m_settings;
+    context->wallClock = m_parts.wallClock;
+    const std::shared_ptr<bool> alive = m_alive;
+    context->mayOrder = [this] {
+        return mayOrder();
+    };
+    context->superseded = [this, alive, context = context.get()] {
+        if (context->ended) {
+            return;
+        }
+        context->ended = true;
+        m_parts.loop->post([this, alive] {
+            if (*alive) {
+                stepDown("superseded");
+            }
+        });
+    };
+    TermStart start;
+    start.term = row.term;
+    start.chainVersion = version;
+    start.chainValue = encode(row);
+    start.occupiedWorkers = occupied;
+    context->catalog = m_catalog.get();
+    m_own = std::make_unique<Coordinator>(context, m_parts.table, m_parts.fleet, start, m_random.below(1U << 30U));
+    m_own->onStoreContact([this, alive](bool answered) {
+        if (*alive) {
+            noteStore(answered);
+        }
+    });
+}
+
+void Election::setCatalog(std::shared_ptr<const Catalog> catalog)
+{
+    if (m_own) {
+        m_own->setCatalog(catalog.get());
+    }
+    m_catalog = std::move(catalog);
+}
+
+void Election::noteStore(bool answered)
+{
+    if (answered) {
+        m_storeAt = m_parts.sinceBoot();
+        m_storeFailures = 0;
+    } else {
+        ++m_storeFailures;
+    }
+}
+
+bool Election::mayOrder() const
+{
+    const Duration now = m_parts.sinceBoot();
+    if (now < m_storeAt + m_settings.isolationLimit) {
+        return true;
+    }
+    // During an outage of the store the other nodes' questions show that none of them has taken over.
+    const auto recent = std::count_if(m_pingedBy.begin(), m_pingedBy.end(), [&](const auto &entry) {
+        return now < entry.second + m_settings.isolationLimit;
+    });
+    return static_cast<std::size_t>(recent) + 1 > m_members.size() / 2;
+}
+
+void Election::stepDown(const char *reason)
+{
+    if (!m_own) {
+        return;
+    }
+    m_parts.log->write(LogLine("term_ended").with("term", static_cast<std::int64_t>(m_term)).with("reason", reason));
+    m_own.reset();
+    m_coordinator.clear();
+    m_coordinatorAddress.clear();
+    readCoordinator();
+}
+
+void Election::resign()
+{
+    m_resigned = true;
+    if (!m_own) {
+        return;
+    }
+    m_parts.log->write(LogLine("term_resigned").with("term", static_cast<std::int64_t>(m_term)));
+    m_own.reset();
+    m_coordinator.clear();
+    // Whoever asks this node learns that it does not coordinate, and takes over.
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/election_pvt.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "coordinator_pvt.h"
+#include "fescueledge/commitresolver.h"
+#include "fescueledge/peertransport.h"
+#include "fescueledge/random.h"
+#include "fescueledge/workflow/collectionfollower.h"
+#include "fescueledge/workflow/workflownode.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace fescueledge::workflow {
+
+/// Agrees through the store on which node coordinates, and watches over it.
+///
+/// The coordinator's row names the node of the newest term; a term begins with a conditional write of that row. Wrong
+/// suspicion does no harm: the workers refuse orders of earlier terms, and the store refuses their writes.
+class Election
+{
+public:
+    Election(NodeParts parts, NodeSelf self, CoordinatorSettings settings);
+    ~Election();
+    Election(const Election &) = delete;
+    Election &operator=(const Election &) = delete;
+
+    void start();
+    void resign();
+    void setCatalog(std::shared_ptr<const Catalog> catalog);
+
+    /// The coordinator as far as this node knows; empty if none is known.
+    const NodeId &coordinator() const
+    {
+        return m_coordinator;
+    }
+    /// This node's own coordination while it has it, or nullptr.
+    Coordinator *own() const
+    {
+        return m_own.get();
+    }
+    /// Peer address of @p node; empty if it is not known.
+    std::string addressOf(const NodeId &node) const;
+
+private:
+    /// A node that has registered.
+    struct Member
+    {
+        std::string address;
+        double cores = 0;
+    };
+    /// Content of the coordinator's row.
+    struct CoordinatorRow
+    {
+        Term term = 0;
+        NodeId node;
+        std::string address;
+        bool resigned = false;
+    };
+
+    static std::string encode(const CoordinatorRow &row);
+    static CoordinatorRow decode(const std::string &value);
+
+    void registerSelf();
+    void takeMemberRows(const std::vector<Row> &rows);
+    void watchOver();
+    void ping();
+    void onPong(const PeerResult &result);
+    PeerMessage answerPing(const NodeId &from, const nlohmann::json &body);
+    bool suspects() const;
+    void readCoordinator();
+    void onCoordinatorRow(const ReadResult &result);
+    void takeOver(const CoordinatorRow &current, RowVersion version);
+    void onElected(const CoordinatorRow &row, RowVersion version);
+    void lead(const CoordinatorRow &row, RowVersion version, const std::string &occupied);
+    void stepDown(const char *reason);
+    bool mayOrder() const;
+    void noteStore(bool answered);
+    Duration rankDelay() const;
+    void adoptCoordinator(const CoordinatorRow &row);
+
+    NodeParts m_parts;
+    NodeSelf m_self;
+    CoordinatorSettings m_settings;
+    CommitResolver m_resolver;
+    Random m_random;
+    std::shared_ptr<bool> m_alive;
+    std::unique_ptr<CollectionFollower> m_memberFollower;
+    std::map<NodeId, Member> m_members;
+    std::shared_ptr<const Catalog> m_catalog;
+
+    Term m_term = 0; ///< The newest that is known.
+    NodeId m_coordinator;
+    std::string m_coordinatorAddress;
+    TimePoint m_heardAt{}; ///< Last good answer of the coordinator.
+    TimePoint m_suspectedAt{}; ///< When the suspicion that led to the read under way began.
+    bool m_reading = false;
+    bool m_resigned = false; ///< This node no longer stands for election.
+
+    std::unique_ptr<Coordinator> m_own;
+    Duration m_storeAt{}; ///< Time since boot of the last answer of the store.
+    int m_storeFailures = 0;
+    std::map<NodeId, Duration> m_pingedBy; ///< Who asked this coordinator under its term, and when.
+};
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/entities_pvt.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "fescueledge/workflow/catalog.h"
+#include "fescueledge/workflow/workergateway.h"
+#include "fescueledge/workflow/workflowspec.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The entities that a coordinator keeps in tables; systems work on them.
+namespace fescueledge::workflow {
+
+struct Worker;
+struct Step;
+struct Occurrence;
+struct Job;
+
+/// Where a task stands.
+enum class TaskPhase {
+    Idle, ///< Not on any worker.
+    Starting, ///< The order to start it is on its way.
+    Uncertain, ///< That order was not answered: it may run, or may start to.
+    Running,
+    Stopping, ///< An order to stop it was sent; it holds its room until its end is known.
+    Done,
+};
+
+/// One task of a step.
+struct Task
+{
+    Step *step = nullptr;
+    std::uint32_t index = 0;
+    TaskPhase phase = TaskPhase::Idle;
+    Worker *worker = nullptr; ///< Set in all phases but Idle and Done.
+    RunNumber run = 0; ///< Highest run number used so far.
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+    TimePoint phaseSince{}; ///< When the phase began.
+    bool seen = false; ///< The run was seen on its worker: the order to start it is no longer on its way.
+    bool stopConfirmed = false; ///< The worker has answered the order to stop the run: it refuses a late start.
+    int percent = 0; ///< As the worker reports it.
+    TimePoint progressAt{}; ///< When the percentage last changed.
+    std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
+    int pace = 100; ///< Speed last ordered, in percent.
+    bool preempted = false; ///< Its stop makes room for a more urgent task.
+};
+
+/// One step of one occurrence.
+struct Step
+{
+    Occurrence *occurrence = nullptr;
+    std::uint32_t number = 0;
+    const StepSpec *spec = nullptr;
+    std::vector<Task> tasks;
+    std::uint32_t left = 0; ///< Tasks that are not done.
+    std::uint32_t idle = 0; ///< Tasks in phase Idle.
+    bool open = false; ///< Its dependencies are done and its time has come.
+    bool listed = false; ///< It stands in JobTable::openSteps().
+};
+
+/// One run through the steps of a workflow.
+struct Occurrence
+{
+    Job *job = nullptr;
+    std::uint32_t number = 0;
+    std::vector<Step> steps;
+    std::uint32_t stepsLeft = 0;
+};
+
+/// What callers see of a job.
+enum class JobPhase { Queued, InProgress, Complete, Failed, Cancelled };
+
+/// A workflow that was accepted.
+struct Job
+{
+    JobId id;
+    WorkflowSpec spec;
+    QueuePolicy policy; ///< Of its queue, as of the newest catalog that has the queue.
+    JobPhase phase = JobPhase::Queued;
+    bool phaseDurable = true; ///< The progress row says so too.
+    bool dirty = false; ///< The progress row is behind.
+    bool beforeTerm = false; ///< Accepted before this coordinator took over: another one may have started its tasks.
+    TimePoint acceptedAt{};
+    TimePoint objective{}; ///< Done later than this counts as late.
+    TimePoint endedAt{};
+    std::uint32_t nextOccurrence = 0; ///< First one not yet opened.
+    std::uint32_t occurrencesDone = 0;
+    std::set<std::uint32_t> doneAhead; ///< Occurrences done of those that were open when the row was written.
+    std::map<std::uint32_t, std::unique_ptr<Occurrence>> open; ///< Occurrences under way.
+
+    bool ended() const
+    {
+        return phase == JobPhase::Complete || phase == JobPhase::Failed || phase == JobPhase::Cancelled;
+    }
+};
+
+/// How a worker stands with this coordinator.
+enum class WorkerContact {
+    Unadopted, ///< It has not yet answered under this term: older orders may still reach it.
+    Adopted, ///< Its list under this term is known.
+    Silent, ///< It was adopted and does not answer now.
+    Lost, ///< It has not answered for longer than its lease: nothing runs there.
+};
+
+/// One worker, by id.
+struct Worker
+{
+    WorkerId id;
+    WorkerEntry entry;
+    bool listed = true; ///< It stands in the list of workers.
+    TimePoint unlistedAt{};
+    WorkerContact contact = WorkerContact::Unadopted;
+    std::int64_t life = 0; ///< As of its last answer; 0 before the first.
+    WorkerTime clock{0}; ///< Its clock ...
+    TimePoint clockAt{}; ///< ... at this time of ours: the answer that carried it.
+    WorkerTime leaseSent{0}; ///< Latest lease in any order, on its clock.
+    TimePoint leaseOver{}; ///< By then that lease has passed for certain.
+    Resources used; ///< By tasks that are not fillers, whatever their phase; memory includes fillers.
+    std::int64_t fillerMilliCores = 0; ///< Declared by the fillers on it.
+    std::set<Task *> tasks; ///< On it, in any phase but Idle and Done.
+    std::uint64_t endsApplied = 0; ///< Number of the last end taken into the tables.
+    std::uint64_t endsDurable = 0; ///< Number of the last end that is durable.
+    std::uint64_t endsAcknowledged = 0; ///< Number last sent to the worker.
+    bool observing = false; ///< An observation is on its way.
+    TimePoint observedAt{}; ///< When the last one was answered or given up.
+    bool recorded = false; ///< It stands in the durable list of workers that may run something.
+    bool runsRecorded = false; ///< That list names all that it may run: it got no starts since.
+    TimePoint nextObserve{}; ///< No observation before this time.
+    TimePoint blockedUntil{}; ///< No starts before this time.
+    int failuresInRow = 0; ///< Failed runs since the last that was done.
+    int callsUnanswered = 0;
+    std::set<JobId> failedJobs; ///< Jobs of those runs.
+    double slowness = 1; ///< How much longer runs take than elsewhere, learnt.
+    TimePoint pacedAt{}; ///< When fillers on it were last slowed down or sped up.
+};
+
+/// The key of @p task.
+inline TaskKey keyOf(const Task &task)
+{
+    const Occurrence *occurrence = task.step->occurrence;
+    return TaskKey{occurrence->job->id, occurrence->number, task.step->number, task.index};
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/jobrow_pvt.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "fescueledge/workflow/catalog.h"
+#include "fescueledge/workflow/workflowspec.h"
+
+#include <string>
+
+namespace fescueledge::workflow {
+
+/// The row of an accepted job.
+struct JobRow
+{
+    WorkflowSpec spec;
+    QueuePolicy policy; ///< Of its queue when it was accepted; without host and path.
+    WallTime acceptedAt{};
+};
+
+std::string encodeJobRow(const JobRow &row);
+/// @throws nlohmann::json::exception if @p value can't be read.
+JobRow decodeJobRow(const std::string &value);
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/jobtable.cpp
@@ -0,0 +1,423 @@
+#include "jobtable_pvt.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+using nlohmann::json;
+
+bool dependenciesDone(const Step &step)
+{
+    const std::vector<Step> &steps = step.occurrence->steps;
+    return std::all_of(step.spec->dependsOn.begin(), step.spec->dependsOn.end(), [&steps](std::uint32_t earlier) {
+        return steps[earlier].left == 0;
+    });
+}
+
+/// Progress of one step: which tasks are done, failures and checkpoints of the others.
+json stepProgress(const Step &step)
+{
+    json done = json::array();
+    json failures = json::array();
+    json checkpoints = json::array();
+    for (const Task &task : step.tasks) {
+        if (task.phase == TaskPhase::Done) {
+            done.push_back(task.index);
+            continue;
+        }
+        if (task.failures > 0) {
+            failures.push_back({task.index, task.failures});
+        }
+        if (!task.checkpoint.empty()) {
+            checkpoints.push_back({task.index, task.checkpoint});
+        }
+    }
+    json out = json::object();
+    if (step.left == 0) {
+        out["all"] = true;
+        return out;
+    }
+    if (!done.empty()) {
+        out["done"] = done;
+    }
+    if (!failures.empty()) {
+        out["failures"] = failures;
+    }
+    if (!checkpoints.empty()) {
+        out["checkpoints"] = checkpoints;
+    }
+    return out;
+}
+
+void applyStepProgress(Step *step, const json &progress)
+{
+    const bool all = progress.value("all", false);
+    std::set<std::uint32_t> done;
+    if (progress.contains("done")) {
+        for (const json &index : progress.at("done")) {
+            done.insert(index.get<std::uint32_t>());
+        }
+    }
+    for (Task &task : step->tasks) {
+        if (all || done.count(task.index) > 0) {
+            task.phase = TaskPhase::Done;
+            --step->left;
+            --step->idle;
+        }
+    }
+    if (progress.contains("failures")) {
+        for (const json &entry : progress.at("failures")) {
+            step->tasks.at(entry.at(0).get<std::size_t>()).failures = entry.at(1).get<std::uint32_t>();
+        }
+    }
+    if (progress.contains("checkpoints")) {
+        for (const json &entry : progress.at("checkpoints")) {
+            step->tasks.at(entry.at(0).get<std::size_t>()).checkpoint = entry.at(1).get<std::string>();
+        }
+    }
+}
+
+} // namespace
+
+Job *JobTable::add(const JobId &id, const WorkflowSpec &spec, const QueuePolicy &policy, WallTime acceptedAt,
+                   TimePoint now, WallTime wall)
+{
+    std::unique_ptr<Job> &slot = m_jobs[id];
+    if (slot) {
+        return slot.get();
+    }
+    slot = std::make_unique<Job>();
+    Job *job = slot.get();
+    job->id = id;
+    job->spec = spec;
+    job->policy = policy;
+    // The clocks of the node that accepted it and of this one may differ: an age below zero is none.
+    const Duration age = std::max(Duration::zero(), Duration(wall - acceptedAt));
+    job->acceptedAt = now - age;
+    const Duration allowance =
+        std::chrono::duration_cast<Duration>(policy.slackFactor * criticalPath(job->spec)) + policy.target;
+    job->objective = job->acceptedAt + allowance;
+    m_timed.insert(job);
+    openDue(job, wall);
+    return job;
+}
+
+Job *JobTable::find(const JobId &id) const
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+Task *JobTable::findTask(const TaskKey &key) const
+{
+    const Job *job = find(key.job);
+    if (job == nullptr) {
+        return nullptr;
+    }
+    const auto it = job->open.find(key.occurrence);
+    if (it == job->open.end() || key.step >= it->second->steps.size()) {
+        return nullptr;
+    }
+    Step &step = it->second->steps[key.step];
+    return key.index < step.tasks.size() ? &step.tasks[key.index] : nullptr;
+}
+
+void JobTable::erase(const JobId &id)
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    Job *job = it->second.get();
+    m_timed.erase(job);
+    m_dirty.erase(std::remove(m_dirty.begin(), m_dirty.end(), job), m_dirty.end());
+    trim(job);
+    prune();
+    m_jobs.erase(it);
+}
+
+void JobTable::openDue(Job *job, WallTime wall)
+{
+    const std::uint32_t count = occurrenceCount(job->spec);
+    while (!job->ended() && job->nextOccurrence < count && occurrenceDue(job->spec, job->nextOccurrence) <= wall) {
+        openOccurrence(job, job->nextOccurrence);
+        ++job->nextOccurrence;
+    }
+    if (job->ended() || job->nextOccurrence >= count) {
+        m_timed.erase(job);
+    }
+}
+
+void JobTable::openAllDue(WallTime wall)
+{
+    const std::set<Job *> timed = m_timed;
+    for (Job *job : timed) {
+        openDue(job, wall);
+    }
+}
+
+Occurrence *JobTable::openOccurrence(Job *job, std::uint32_t number)
+{
+    if (job->doneAhead.count(number) > 0) {
+        return nullptr;
+    }
+    std::unique_ptr<Occurrence> &slot = job->open[number];
+    slot = std::make_unique<Occurrence>();
+    slot->job = job;
+    slot->number = number;
+    slot->stepsLeft = static_cast<std::uint32_t>(job->spec.steps.size());
+    slot->steps.resize(job->spec.steps.size());
+    for (std::size_t i = 0; i < slot->steps.size(); ++i) {
+        Step &step = slot->steps[i];
+        step.occurrence = slot.get();
+        step.number = static_cast<std::uint32_t>(i);
+        step.spec = &job->spec.steps[i];
+        step.left = step.spec->count;
+        step.idle = step.spec->count;
+        step.tasks.resize(step.spec->count);
+        for (std::uint32_t index = 0; index < step.spec->count; ++index) {
+            step.tasks[index].step = &step;
+            step.tasks[index].index = index;
+        }
+    }
+    for (Step &step : slot->steps) {
+        openStep(&step);
+    }
+    return slot.get();
+}
+
+void JobTable::openStep(Step *step)
+{
+    if (!step->open && step->left > 0 && dependenciesDone(*step)) {
+        step->open = true;
+        list(step);
+    }
+}
+
+void JobTable::list(Step *step)
+{
+    if (!step->listed && step->open && step->idle > 0) {
+        step->listed = true;
+        m_openSteps.push_back(step);
+    }
+}
+
+void JobTable::prune()
+{
+    const auto stale = [](Step *step) {
+        const bool keep = step->idle > 0 && !step->occurrence->job->ended();
+        step->listed = keep;
+        return !keep;
+    };
+    m_openSteps.erase(std::remove_if(m_openSteps.begin(), m_openSteps.end(), stale), m_openSteps.end());
+}
+
+void JobTable::setPhase(Task *task, TaskPhase phase, TimePoint now)
+{
+    if (task->phase == TaskPhase::Idle && phase != TaskPhase::Idle) {
+        --task->step->idle;
+    }
+    task->phase = phase;
+    task->phaseSince = now;
+    Job *job = task->step->occurrence->job;
+    if (phase == TaskPhase::Running && job->phase == JobPhase::Queued) {
+        job->phase = JobPhase::InProgress;
+    }
+}
+
+void JobTable::setIdle(Task *task)
+{
+    if (task->phase != TaskPhase::Idle) {
+        ++task->step->idle;
+    }
+    task->phase = TaskPhase::Idle;
+    task->worker = nullptr;
+    task->percent = 0;
+    task->gauge = 0;
+    task->pace = 100;
+    task->preempted = false;
+    list(task->step);
+}
+
+void JobTable::setDone(Task *task, TimePoint now, WallTime wall)
+{
+    if (task->phase == TaskPhase::Done) {
+        return;
+    }
+    setPhase(task, TaskPhase::Done, now);
+    task->worker = nullptr;
+    task->checkpoint.clear();
+    Step *step = task->step;
+    Occurrence *occurrence = step->occurrence;
+    markDirty(occurrence->job);
+    --step->left;
+    if (step->left > 0) {
+        return;
+    }
+    --occurrence->stepsLeft;
+    for (Step &later : occurrence->steps) {
+        openStep(&later);
+    }
+    if (occurrence->stepsLeft == 0) {
+        finishOccurrence(occurrence, now, wall);
+    }
+}
+
+void JobTable::finishOccurrence(Occurrence *occurrence, TimePoint now, WallTime wall)
+{
+    Job *job = occurrence->job;
+    job->doneAhead.insert(occurrence->number);
+    ++job->occurrencesDone;
+    if (job->occurrencesDone == occurrenceCount(job->spec)) {
+        if (!job->ended()) {
+            end(job, JobPhase::Complete, now);
+        }
+    } else {
+        openDue(job, wall);
+    }
+}
+
+void JobTable::countFailure(Task *task, TimePoint now)
+{
+    Job *job = task->step->occurrence->job;
+    if (task->step->spec->longRunning) {
+        return;
+    }
+    ++task->failures;
+    markDirty(job);
+    if (task->failures >= job->policy.maxAttempts && !job->ended()) {
+        end(job, JobPhase::Failed, now);
+    }
+}
+
+void JobTable::end(Job *job, JobPhase phase, TimePoint now)
+{
+    job->phase = phase;
+    job->phaseDurable = phase == JobPhase::Cancelled; // The request to cancel is durable itself.
+    job->endedAt = now;
+    m_timed.erase(job);
+    markDirty(job);
+}
+
+void JobTable::trim(Job *job)
+{
+    if (job->ended() && !job->dirty) {
+        for (const auto &[number, occurrence] : job->open) {
+            for (const Step &step : occurrence->steps) {
+                for (const Task &task : step.tasks) {
+                    if (task.worker != nullptr) {
+                        return;
+                    }
+                }
+                if (step.listed) {
+                    return;
+                }
+            }
+        }
+        job->open.clear();
+        job->spec.payload.clear();
+        job->spec.payload.shrink_to_fit();
+    }
+}
+
+void JobTable::markDirty(Job *job)
+{
+    if (!job->dirty) {
+        job->dirty = true;
+        m_dirty.push_back(job);
+    }
+}
+
+std::vector<Job *> JobTable::takeDirty(std::size_t limit)
+{
+    const std::size_t n = std::min(limit, m_dirty.size());
+    std::vector<Job *> out(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(n));
+    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(n));
+    for (Job *job : out) {
+        job->dirty = false;
+    }
+    return out;
+}
+
+std::string JobTable::encodeProgress(const Job &job)
+{
+    json out{{"phase", static_cast<int>(job.phase)}};
+    if (!job.ended()) {
+        json occurrences = json::array();
+        for (const auto &[number, occurrence] : job.open) {
+            if (occurrence->stepsLeft == 0) {
+                continue;
+            }
+            json steps = json::array();
+            for (const Step &step : occurrence->steps) {
+                steps.push_back(stepProgress(step));
+            }
+            occurrences.push_back({number, steps});
+        }
+        out["open"] = occurrences;
+        if (!job.doneAhead.empty()) {
+            out["finished"] = job.doneAhead;
+        }
+    }
+    const std::vector<std::uint8_t> bytes = json::to_cbor(out);
+    return std::string(bytes.begin(), bytes.end());
+}
+
+void JobTable::applyProgress(Job *job, const std::string &value, TimePoint now, WallTime wall)
+{
+    const json in = json::from_cbor(value);
+    const JobPhase phase = static_cast<JobPhase>(in.at("phase").get<int>());
+    if (phase == JobPhase::Complete || phase == JobPhase::Failed || phase == JobPhase::Cancelled) {
+        job->phase = phase;
+        job->phaseDurable = true;
+        job->endedAt = now;
+        m_timed.erase(job);
+        return;
+    }
+    job->phase = JobPhase::InProgress;
+    if (in.contains("finished")) {
+        job->doneAhead = in.at("finished").get<std::set<std::uint32_t>>();
+        job->occurrencesDone = static_cast<std::uint32_t>(job->doneAhead.size());
+        for (const std::uint32_t number : job->doneAhead) {
+            const auto it = job->open.find(number);
+            if (it != job->open.end()) {
+                for (Step &step : it->second->steps) {
+                    step.idle = 0;
+                }
+                prune();
+                job->open.erase(it);
+            }
+        }
+    }
+    for (const json &entry : in.at("open")) {
+        const std::uint32_t number = entry.at(0).get<std::uint32_t>();
+        const auto it = job->open.find(number);
+        Occurrence *occurrence = it != job->open.end() ? it->second.get() : openOccurrence(job, number);
+        for (std::size_t i = 0; i < occurrence->steps.size(); ++i) {
+            Step &step = occurrence->steps[i];
+            applyStepProgress(&step, entry.at(1).at(i));
+            if (step.left == 0) {
+                --occurrence->stepsLeft;
+            }
+        }
+        for (Step &step : occurrence->steps) {
+            openStep(&step);
+        }
+        job->nextOccurrence = std::max(job->nextOccurrence, number + 1);
+    }
+    openDue(job, wall);
+    prune();
+}
+
+std::size_t JobTable::pending(const std::string &queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&queue](const auto &entry) {
+        const Job &job = *entry.second;
+        return job.phase == JobPhase::Queued && job.policy.name == queue && job.spec.occurrences == 0;
+    }));
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/observationsystem.cpp
@@ -0,0 +1,353 @@
+#include "observationsystem_pvt.h"
+
+#include "ordersystem_pvt.h"
+
+#include <algorithm>
+#include <set>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Failed runs of different jobs in a row after which a worker is left alone.
+constexpr int failuresToQuarantine = 3;
+/// How long a worker that fails what it starts is left alone before one more run is tried.
+constexpr Milliseconds quarantine{3000};
+/// While ends wait to become durable a worker is observed this often, to renew its lease.
+constexpr Milliseconds unacknowledgedPause{400};
+/// A silent worker is tried again after this many times the retry delay at most.
+constexpr int maxRetryFactor = 5;
+
+} // namespace
+
+ObservationSystem::ObservationSystem(std::shared_ptr<Context> context, OrderSystem *orders)
+    : m_context(std::move(context))
+    , m_orders(orders)
+{
+}
+
+bool ObservationSystem::needsObservation(const Worker &worker) const
+{
+    if (worker.contact == WorkerContact::Unadopted) {
+        return true;
+    }
+    return !worker.tasks.empty() || worker.endsApplied > worker.endsAcknowledged
+        || (worker.contact != WorkerContact::Adopted && worker.listed);
+}
+
+void ObservationSystem::wake(Worker *worker)
+{
+    worker->nextObserve = std::min(worker->nextObserve, m_context->now());
+    observe(worker);
+}
+
+void ObservationSystem::tick()
+{
+    const TimePoint now = m_context->now();
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        const bool holds = worker->contact == WorkerContact::Unadopted || !worker->tasks.empty();
+        if (holds && worker->contact != WorkerContact::Lost && now > worker->leaseOver
+            && worker->contact != WorkerContact::Adopted) {
+            m_orders->loseTasks(worker.get(), "lease-over");
+            worker->contact = WorkerContact::Lost;
+            m_context->wakeDispatch();
+        }
+        observe(worker.get());
+    }
+}
+
+bool ObservationSystem::knowsEarlierRuns() const
+{
+    const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
+    return std::none_of(workers.begin(), workers.end(), [](const auto &entry) {
+        return entry.second->contact == WorkerContact::Unadopted && !entry.second->runsRecorded;
+    });
+}
+
+void ObservationSystem::observe(Worker *worker)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    if (worker->observing || now < worker->nextObserve || !needsObservation(*worker) || !context.mayOrder()) {
+        return;
+    }
+    const bool endsWait = worker->endsApplied > worker->endsDurable;
+    if (endsWait && now < worker->observedAt + unacknowledgedPause) {
+        worker->nextObserve = worker->observedAt + unacknowledgedPause;
+        return;
+    }
+    ObserveOrder order;
+    order.term = context.term;
+    order.acknowledged = worker->endsDurable;
+    const bool steady = worker->contact == WorkerContact::Adopted && !endsWait && worker->callsUnanswered == 0;
+    order.wait = steady ? context.settings.observeWait : Milliseconds{0};
+    if (worker->clock.count() > 0 && !worker->tasks.empty()) {
+        order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
+        FleetTable::noteLease(worker, order.leaseUntil);
+    }
+    worker->observing = true;
+    worker->endsAcknowledged = std::max(worker->endsAcknowledged, order.acknowledged);
+    const WorkerId id = worker->id;
+    const bool leased = order.leaseUntil.count() > 0;
+    const std::shared_ptr<Context> shared = m_context;
+    context.gateway->observe(WorkerRef{id, worker->entry.address}, order, order.wait + context.settings.observeTimeout,
+                             [this, shared, id, now, leased](const Observation &answer) {
+                                 if (!shared->ended) {
+                                     onAnswer(id, now, leased, answer);
+                                 }
+                             });
+}
+
+void ObservationSystem::onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer)
+{
+    Context &context = *m_context;
+    Worker *worker = context.fleet.find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    worker->observing = false;
+    worker->observedAt = context.now();
+    if (answer.outcome == OrderOutcome::StaleTerm) {
+        context.superseded();
+        return;
+    }
+    if (answer.outcome != OrderOutcome::Done) {
+        onSilence(worker, answer.outcome);
+        return;
+    }
+    FleetTable::setClock(worker, answer.workerClock, context.now());
+    worker->callsUnanswered = 0;
+    worker->nextObserve = context.now();
+    if (worker->life != answer.life || worker->contact != WorkerContact::Adopted) {
+        adopt(worker, answer);
+    }
+    for (const ActiveRun &run : answer.active) {
+        takeActive(worker, run);
+    }
+    for (const EndedRun &end : answer.ended) {
+        if (end.number > worker->endsApplied) {
+            takeEnd(worker, end);
+            worker->endsApplied = end.number;
+        }
+    }
+    dropMissing(worker, sentAt, answer);
+    if (worker->endsApplied > worker->endsDurable) {
+        context.wakeWriter();
+    }
+    if (!leased && !worker->tasks.empty()) {
+        wake(worker); // Adopted runs have only the lease that an earlier coordinator gave them.
+    }
+    observed(worker);
+    observe(worker);
+}
+
+void ObservationSystem::onSilence(Worker *worker, OrderOutcome outcome)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    ++worker->callsUnanswered;
+    if (outcome == OrderOutcome::OtherLife) {
+        // Another incarnation has its address, so this one is gone with all that it ran.
+        m_orders->loseTasks(worker, "other-life");
+        worker->contact = WorkerContact::Lost;
+    } else if (worker->contact == WorkerContact::Adopted) {
+        context.log->write(LogLine("worker_silent")
+                               .with("worker", worker->id)
+                               .with("outcome", orderOutcomeName(outcome))
+                               .with("runs", static_cast<std::int64_t>(worker->tasks.size())));
+        worker->contact = WorkerContact::Silent;
+    }
+    worker->nextObserve = now + std::min(worker->callsUnanswered, maxRetryFactor) * context.settings.orderRetry;
+}
+
+void ObservationSystem::adopt(Worker *worker, const Observation &answer)
+{
+    Context &context = *m_context;
+    if (worker->life != answer.life) {
+        if (worker->life != 0) {
+            m_orders->loseTasks(worker, "new-life");
+        }
+        worker->endsApplied = 0;
+        worker->endsDurable = 0;
+        worker->endsAcknowledged = 0;
+        worker->failuresInRow = 0;
+        worker->failedJobs.clear();
+        worker->leaseSent = WorkerTime{0};
+    }
+    context.log->write(LogLine("worker_adopted")
+                           .with("worker", worker->id)
+                           .with("life", answer.life)
+                           .with("term", static_cast<std::int64_t>(context.term))
+                           .with("active", static_cast<std::int64_t>(answer.active.size()))
+                           .with("ended", static_cast<std::int64_t>(answer.ended.size())));
+    worker->life = answer.life;
+    worker->contact = WorkerContact::Adopted;
+    FleetTable::noteForeignLease(worker, context.settings.workerLease, context.now());
+    context.wakeDispatch();
+}
+
+void ObservationSystem::takeActive(Worker *worker, const ActiveRun &run)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    Task *task = context.jobs.findTask(run.task);
+    if (task == nullptr || task->phase == TaskPhase::Done) {
+        m_orders->stopUnknown(worker, run.task, run.run);
+        return;
+    }
+    if (task->worker == nullptr) {
+        task->run = std::max(task->run, run.run);
+        if (run.run < task->run) {
+            m_orders->stopUnknown(worker, run.task, run.run);
+            return;
+        }
+        FleetTable::place(task, worker);
+        context.jobs.setPhase(task, TaskPhase::Running, now);
+        task->progressAt = now;
+        task->stopConfirmed = false;
+    } else if (task->worker != worker || task->run != run.run) {
+        m_orders->stopUnknown(worker, run.task, run.run);
+        return;
+    }
+    task->seen = true;
+    if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
+        context.jobs.setPhase(task, TaskPhase::Running, now);
+        task->progressAt = now;
+    }
+    if (!run.checkpoint.empty()) {
+        task->checkpoint = run.checkpoint;
+    }
+    if (run.percentAtWork != task->percent) {
+        task->percent = run.percentAtWork;
+        task->progressAt = now;
+    }
+    task->gauge = run.gauge;
+    if (task->step->occurrence->job->ended()) {
+        m_orders->stop(task);
+    }
+}
+
+void ObservationSystem::takeEnd(Worker *worker, const EndedRun &end)
+{
+    Context &context = *m_context;
+    context.log->write(LogLine("run_end")
+                           .with("job", end.task.job)
+                           .with("task", toString(end.task))
+                           .with("run", static_cast<std::int64_t>(end.run))
+                           .with("worker", worker->id)
+                           .with("how", runEndName(end.how)));
+    Task *task = context.jobs.findTask(end.task);
+    if (task == nullptr || task->phase == TaskPhase::Done) {
+        return;
+    }
+    noteQuality(worker, *task, end.how);
+    task->run = std::max(task->run, end.run);
+    if (!end.checkpoint.empty()) {
+        task->checkpoint = end.checkpoint;
+        if (task->step->spec->checkpoints) {
+            context.jobs.markDirty(task->step->occurrence->job);
+        }
+    }
+    if (task->worker == nullptr || (task->worker == worker && task->run == end.run)) {
+        finishRun(task, end);
+    } else {
+        finishForeignRun(task, end);
+    }
+    context.wakeDispatch();
+}
+
+void ObservationSystem::finishRun(Task *task, const EndedRun &end)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    Job *job = task->step->occurrence->job;
+    FleetTable::release(task);
+    if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
+        context.jobs.setDone(task, now, context.wallClock());
+    } else {
+        context.jobs.setIdle(task);
+        if (end.how == RunEnd::Failed) {
+            context.jobs.countFailure(task, now);
+        }
+    }
+    if (job->ended()) {
+        m_orders->stopJob(job);
+    }
+}
+
+void ObservationSystem::finishForeignRun(Task *task, const EndedRun &end)
+{
+    // An earlier run of a task that was started again after its lease had passed.
+    Context &context = *m_context;
+    Job *job = task->step->occurrence->job;
+    if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
+        const TaskKey key = keyOf(*task);
+        Worker *other = task->worker;
+        const RunNumber run = task->run;
+        FleetTable::release(task);
+        context.jobs.setDone(task, context.now(), context.wallClock());
+        m_orders->stopUnknown(other, key, run);
+    } else if (end.how == RunEnd::Failed) {
+        context.jobs.countFailure(task, context.now());
+    }
+    if (job->ended()) {
+        m_orders->stopJob(job);
+    }
+}
+
+void ObservationSystem::noteQuality(Worker *worker, const Task &task, RunEnd how)
+{
+    if (how == RunEnd::Done) {
+        worker->failuresInRow = 0;
+        worker->failedJobs.clear();
+        return;
+    }
+    if (how != RunEnd::Failed) {
+        return;
+    }
+    ++worker->failuresInRow;
+    worker->failedJobs.insert(task.step->occurrence->job->id);
+    // One job that always fails says nothing of the worker.
+    if (worker->failuresInRow >= failuresToQuarantine && worker->failedJobs.size() > 1) {
+        worker->blockedUntil = m_context->now() + quarantine;
+        m_context->log->write(LogLine("worker_quarantined")
+                                  .with("worker", worker->id)
+                                  .with("failures", worker->failuresInRow)
+                                  .with("for_ms", quarantine));
+    }
+}
+
+void ObservationSystem::dropMissing(Worker *worker, TimePoint sentAt, const Observation &answer)
+{
+    Context &context = *m_context;
+    const auto isActive = [&answer](const Task &task) {
+        const TaskKey key = keyOf(task);
+        return std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &run) {
+            return run.run == task.run && run.task == key;
+        });
+    };
+    const std::set<Task *> tasks = worker->tasks;
+    for (Task *task : tasks) {
+        // Only an answer to a question asked after the last order can show that a run is not there.
+        if (task->phase == TaskPhase::Starting || sentAt <= task->phaseSince || isActive(*task)) {
+            continue;
+        }
+        if (task->phase == TaskPhase::Uncertain) {
+            m_orders->stop(task);
+            continue;
+        }
+        if (!task->seen && !task->stopConfirmed) {
+            continue; // Its start may still be carried out.
+        }
+        context.log->write(LogLine("run_missing")
+                               .with("job", task->step->occurrence->job->id)
+                               .with("task", toString(keyOf(*task)))
+                               .with("run", static_cast<std::int64_t>(task->run))
+                               .with("worker", worker->id));
+        FleetTable::release(task);
+        context.jobs.setIdle(task);
+        context.wakeDispatch();
+    }
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/ordersystem.cpp
@@ -0,0 +1,276 @@
+#include "ordersystem_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Run numbers that one term may use for a task; runs of a later term are always higher.
+constexpr RunNumber runsPerTerm = 1000;
+/// After a refusal for want of room: the next observation shows what is there.
+constexpr Milliseconds noRoomPause{150};
+/// After a worker said that it takes nothing.
+constexpr Milliseconds unhealthyPause{500};
+
+WorkerRef refOf(const Worker &worker)
+{
+    return WorkerRef{worker.id, worker.entry.address};
+}
+
+} // namespace
+
+OrderSystem::OrderSystem(std::shared_ptr<Context> context)
+    : m_context(std::move(context))
+{
+}
+
+RunNumber OrderSystem::nextRun(const Task &task) const
+{
+    return std::max(task.run, (m_context->term - 1) * runsPerTerm) + 1;
+}
+
+void OrderSystem::start(Task *task, Worker *worker)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    task->run = nextRun(*task);
+    FleetTable::place(task, worker);
+    context.jobs.setPhase(task, TaskPhase::Starting, now);
+    task->percent = 0;
+    task->progressAt = now;
+    task->seen = false;
+    task->stopConfirmed = false;
+    StartOrder order;
+    order.task = keyOf(*task);
+    order.run = task->run;
+    order.payload = task->step->occurrence->job->spec.payload;
+    order.checkpoint = task->checkpoint;
+    order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
+    order.term = context.term;
+    FleetTable::noteLease(worker, order.leaseUntil);
+    ++startsSent;
+    const RunRef ref{order.task, order.run, worker->id};
+    const std::shared_ptr<Context> shared = m_context;
+    context.gateway->start(refOf(*worker), order, context.settings.orderTimeout,
+                           [this, shared, ref, now](const OrderResult &result) {
+                               if (!shared->ended) {
+                                   onStarted(ref, now, result);
+                               }
+                           });
+}
+
+Task *OrderSystem::current(const RunRef &ref) const
+{
+    Task *task = m_context->jobs.findTask(ref.task);
+    if (task == nullptr || task->run != ref.run || task->worker == nullptr || task->worker->id != ref.worker) {
+        return nullptr;
+    }
+    return task;
+}
+
+void OrderSystem::onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    context.log->write(LogLine("run_start")
+                           .with("job", ref.task.job)
+                           .with("task", toString(ref.task))
+                           .with("run", static_cast<std::int64_t>(ref.run))
+                           .with("worker", ref.worker)
+                           .with("term", static_cast<std::int64_t>(context.term))
+                           .with("outcome", orderOutcomeName(result.outcome))
+                           .with("took_ms", std::chrono::duration_cast<Milliseconds>(now - sentAt)));
+    Worker *worker = context.fleet.find(ref.worker);
+    if (worker != nullptr && result.workerClock.count() > 0 && result.outcome != OrderOutcome::OtherLife) {
+        FleetTable::setClock(worker, result.workerClock, now);
+    }
+    if (result.outcome == OrderOutcome::StaleTerm) {
+        context.superseded();
+        return;
+    }
+    Task *task = current(ref);
+    if (task == nullptr || (task->phase != TaskPhase::Starting && task->phase != TaskPhase::Uncertain)) {
+        return;
+    }
+    if (result.outcome == OrderOutcome::Done) {
+        context.jobs.setPhase(task, TaskPhase::Running, now);
+        task->progressAt = now;
+        task->seen = true;
+        if (task->step->occurrence->job->ended()) {
+            stop(task);
+        }
+    } else if (result.outcome == OrderOutcome::NoAnswer) {
+        context.jobs.setPhase(task, TaskPhase::Uncertain, now);
+        ++worker->callsUnanswered;
+        worker->blockedUntil = now + context.settings.orderRetry;
+    } else {
+        onRefused(task, worker, result.outcome);
+    }
+    wakeObservation(worker);
+}
+
+void OrderSystem::onRefused(Task *task, Worker *worker, OrderOutcome outcome)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    ++startsRefused;
+    FleetTable::release(task);
+    context.jobs.setIdle(task);
+    switch (outcome) {
+    case OrderOutcome::NoRoom:
+        worker->blockedUntil = now + noRoomPause;
+        break;
+    case OrderOutcome::Rejected:
+        context.jobs.countFailure(task, now);
+        if (task->step->occurrence->job->ended()) {
+            stopJob(task->step->occurrence->job);
+        }
+        break;
+    case OrderOutcome::Unhealthy:
+        worker->blockedUntil = now + unhealthyPause;
+        break;
+    case OrderOutcome::NotSent:
+        ++worker->callsUnanswered;
+        worker->blockedUntil = now + unhealthyPause;
+        break;
+    case OrderOutcome::OtherLife:
+        loseTasks(worker, "other-life");
+        worker->contact = WorkerContact::Lost;
+        break;
+    default:
+        worker->blockedUntil = now + context.settings.orderRetry;
+        break;
+    }
+    context.wakeDispatch();
+}
+
+void OrderSystem::stop(Task *task)
+{
+    if (task->worker == nullptr || task->phase == TaskPhase::Stopping || task->phase == TaskPhase::Starting) {
+        return; // A start on its way is stopped when it is answered.
+    }
+    m_context->jobs.setPhase(task, TaskPhase::Stopping, m_context->now());
+    sendStop(RunRef{keyOf(*task), task->run, task->worker->id});
+}
+
+void OrderSystem::sendStop(const RunRef &ref)
+{
+    const Worker *worker = m_context->fleet.find(ref.worker);
+    if (worker == nullptr || !m_context->mayOrder()) {
+        onStopped(ref, OrderResult{});
+        return;
+    }
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->gateway->stop(refOf(*worker), ref.task, ref.run, m_context->term, m_context->settings.orderTimeout,
+                             [this, shared, ref](const OrderResult &result) {
+                                 if (!shared->ended) {
+                                     onStopped(ref, result);
+                                 }
+                             });
+}
+
+void OrderSystem::onStopped(const RunRef &ref, const OrderResult &result)
+{
+    Context &context = *m_context;
+    if (result.outcome == OrderOutcome::StaleTerm) {
+        context.superseded();
+        return;
+    }
+    Task *task = current(ref);
+    if (task == nullptr || task->phase != TaskPhase::Stopping) {
+        return;
+    }
+    if (result.outcome == OrderOutcome::Done) {
+        // From now on the worker refuses this run; whether it still ends there is up to the next observation.
+        context.jobs.setPhase(task, TaskPhase::Stopping, context.now());
+        task->stopConfirmed = true;
+        wakeObservation(task->worker);
+        return;
+    }
+    const std::shared_ptr<Context> shared = m_context;
+    context.loop->postAfter(context.settings.orderRetry, [this, shared, ref] {
+        if (!shared->ended && current(ref) != nullptr && current(ref)->phase == TaskPhase::Stopping) {
+            sendStop(ref);
+        }
+    });
+}
+
+void OrderSystem::stopUnknown(Worker *worker, const TaskKey &key, RunNumber run)
+{
+    m_context->log->write(LogLine("run_stop_unknown")
+                              .with("job", key.job)
+                              .with("task", toString(key))
+                              .with("run", static_cast<std::int64_t>(run))
+                              .with("worker", worker->id));
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->gateway->stop(refOf(*worker), key, run, m_context->term, m_context->settings.orderTimeout,
+                             [shared](const OrderResult &result) {
+                                 if (!shared->ended && result.outcome == OrderOutcome::StaleTerm) {
+                                     shared->superseded();
+                                 }
+                             });
+}
+
+void OrderSystem::stopJob(Job *job)
+{
+    for (const auto &[number, occurrence] : job->open) {
+        for (Step &step : occurrence->steps) {
+            for (Task &task : step.tasks) {
+                if (task.worker != nullptr) {
+                    stop(&task);
+                }
+            }
+        }
+    }
+}
+
+void OrderSystem::pace(Task *task, int percent)
+{
+    if (task->worker == nullptr || task->pace == percent || !m_context->mayOrder()) {
+        return;
+    }
+    task->pace = percent;
+    const RunRef ref{keyOf(*task), task->run, task->worker->id};
+    m_context->log->write(LogLine("run_pace")
+                              .with("job", ref.task.job)
+                              .with("task", toString(ref.task))
+                              .with("worker", ref.worker)
+                              .with("percent", percent));
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->gateway->pace(refOf(*task->worker), ref.task, ref.run, percent, m_context->term,
+                             m_context->settings.orderTimeout, [this, shared, ref, percent](const OrderResult &result) {
+                                 if (shared->ended) {
+                                     return;
+                                 }
+                                 if (result.outcome == OrderOutcome::StaleTerm) {
+                                     shared->superseded();
+                                     return;
+                                 }
+                                 Task *paced = current(ref);
+                                 if (paced != nullptr && result.outcome != OrderOutcome::Done
+                                     && paced->pace == percent) {
+                                     paced->pace = -1; // Unknown: the next decision sends it again.
+                                 }
+                             });
+}
+
+void OrderSystem::loseTasks(Worker *worker, const char *reason)
+{
+    const std::set<Task *> tasks = worker->tasks;
+    for (Task *task : tasks) {
+        m_context->log->write(LogLine("run_lost")
+                                  .with("job", task->step->occurrence->job->id)
+                                  .with("task", toString(keyOf(*task)))
+                                  .with("run", static_cast<std::int64_t>(task->run))
+                                  .with("worker", worker->id)
+                                  .with("reason", reason));
+        FleetTable::release(task);
+        m_context->jobs.setIdle(task);
+    }
+    if (!tasks.empty()) {
+        m_context->wakeDispatch();
+    }
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/progresswriter.cpp
@@ -0,0 +1,194 @@
+#include "progresswriter_pvt.h"
+
+#include "fescueledge/tableservice.h"
+#include "rows_pvt.h"
+#include "workerrecord_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Rows of one transaction, below the store's limit of 100 entries with room for the fixed ones.
+constexpr std::size_t maxJobsPerWrite = 60;
+constexpr std::size_t maxRemovalsPerWrite = 10; ///< Three rows each.
+/// How long the fate of a write is looked for before the term is given up.
+constexpr Milliseconds commitPatience{60000};
+
+} // namespace
+
+ProgressWriter::ProgressWriter(std::shared_ptr<Context> context, TableService *table, RowVersion chainVersion,
+                               std::string chainValue, std::uint64_t seed)
+    : m_context(std::move(context))
+    , m_resolver(m_context->loop, table)
+    , m_random(seed)
+    , m_chainVersion(chainVersion)
+    , m_chainValue(std::move(chainValue))
+{
+}
+
+void ProgressWriter::remove(const JobId &id)
+{
+    m_removals.push_back(id);
+    wake();
+}
+
+void ProgressWriter::wake()
+{
+    if (m_scheduled || m_inFlight) {
+        return;
+    }
+    m_scheduled = true;
+    const TimePoint now = m_context->now();
+    const Duration delay = std::max(Duration(Milliseconds(2)), m_lastStart + m_context->settings.writeInterval - now);
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->loop->postAfter(delay, [this, shared] {
+        if (!shared->ended) {
+            m_scheduled = false;
+            flush();
+        }
+    });
+}
+
+bool ProgressWriter::fillRecord(Transaction *transaction, Batch *batch)
+{
+    const std::string record = encodeWorkerRecord(m_context->fleet);
+    if (record == m_recordWritten) {
+        return false;
+    }
+    transaction->puts.push_back({rows::occupiedWorkers(), record});
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        batch->recorded[id] = namesRuns(*worker);
+        worker->runsRecorded = worker->runsRecorded || namesRuns(*worker); // No starts once it may be written.
+    }
+    batch->holdsRecord = true;
+    m_recordWritten = record;
+    return true;
+}
+
+bool ProgressWriter::fill(Transaction *transaction, Batch *batch)
+{
+    Context &context = *m_context;
+    bool any = fillRecord(transaction, batch);
+    for (Job *job : context.jobs.takeDirty(maxJobsPerWrite)) {
+        transaction->puts.push_back({rows::progress(job->id), JobTable::encodeProgress(*job)});
+        batch->written.push_back(job->id);
+        if (job->ended()) {
+            batch->ended.push_back(job->id);
+        }
+        any = true;
+    }
+    if (!context.jobs.hasDirty()) {
+        for (const auto &[id, worker] : context.fleet.all()) {
+            if (worker->endsApplied > worker->endsDurable) {
+                batch->ends[id] = worker->endsApplied;
+            }
+        }
+    }
+    while (!m_removals.empty() && batch->removed.size() < maxRemovalsPerWrite) {
+        const JobId id = m_removals.back();
+        m_removals.pop_back();
+        for (const std::string &key : {rows::job(id), rows::cancellation(id), rows::progress(id)}) {
+            transaction->removals.push_back(key);
+        }
+        batch->removed.push_back(id);
+        any = true;
+    }
+    return any;
+}
+
+void ProgressWriter::flush()
+{
+    const std::shared_ptr<Batch> batch = std::make_shared<Batch>();
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions.push_back({rows::coordinator(), m_chainVersion});
+    transaction.puts.push_back({rows::coordinator(), m_chainValue});
+    if (!fill(&transaction, batch.get())) {
+        settle(*batch); // Ends that change nothing durable can be acknowledged as they are.
+        return;
+    }
+    m_inFlight = true;
+    m_lastStart = m_context->now();
+    const std::shared_ptr<Context> shared = m_context;
+    m_resolver.commit(transaction, commitPatience, [this, shared, batch](const CommitResult &result) {
+        if (!shared->ended) {
+            onCommit(batch, result);
+        }
+    });
+}
+
+void ProgressWriter::onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result)
+{
+    m_inFlight = false;
+    if (result.status == CommitStatus::Committed) {
+        m_chainVersion = result.version;
+        ++commits;
+        storeReachable(true);
+        settle(*batch);
+        if (m_context->jobs.hasDirty() || !m_removals.empty()) {
+            wake();
+        }
+        return;
+    }
+    if (result.status == CommitStatus::Unavailable) {
+        storeReachable(false);
+        putBack(*batch);
+        const std::shared_ptr<Context> shared = m_context;
+        m_context->loop->postAfter(m_context->settings.orderRetry, [this, shared] {
+            if (!shared->ended) {
+                wake();
+            }
+        });
+        return;
+    }
+    m_context->superseded();
+}
+
+void ProgressWriter::settle(const Batch &batch)
+{
+    Context &context = *m_context;
+    for (const JobId &id : batch.ended) {
+        Job *job = context.jobs.find(id);
+        if (job != nullptr && job->ended()) {
+            job->phaseDurable = true;
+            JobTable::trim(job);
+        }
+    }
+    for (const JobId &id : batch.removed) {
+        context.jobs.erase(id);
+    }
+    for (const auto &[id, number] : batch.ends) {
+        Worker *worker = context.fleet.find(id);
+        if (worker != nullptr && number <= worker->endsApplied) {
+            worker->endsDurable = std::max(worker->endsDurable, number);
+        }
+    }
+    for (const auto &[id, runsNamed] : batch.recorded) {
+        Worker *worker = context.fleet.find(id);
+        if (worker != nullptr) {
+            worker->recorded = true;
+            worker->runsRecorded = runsNamed;
+        }
+    }
+    if (committed) {
+        committed();
+    }
+}
+
+void ProgressWriter::putBack(const Batch &batch)
+{
+    for (const JobId &id : batch.written) {
+        Job *job = m_context->jobs.find(id);
+        if (job != nullptr) {
+            m_context->jobs.markDirty(job);
+        }
+    }
+    m_removals.insert(m_removals.end(), batch.removed.begin(), batch.removed.end());
+    if (batch.holdsRecord) {
+        m_recordWritten.clear();
+    }
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "context_pvt.h"
+#include "fescueledge/commitresolver.h"
+#include "fescueledge/random.h"
+
+#include <map>
+
+namespace fescueledge {
+class TableService;
+}
+
+namespace fescueledge::workflow {
+
+/// Writes what a term has brought about, in one chain of transactions.
+///
+/// Each transaction is conditioned on the version of the coordinator's row that the one before it wrote, and writes
+/// that row again. So a late copy of an earlier transaction can't take effect, and none of a coordinator that was
+/// replaced.
+class ProgressWriter
+{
+public:
+    /// @p chainVersion is the version of the coordinator's row as this term wrote it; @p chainValue its value.
+    ProgressWriter(std::shared_ptr<Context> context, TableService *table, RowVersion chainVersion,
+                   std::string chainValue, std::uint64_t seed);
+
+    /// Writes soon, if there is something to write.
+    void wake();
+    /// Asks for the rows of an ended job to be removed.
+    void remove(const JobId &id);
+
+    /// Called after a transaction was committed.
+    std::function<void()> committed;
+    /// Called when the store can be reached again or no longer.
+    std::function<void(bool)> storeReachable;
+
+    std::uint64_t commits = 0;
+
+private:
+    /// What a transaction in flight makes durable.
+    struct Batch
+    {
+        std::vector<JobId> ended;
+        std::vector<JobId> removed;
+        std::vector<JobId> written;
+        std::map<WorkerId, std::uint64_t> ends;
+        std::map<WorkerId, bool> recorded; ///< Whether their runs are named, too.
+        bool holdsRecord = false;
+    };
+
+    void flush();
+    bool fill(Transaction *transaction, Batch *batch);
+    bool fillRecord(Transaction *transaction, Batch *batch);
+    void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
+    void settle(const Batch &batch);
+    void putBack(const Batch &batch);
+
+    std::shared_ptr<Context> m_context;
+    CommitResolver m_resolver;
+    Random m_random;
+    RowVersion m_chainVersion;
+    std::string m_chainValue;
+    std::string m_recordWritten;
+    std::vector<JobId> m_removals;
+    bool m_scheduled = false;
+    bool m_inFlight = false;
+    TimePoint m_lastStart{};
+};
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/workflownode.cpp
@@ -0,0 +1,433 @@
+#include "fescueledge/workflow/workflownode.h"
+
+#include "election_pvt.h"
+#include "fescueledge/error.h"
+#include "fescueledge/eventlog.h"
+#include "fescueledge/peertransport.h"
+#include "fescueledge/workflow/catalogsource.h"
+#include "jobrow_pvt.h"
+#include "rows_pvt.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge::workflow {
+
+using nlohmann::json;
+
+namespace {
+
+/// A caller is answered at least this long before its patience ends.
+constexpr Milliseconds answerMargin{300};
+/// A write whose fate is unknown is looked for at most this long: the caller does better to ask another node.
+constexpr Milliseconds fatePatience{700};
+/// Callers who came while the store was away come back after this time: outages last seconds.
+constexpr std::chrono::seconds storeRetryAfter{1};
+/// After a refused write new ones are refused without a try for so long.
+constexpr Milliseconds storePause{150};
+/// For a question to the coordinator; then the store is asked.
+constexpr Milliseconds peerTimeout{300};
+
+const char *phaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Queued:
+        return "queued";
+    case JobPhase::InProgress:
+        return "in_progress";
+    case JobPhase::Complete:
+        return "complete";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "queued";
+}
+
+FrontAnswer unavailable(const std::string &detail)
+{
+    FrontAnswer answer;
+    answer.outcome = FrontOutcome::Unavailable;
+    answer.detail = detail;
+    answer.retryAfter = storeRetryAfter;
+    return answer;
+}
+
+FrontAnswer stateAnswer(const std::string &state)
+{
+    FrontAnswer answer;
+    answer.outcome = FrontOutcome::Ok;
+    answer.state = state;
+    return answer;
+}
+
+FrontAnswer outcomeAnswer(FrontOutcome outcome, const std::string &detail = {})
+{
+    FrontAnswer answer;
+    answer.outcome = outcome;
+    answer.detail = detail;
+    return answer;
+}
+
+Milliseconds patienceFor(Milliseconds callerPatience)
+{
+    if (callerPatience.count() <= 0) {
+        return fatePatience;
+    }
+    return std::min(fatePatience, std::max(Milliseconds{0}, callerPatience - answerMargin));
+}
+
+} // namespace
+
+class WorkflowNode::Impl : public std::enable_shared_from_this<WorkflowNode::Impl>
+{
+public:
+    Impl(NodeParts parts, NodeSelf self, CoordinatorSettings settings)
+        : m_parts(parts)
+        , m_self(self)
+        , m_resolver(m_parts.loop, m_parts.table)
+        , m_random(self.seed + 1)
+        , m_election(parts, std::move(self), settings)
+    {
+    }
+
+    void start();
+    void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds patience,
+                const AnswerHandler &handler);
+    void status(const JobId &id, const AnswerHandler &handler);
+    void cancel(const JobId &id, Milliseconds patience, const AnswerHandler &handler);
+    void pending(const QueuePolicy &queue, const AnswerHandler &handler);
+
+    Election &election()
+    {
+        return m_election;
+    }
+
+    std::shared_ptr<const Catalog> catalog;
+
+private:
+    void setReceivers();
+    void statusFromStore(const JobId &id, const AnswerHandler &handler);
+    void onCancelRows(const JobId &id, Milliseconds patience, const ReadResult &result, const AnswerHandler &handler);
+    void logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since);
+    void noteCommit(CommitStatus status);
+    bool storeRefuses() const;
+
+    NodeParts m_parts;
+    NodeSelf m_self;
+    CommitResolver m_resolver;
+    Random m_random;
+    Election m_election;
+    TimePoint m_storePausedUntil{};
+};
+
+void WorkflowNode::Impl::start()
+{
+    setReceivers();
+    const std::weak_ptr<Impl> weak = shared_from_this();
+    m_parts.catalogs->follow([weak](const std::shared_ptr<const Catalog> &newest) {
+        const std::shared_ptr<Impl> self = weak.lock();
+        if (!self) {
+            return;
+        }
+        self->m_parts.log->write(LogLine("catalog_in_force")
+                                     .with("version", static_cast<std::int64_t>(newest->version))
+                                     .with("queues", static_cast<std::int64_t>(newest->queues.size()))
+                                     .with("evacuated", static_cast<std::int64_t>(newest->evacuated.size())));
+        self->m_election.setCatalog(newest);
+        self->catalog = newest;
+    });
+    m_election.start();
+}
+
+void WorkflowNode::Impl::setReceivers()
+{
+    const std::weak_ptr<Impl> weak = shared_from_this();
+    m_parts.peers->setReceiver(
+        "job-status", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            json body = json::object();
+            if (self && self->m_election.own() != nullptr) {
+                const std::optional<JobPhase> phase = self->m_election.own()->status(message.body.value("id", JobId()));
+                if (phase) {
+                    body["state"] = phaseName(*phase);
+                }
+            }
+            respond(PeerMessage{"job-status", body});
+        });
+    m_parts.peers->setReceiver(
+        "queue-pending", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            json body = json::object();
+            if (self && self->m_election.own() != nullptr) {
+                const std::optional<std::size_t> n =
+                    self->m_election.own()->pending(message.body.value("queue", std::string()));
+                if (n) {
+                    body["pending"] = *n;
+                }
+            }
+            respond(PeerMessage{"queue-pending", body});
+        });
+}
+
+bool WorkflowNode::Impl::storeRefuses() const
+{
+    return m_parts.loop->now() < m_storePausedUntil;
+}
+
+void WorkflowNode::Impl::noteCommit(CommitStatus status)
+{
+    const bool bad = status == CommitStatus::Unavailable || status == CommitStatus::Unknown;
+    m_storePausedUntil = bad ? m_parts.loop->now() + storePause : TimePoint{};
+}
+
+void WorkflowNode::Impl::logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since)
+{
+    static const std::map<CommitStatus, const char *> names{{CommitStatus::Committed, "accepted"},
+                                                            {CommitStatus::Conflict, "known"},
+                                                            {CommitStatus::Unavailable, "refused"},
+                                                            {CommitStatus::Unknown, "unknown"}};
+    const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - since);
+    m_parts.log->write(LogLine("job_submit")
+                           .with("job", id)
+                           .with("queue", queue.name)
+                           .with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
+                           .with("outcome", names.at(status))
+                           .with("took_ms", took));
+}
+
+void WorkflowNode::Impl::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec,
+                                Milliseconds patience, const AnswerHandler &handler)
+{
+    try {
+        validate(spec);
+    } catch (const Error &error) {
+        handler(outcomeAnswer(FrontOutcome::Invalid, error.what()));
+        return;
+    }
+    const TimePoint since = m_parts.loop->now();
+    if (storeRefuses()) {
+        logAccept(id, queue, CommitStatus::Unavailable, since);
+        handler(unavailable("the store is not available"));
+        return;
+    }
+    JobRow row;
+    row.spec = spec;
+    row.policy = queue;
+    row.acceptedAt = m_parts.wallClock();
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions.push_back({rows::job(id), 0});
+    transaction.puts.push_back({rows::job(id), encodeJobRow(row)});
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_resolver.commit(
+        transaction, patienceFor(patience), [self, id, queue, since, handler](const CommitResult &result) {
+            self->noteCommit(result.status);
+            self->logAccept(id, queue, result.status, since);
+            switch (result.status) {
+            case CommitStatus::Committed:
+            case CommitStatus::Conflict: // It was accepted before, from an earlier try of the same caller.
+                handler(outcomeAnswer(FrontOutcome::Ok));
+                break;
+            case CommitStatus::Unavailable:
+                handler(unavailable("the store refused the write"));
+                break;
+            case CommitStatus::Unknown:
+                handler(outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write"));
+                break;
+            }
+        });
+}
+
+void WorkflowNode::Impl::status(const JobId &id, const AnswerHandler &handler)
+{
+    if (m_election.own() != nullptr) {
+        const std::optional<JobPhase> phase = m_election.own()->status(id);
+        if (phase) {
+            handler(stateAnswer(phaseName(*phase)));
+            return;
+        }
+        statusFromStore(id, handler);
+        return;
+    }
+    if (m_election.coordinator().empty()) {
+        statusFromStore(id, handler);
+        return;
+    }
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_parts.peers->call(m_election.coordinator(), PeerMessage{"job-status", json{{"id", id}}}, peerTimeout,
+                        [self, id, handler](const PeerResult &result) {
+                            const std::string state =
+                                result.answered ? result.reply.body.value("state", std::string()) : std::string();
+                            if (state.empty()) {
+                                self->statusFromStore(id, handler);
+                            } else {
+                                handler(stateAnswer(state));
+                            }
+                        });
+}
+
+void WorkflowNode::Impl::statusFromStore(const JobId &id, const AnswerHandler &handler)
+{
+    const std::vector<std::string> keys{rows::job(id), rows::cancellation(id), rows::progress(id)};
+    m_parts.table->read(keys, [id, handler](const ReadResult &result) {
+        if (!result.available) {
+            handler(unavailable("neither the coordinator nor the store answers"));
+            return;
+        }
+        if (result.find(rows::job(id)) == nullptr) {
+            handler(outcomeAnswer(FrontOutcome::NoJob));
+            return;
+        }
+        JobPhase phase = JobPhase::Queued;
+        const Row *progress = result.find(rows::progress(id));
+        if (progress != nullptr) {
+            const json value = json::from_cbor(progress->value, true, false);
+            phase = value.is_object() ? static_cast<JobPhase>(value.value("phase", 1)) : JobPhase::InProgress;
+        }
+        const bool ended = phase == JobPhase::Complete || phase == JobPhase::Failed;
+        if (!ended && result.find(rows::cancellation(id)) != nullptr) {
+            phase = JobPhase::Cancelled;
+        }
+        handler(stateAnswer(phaseName(phase)));
+    });
+}
+
+void WorkflowNode::Impl::cancel(const JobId &id, Milliseconds patience, const AnswerHandler &handler)
+{
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_parts.table->read({rows::job(id), rows::cancellation(id)},
+                        [self, id, patience, handler](const ReadResult &result) {
+                            self->onCancelRows(id, patience, result, handler);
+                        });
+}
+
+void WorkflowNode::Impl::onCancelRows(const JobId &id, Milliseconds patience, const ReadResult &result,
+                                      const AnswerHandler &handler)
+{
+    if (!result.available) {
+        handler(unavailable("the store does not answer"));
+        return;
+    }
+    const Row *job = result.find(rows::job(id));
+    if (job == nullptr) {
+        handler(outcomeAnswer(FrontOutcome::NoJob));
+        return;
+    }
+    if (result.find(rows::cancellation(id)) != nullptr) {
+        handler(outcomeAnswer(FrontOutcome::Ok));
+        return;
+    }
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions.push_back({rows::cancellation(id), 0});
+    transaction.conditions.push_back({rows::job(id), job->version});
+    transaction.puts.push_back({rows::cancellation(id), "{}"});
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_resolver.commit(transaction, patienceFor(patience), [self, id, handler](const CommitResult &commit) {
+        self->m_parts.log->write(
+            LogLine("job_cancel").with("job", id).with("outcome", static_cast<std::int64_t>(commit.status)));
+        switch (commit.status) {
+        case CommitStatus::Committed:
+        case CommitStatus::Conflict: // Somebody else cancelled it, or it ended and was cleared away.
+            handler(outcomeAnswer(FrontOutcome::Ok));
+            break;
+        case CommitStatus::Unavailable:
+            handler(unavailable("the store refused the write"));
+            break;
+        case CommitStatus::Unknown:
+            handler(outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write"));
+            break;
+        }
+    });
+}
+
+void WorkflowNode::Impl::pending(const QueuePolicy &queue, const AnswerHandler &handler)
+{
+    const auto answer = [handler](std::optional<std::size_t> n) {
+        if (!n) {
+            handler(unavailable("the coordinator does not answer"));
+            return;
+        }
+        FrontAnswer out = outcomeAnswer(FrontOutcome::Ok);
+        out.pending = *n;
+        handler(out);
+    };
+    if (m_election.own() != nullptr) {
+        answer(m_election.own()->pending(queue.name));
+        return;
+    }
+    if (m_election.coordinator().empty()) {
+        answer(std::nullopt);
+        return;
+    }
+    m_parts.peers->call(m_election.coordinator(), PeerMessage{"queue-pending", json{{"queue", queue.name}}},
+                        peerTimeout, [answer](const PeerResult &result) {
+                            if (result.answered && result.reply.body.contains("pending")) {
+                                answer(result.reply.body.at("pending").get<std::size_t>());
+                            } else {
+                                answer(std::nullopt);
+                            }
+                        });
+}
+
+WorkflowNode::WorkflowNode(NodeParts parts, NodeSelf self, CoordinatorSettings settings)
+    : m_impl(std::make_shared<Impl>(std::move(parts), std::move(self), settings))
+{
+}
+
+WorkflowNode::~WorkflowNode() = default;
+
+void WorkflowNode::start()
+{
+    m_impl->start();
+}
+
+void WorkflowNode::resign()
+{
+    m_impl->election().resign();
+}
+
+bool WorkflowNode::ready() const
+{
+    return m_impl->catalog != nullptr;
+}
+
+std::shared_ptr<const Catalog> WorkflowNode::catalog() const
+{
+    return m_impl->catalog;
+}
+
+bool WorkflowNode::isCoordinator() const
+{
+    return m_impl->election().own() != nullptr;
+}
+
+std::string WorkflowNode::peerAddress(const NodeId &node) const
+{
+    return m_impl->election().addressOf(node);
+}
+
+void WorkflowNode::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds patience,
+                          AnswerHandler handler)
+{
+    m_impl->submit(queue, id, spec, patience, handler);
+}
+
+void WorkflowNode::status(const JobId &id, AnswerHandler handler)
+{
+    m_impl->status(id, handler);
+}
+
+void WorkflowNode::cancel(const JobId &id, Milliseconds patience, AnswerHandler handler)
+{
+    m_impl->cancel(id, patience, handler);
+}
+
+void WorkflowNode::pending(const QueuePolicy &queue, AnswerHandler handler)
+{
+    m_impl->pending(queue, handler);
+}
+
+} // namespace fescueledge::workflow
