Keep fillers away from the serving tasks that they disturb

Beside that, tasks of workers that were gone were never given up, as each unanswered observation carried a longer lease; the commit resolver was used after its owner had gone; a replaced coordinator without orders to send did not hear of it; dispatch looked at every worker for every waiting step.

Change: InterferenceModel learns the effect of each pair from gauges; dispatch places fillers where they add little, serving tasks of one image together; pacing stops the culprits first and moves them. A silent worker gets no longer lease. Commits outlive their resolver. A new coordinator announces itself. Shapes that found no worker are remembered during a run of dispatch.

Tests: libworkflow/workflow_test plays whole nodes on a simulated store and fleet without a network (kill, pause, outage, cut, late orders, cancel ...).

--- a/src/include/fescueledge/commitresolver.h
+++ b/src/include/fescueledge/commitresolver.h
@@ -12,7 +12,8 @@
 ///
 /// A transaction whose answer was lost is looked up by its write id in its witness row, the first row it puts.
 /// Only when the witness does not show it is the same conditional transaction sent again: as every transaction has
-/// a condition on its witness, it can take effect once at most.
+/// a condition on its witness, it can take effect once at most. A commit goes on after its resolver is gone; the loop
+/// and the table service must outlive it.
 class CommitResolver
 {
 public:
@@ -25,11 +26,12 @@
 
 private:
     struct Pending;
-    void attempt(const std::shared_ptr<Pending> &pending);
-    void onCommit(const std::shared_ptr<Pending> &pending, const CommitResult &result);
-    void lookUp(const std::shared_ptr<Pending> &pending, CommitStatus otherwise);
-    void onWitness(const std::shared_ptr<Pending> &pending, CommitStatus otherwise, const ReadResult &result);
-    void retryLater(const std::shared_ptr<Pending> &pending, CommitStatus otherwise);
+    // These hold what they need in the pending commit, which may outlive the resolver.
+    static void attempt(const std::shared_ptr<Pending> &pending);
+    static void onCommit(const std::shared_ptr<Pending> &pending, const CommitResult &result);
+    static void lookUp(const std::shared_ptr<Pending> &pending, CommitStatus otherwise);
+    static void onWitness(const std::shared_ptr<Pending> &pending, CommitStatus otherwise, const ReadResult &result);
+    static void retryLater(const std::shared_ptr<Pending> &pending, CommitStatus otherwise);
 
     Loop *m_loop;
     TableService *m_table;
--- a/src/include/fescueledge/testing/faketableservice.h
+++ b/src/include/fescueledge/testing/faketableservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "fescueledge/random.h"
-#include "fescueledge/tableservice.h"
+#include "fescueledge/watchabletable.h"
 
 namespace fescueledge {
 
@@ -10,7 +10,7 @@
 class SimWorld;
 
 /// One process's view of a MemoryTable in virtual time, with faults.
-class FakeTableService : public TableService
+class FakeTableService : public WatchableTable
 {
 public:
     /// What goes wrong between this process and the table service.
@@ -28,10 +28,12 @@
     void read(const std::vector<std::string> &keys, ReadHandler handler) override;
     void scan(const std::string &prefix, ReadHandler handler) override;
     void commit(const Transaction &transaction, CommitHandler handler) override;
+    void watch(const std::string &collection, RowVersion since, Milliseconds wait, WatchHandler handler) override;
 
     Faults faults;
 
 private:
+    void pollChanges(const std::string &collection, RowVersion since, TimePoint until, const WatchHandler &handler);
     void answerRead(const std::function<ReadResult()> &query, const ReadHandler &handler);
 
     SimWorld *m_world;
--- a/src/libstore/commitresolver.cpp
+++ b/src/libstore/commitresolver.cpp
@@ -28,6 +28,8 @@
 
 struct CommitResolver::Pending
 {
+    Loop *loop = nullptr;
+    TableService *table = nullptr;
     Transaction transaction;
     TimePoint giveUpAt;
     TableService::CommitHandler handler;
@@ -51,6 +53,8 @@
         throw std::invalid_argument("the first put of a transaction must stand among its conditions");
     }
     auto pending = std::make_shared<Pending>();
+    pending->loop = m_loop;
+    pending->table = m_table;
     pending->transaction = transaction;
     pending->giveUpAt = m_loop->now() + patience;
     pending->handler = std::move(handler);
@@ -59,7 +63,7 @@
 
 void CommitResolver::attempt(const std::shared_ptr<Pending> &pending)
 {
-    m_table->commit(pending->transaction, [this, pending](const CommitResult &result) {
+    pending->table->commit(pending->transaction, [pending](const CommitResult &result) {
         onCommit(pending, result);
     });
 }
@@ -82,7 +86,7 @@
 
 void CommitResolver::lookUp(const std::shared_ptr<Pending> &pending, CommitStatus otherwise)
 {
-    m_table->read({pending->witness()}, [this, pending, otherwise](const ReadResult &result) {
+    pending->table->read({pending->witness()}, [pending, otherwise](const ReadResult &result) {
         onWitness(pending, otherwise, result);
     });
 }
@@ -104,7 +108,7 @@
         pending->handler(CommitResult{CommitStatus::Conflict, 0});
         return;
     }
-    if (m_loop->now() >= pending->giveUpAt) {
+    if (pending->loop->now() >= pending->giveUpAt) {
         pending->handler(CommitResult{CommitStatus::Unknown, 0});
         return;
     }
@@ -113,11 +117,11 @@
 
 void CommitResolver::retryLater(const std::shared_ptr<Pending> &pending, CommitStatus otherwise)
 {
-    if (m_loop->now() >= pending->giveUpAt) {
+    if (pending->loop->now() >= pending->giveUpAt) {
         pending->handler(CommitResult{CommitStatus::Unknown, 0});
         return;
     }
-    m_loop->postAfter(retryDelay, [this, pending, otherwise] {
+    pending->loop->postAfter(retryDelay, [pending, otherwise] {
         lookUp(pending, otherwise);
     });
 }
--- a/src/libstore/commitresolver_test.cpp
+++ b/src/libstore/commitresolver_test.cpp
@@ -89,3 +89,25 @@
     CHECK_THROWS_AS(fixture.resolver.commit(transaction, Duration::zero(), [](const CommitResult &) {}),
                     std::invalid_argument);
 }
+
+TEST_CASE("a commit under way outlives its resolver")
+{
+    SimWorld world;
+    SimLoop loop{&world};
+    MemoryTable rows;
+    FakeTableService table{&world, &loop, &rows, 1};
+    table.faults.loseAnswer = 1.0;
+    std::optional<CommitStatus> status;
+    {
+        CommitResolver resolver{&loop, &table};
+        Transaction transaction;
+        transaction.writeId = "w1";
+        transaction.conditions = {{"a", 0}};
+        transaction.puts = {{"a", "w1"}};
+        resolver.commit(transaction, std::chrono::seconds(10), [&status](const CommitResult &result) {
+            status = result.status;
+        });
+    }
+    world.runFor(std::chrono::seconds(20));
+    CHECK(status == CommitStatus::Committed);
+}
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -81,4 +81,29 @@
     });
 }
 
+void FakeTableService::watch(const std::string &collection, RowVersion since, Milliseconds wait, WatchHandler handler)
+{
+    pollChanges(collection, since, m_loop->now() + wait, handler);
+}
+
+void FakeTableService::pollChanges(const std::string &collection, RowVersion since, TimePoint until,
+                                   const WatchHandler &handler)
+{
+    if (faults.down) {
+        m_loop->postAfter(faults.timeout, [handler] {
+            handler(WatchResult());
+        });
+        return;
+    }
+    const WatchResult result = m_table->changes(collection, since);
+    const bool answers = result.historyLost || !result.changes.empty() || m_loop->now() >= until;
+    m_loop->postAfter(faults.latency, [this, collection, since, until, handler, answers, result] {
+        if (answers) {
+            handler(result);
+        } else {
+            pollChanges(collection, since, until, handler);
+        }
+    });
+}
+
 } // namespace fescueledge
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -4,6 +4,7 @@
 #include "fescueledge/loop.h"
 #include "fescueledge/workflow/coordinatorsettings.h"
 #include "fleettable_pvt.h"
+#include "interferencemodel_pvt.h"
 #include "jobtable_pvt.h"
 
 namespace fescueledge::workflow {
@@ -25,6 +26,7 @@
     const Catalog *catalog = nullptr;
     JobTable jobs;
     FleetTable fleet;
+    InterferenceModel interference;
 
     std::function<void()> wakeDispatch; ///< Something may be startable.
     std::function<void()> wakeWriter; ///< Something is to be made durable.
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -15,7 +15,7 @@
 /// Ended jobs and gone workers are looked for this often.
 constexpr Milliseconds cleanInterval{2000};
 /// What becomes startable within this time is placed together.
-constexpr Milliseconds dispatchDelay{3};
+constexpr Milliseconds dispatchDelay{5};
 /// Job changes are gathered for so long before the next are asked for.
 constexpr Milliseconds jobPause{15};
 constexpr const char *cancelSuffix = ".cancel";
@@ -49,6 +49,9 @@
     m_observations.observed = [this](Worker *worker) {
         m_pacing.observe(worker);
     };
+    m_pacing.hasBetterPlace = [this](const Task &task) {
+        return m_dispatch.hasPlaceElsewhere(task);
+    };
     m_context->wakeDispatch = [this] {
         scheduleDispatch();
     };
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -2,6 +2,7 @@
 
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
+#include "pacingsystem_pvt.h"
 
 #include <algorithm>
 #include <limits>
@@ -13,24 +14,27 @@
 
 /// A job that ends later than this many times its objective earns nothing, by the users' contract.
 constexpr int uselessAfterObjectives = 3;
-/// Serving tasks use about this share of the processor time they declare; fillers may have the rest.
-constexpr double servingLoad = 0.6;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
 constexpr double otherRackCost = 1;
+/// Added to the cost of a worker for each other image that serves there: the fewer images share a worker, the more
+/// fillers fit beside them.
+constexpr double otherImageCost = 0.5;
+/// A filler may add this much of its target to the tail of a serving task, alone and together with those there.
+constexpr double tolerableAlone = 0.06;
+constexpr double tolerableTogether = 0.15;
 
-/// Processor time that fillers could get on @p worker, in thousandths of a core, by the declared sizes.
+/// Processor time that fillers could get on @p worker, in thousandths of a core.
 double leftover(const Worker &worker)
 {
-    double busy = static_cast<double>(worker.fillerMilliCores);
-    for (const Task *task : worker.tasks) {
-        const StepSpec &spec = *task->step->spec;
-        if (!spec.filler) {
-            busy += static_cast<double>(spec.perTask.milliCores) * (spec.tailTarget.count() > 0 ? servingLoad : 1);
-        }
-    }
-    return static_cast<double>(worker.entry.capacity.milliCores) - busy;
+    return static_cast<double>(worker.entry.capacity.milliCores) - worker.busyMilliCores;
+}
+
+double shareOf(const Worker &worker, std::int64_t milliCores)
+{
+    return static_cast<double>(milliCores)
+        / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
 }
 
 bool onOtherRack(const Worker &worker, const Step &step)
@@ -98,6 +102,7 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
+    m_noPlace.clear();
     for (const std::pair<Rank, Step *> &entry : ranked) {
         if (entry.second->spec->gang) {
             startGang(entry.second);
@@ -107,14 +112,37 @@
     }
 }
 
+DispatchSystem::Shape DispatchSystem::shapeOf(const Step &step)
+{
+    return Shape{step.occurrence->job->policy.service, step.spec->requiredLabel, step.spec->image, step.spec->filler};
+}
+
+bool DispatchSystem::knownNotToFit(const Step &step) const
+{
+    const auto it = m_noPlace.find(shapeOf(step));
+    if (it == m_noPlace.end()) {
+        return false;
+    }
+    const Resources &need = step.spec->perTask;
+    return std::any_of(it->second.begin(), it->second.end(), [&need](const Resources &failed) {
+        return failed.fitsIn(need); // It needs at least as much of everything.
+    });
+}
+
 void DispatchSystem::startStep(Step *step)
 {
+    if (knownNotToFit(*step)) {
+        return;
+    }
     for (Task &task : step->tasks) {
         if (task.phase != TaskPhase::Idle) {
             continue;
         }
         Worker *worker = choose(*step);
         if (worker == nullptr) {
+            if (step->spec->maxPerWorker == 0) {
+                m_noPlace[shapeOf(*step)].push_back(step->spec->perTask);
+            }
             return;
         }
         m_orders->start(&task, worker);
@@ -180,15 +208,48 @@
     return spec.maxPerWorker == 0 || FleetTable::countOf(worker, step) < spec.maxPerWorker;
 }
 
+bool DispatchSystem::harmless(const Worker &worker, const StepSpec &filler) const
+{
+    const InterferenceModel &model = m_context->interference;
+    const double share = shareOf(worker, filler.perTask.milliCores);
+    return std::none_of(worker.servingImages.begin(), worker.servingImages.end(), [&](const auto &serving) {
+        const double alone = model.added(serving.first, filler.image, share);
+        return alone > tolerableAlone
+            || (alone > 0 && alone + model.added(serving.first, worker.fillerLoad) > tolerableTogether);
+    });
+}
+
+double DispatchSystem::servingCost(const Worker &worker, const StepSpec &spec) const
+{
+    const bool same = worker.servingImages.count(spec.image) > 0;
+    const std::size_t others = worker.servingImages.size() - (same ? 1 : 0);
+    // Serving tasks of one image share workers, and fill them: the other workers stay free for fillers.
+    return otherImageCost * static_cast<double>(others) - (same ? otherImageCost : 0)
+        - shareOf(worker, worker.used.milliCores)
+        + std::min(1.0, m_context->interference.added(spec.image, worker.fillerLoad));
+}
+
+bool DispatchSystem::hasPlaceElsewhere(const Task &task) const
+{
+    const Step &step = *task.step;
+    const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
+        const Worker &worker = *entry.second;
+        return &worker != task.worker && usable(worker, step) && harmless(worker, *step.spec)
+            && leftover(worker) >= static_cast<double>(step.spec->perTask.milliCores);
+    });
+}
+
 double DispatchSystem::cost(const Worker &worker, const Step &step) const
 {
     const StepSpec &spec = *step.spec;
-    const double capacity = static_cast<double>(std::max<std::int64_t>(worker.entry.capacity.milliCores, 1));
     double cost = 0;
-    if (spec.filler) {
-        cost = 1 - (leftover(worker) - static_cast<double>(spec.perTask.milliCores)) / capacity;
+    if (spec.tailTarget.count() > 0) {
+        cost = servingCost(worker, spec);
+    } else if (spec.filler) {
+        cost = 1 - leftover(worker) / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
     } else {
-        cost = static_cast<double>(worker.used.milliCores + spec.perTask.milliCores) / capacity;
+        cost = shareOf(worker, worker.used.milliCores);
     }
     if (!spec.dataRack.empty() && worker.entry.rack != spec.dataRack) {
         cost += remoteDataCost;
@@ -207,7 +268,9 @@
         if (!usable(*worker, step)) {
             continue;
         }
-        if (step.spec->filler && leftover(*worker) < static_cast<double>(step.spec->perTask.milliCores)) {
+        if (step.spec->filler
+            && (leftover(*worker) < static_cast<double>(step.spec->perTask.milliCores)
+                || !harmless(*worker, *step.spec))) {
             continue;
         }
         const double c = cost(*worker, step);
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -2,6 +2,8 @@
 
 #include "context_pvt.h"
 
+#include <tuple>
+
 namespace fescueledge::workflow {
 
 class ObservationSystem;
@@ -15,6 +17,8 @@
 
     /// Starts what can be started now.
     void run();
+    /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
+    bool hasPlaceElsewhere(const Task &task) const;
 
 private:
     /// How urgent a step is; smaller goes first.
@@ -27,6 +31,12 @@
         bool operator<(const Rank &other) const;
     };
 
+    /// What decides, besides the size, which workers could take a task: service, label, image, whether it is a filler.
+    using Shape = std::tuple<std::string, std::string, std::string, bool>;
+
+    static Shape shapeOf(const Step &step);
+    /// Whether a task of the same shape and at most this size found no worker in this run.
+    bool knownNotToFit(const Step &step) const;
     Rank rankOf(const Step &step, TimePoint now) const;
     bool mayStart(const Step &step, bool earlierRunsKnown) const;
     void startStep(Step *step);
@@ -34,10 +44,13 @@
     bool usable(const Worker &worker, const Step &step) const;
     Worker *choose(const Step &step) const;
     double cost(const Worker &worker, const Step &step) const;
+    double servingCost(const Worker &worker, const StepSpec &spec) const;
+    bool harmless(const Worker &worker, const StepSpec &filler) const;
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
     const ObservationSystem *m_observations;
+    std::map<Shape, std::vector<Resources>> m_noPlace; ///< Sizes that found no worker in the present run.
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -152,11 +152,31 @@
     return m_coordinator.empty() || m_parts.loop->now() > m_heardAt + suspicion;
 }
 
+json Election::pingBody() const
+{
+    json body{{"term", m_term}};
+    if (!m_coordinator.empty()) {
+        body["node"] = m_coordinator;
+        body["address"] = m_coordinatorAddress;
+    }
+    return body;
+}
+
+void Election::announce()
+{
+    // The coordinator that was replaced may reach neither the store nor a worker that has seen the new term.
+    for (const auto &[name, member] : m_members) {
+        if (name != m_self.name) {
+            m_parts.peers->call(name, PeerMessage{"coordinator-ping", pingBody()}, pingTimeout,
+                                [](const PeerResult &) {});
+        }
+    }
+}
+
 void Election::ping()
 {
     const std::shared_ptr<bool> alive = m_alive;
-    const json body{{"term", m_term}};
-    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout,
+    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", pingBody()}, pingTimeout,
                         [this, alive](const PeerResult &result) {
                             if (*alive && !m_own) {
                                 onPong(result);
@@ -188,18 +208,18 @@
 PeerMessage Election::answerPing(const NodeId &from, const json &body)
 {
     const Term theirs = body.value("term", Term{0});
+    if (theirs > m_term && body.contains("node")) {
+        adoptCoordinator(
+            CoordinatorRow{theirs, body.value("node", std::string()), body.value("address", std::string()), false});
+    }
     if (m_own) {
-        if (theirs > m_term) {
-            stepDown("a peer knows a later term");
-        } else if (theirs == m_term) {
+        if (theirs == m_term) {
             m_pingedBy[from] = m_parts.sinceBoot();
         }
     }
-    json reply{{"term", m_term}, {"leads", m_own != nullptr}, {"store", m_storeFailures < failuresToDoubt}};
-    if (!m_coordinator.empty()) {
-        reply["node"] = m_coordinator;
-        reply["address"] = m_coordinatorAddress;
-    }
+    json reply = pingBody();
+    reply["leads"] = m_own != nullptr;
+    reply["store"] = m_storeFailures < failuresToDoubt;
     return PeerMessage{"coordinator-pong", reply};
 }
 
@@ -363,6 +383,7 @@
     start.chainValue = encode(row);
     start.occupiedWorkers = occupied;
     context->catalog = m_catalog.get();
+    announce();
     m_own = std::make_unique<Coordinator>(context, m_parts.table, m_parts.fleet, start, m_random.below(1U << 30U));
     m_own->onStoreContact([this, alive](bool answered) {
         if (*alive) {
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -65,6 +65,8 @@
     void takeMemberRows(const std::vector<Row> &rows);
     void watchOver();
     void ping();
+    void announce();
+    nlohmann::json pingBody() const;
     void onPong(const PeerResult &result);
     PeerMessage answerPing(const NodeId &from, const nlohmann::json &body);
     bool suspects() const;
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -44,7 +44,9 @@
     int percent = 0; ///< As the worker reports it.
     TimePoint progressAt{}; ///< When the percentage last changed.
     std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
-    int pace = 100; ///< Speed last ordered, in percent.
+    int pace = 100; ///< Speed last ordered, in percent; -1 if that order was not answered.
+    TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
+    TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
     bool preempted = false; ///< Its stop makes room for a more urgent task.
 };
 
@@ -119,7 +121,9 @@
     WorkerTime leaseSent{0}; ///< Latest lease in any order, on its clock.
     TimePoint leaseOver{}; ///< By then that lease has passed for certain.
     Resources used; ///< By tasks that are not fillers, whatever their phase; memory includes fillers.
-    std::int64_t fillerMilliCores = 0; ///< Declared by the fillers on it.
+    double busyMilliCores = 0; ///< What its tasks are expected to use of the processors, fillers included.
+    std::map<std::string, double> fillerLoad; ///< Share of its processors that the fillers on it declare, by image.
+    std::map<std::string, int> servingImages; ///< Serving tasks on it, by image.
     std::set<Task *> tasks; ///< On it, in any phase but Idle and Done.
     std::uint64_t endsApplied = 0; ///< Number of the last end taken into the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last end that is durable.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// Serving tasks use about this share of the processor time they declare; fillers may have the rest.
+constexpr double servingLoad = 0.6;
+/// Loads below this are what rounding leaves of none.
+constexpr double leastLoad = 1e-9;
+
 /// What a task takes of a worker's capacity: a filler only its memory.
 Resources charge(const StepSpec &step)
 {
@@ -16,6 +21,32 @@
     return need;
 }
 
+/// Adds a task of @p step to the worker's sums (@p sign 1), or takes it off (-1).
+void account(Worker *worker, const StepSpec &step, int sign)
+{
+    if (sign > 0) {
+        worker->used += charge(step);
+    } else {
+        worker->used -= charge(step);
+    }
+    const bool serves = step.tailTarget.count() > 0;
+    const double milliCores = static_cast<double>(step.perTask.milliCores);
+    worker->busyMilliCores += sign * milliCores * (serves ? servingLoad : 1);
+    if (step.filler) {
+        const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker->entry.capacity.milliCores));
+        worker->fillerLoad[step.image] += sign * milliCores / capacity;
+        if (worker->fillerLoad[step.image] < leastLoad) {
+            worker->fillerLoad.erase(step.image);
+        }
+    }
+    if (serves) {
+        worker->servingImages[step.image] += sign;
+        if (worker->servingImages[step.image] <= 0) {
+            worker->servingImages.erase(step.image);
+        }
+    }
+}
+
 Duration atSlowestClock(WorkerTime span)
 {
     return std::chrono::duration_cast<Duration>(span / (1 - clockDrift));
@@ -50,22 +81,16 @@
 void FleetTable::place(Task *task, Worker *worker)
 {
     task->worker = worker;
-    worker->tasks.insert(task);
-    worker->used += charge(*task->step->spec);
-    if (task->step->spec->filler) {
-        worker->fillerMilliCores += task->step->spec->perTask.milliCores;
+    if (worker->tasks.insert(task).second) {
+        account(worker, *task->step->spec, 1);
     }
 }
 
 void FleetTable::release(Task *task)
 {
     Worker *worker = task->worker;
-    if (worker == nullptr || worker->tasks.erase(task) == 0) {
-        return;
-    }
-    worker->used -= charge(*task->step->spec);
-    if (task->step->spec->filler) {
-        worker->fillerMilliCores -= task->step->spec->perTask.milliCores;
+    if (worker != nullptr && worker->tasks.erase(task) > 0) {
+        account(worker, *task->step->spec, -1);
     }
     task->worker = nullptr;
 }
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -238,6 +238,8 @@
     task->percent = 0;
     task->gauge = 0;
     task->pace = 100;
+    task->slowSince = TimePoint{};
+    task->overTargetSince = TimePoint{};
     task->preempted = false;
     list(task->step);
 }
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -79,9 +79,10 @@
     ObserveOrder order;
     order.term = context.term;
     order.acknowledged = worker->endsDurable;
-    const bool steady = worker->contact == WorkerContact::Adopted && !endsWait && worker->callsUnanswered == 0;
-    order.wait = steady ? context.settings.observeWait : Milliseconds{0};
-    if (worker->clock.count() > 0 && !worker->tasks.empty()) {
+    // A worker that does not answer gets no longer lease, or it would never be known to have run out.
+    const bool answers = worker->contact == WorkerContact::Adopted && worker->callsUnanswered == 0;
+    order.wait = answers && !endsWait ? context.settings.observeWait : Milliseconds{0};
+    if (answers && worker->clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::noteLease(worker, order.leaseUntil);
     }
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -38,6 +38,7 @@
     FleetTable::place(task, worker);
     context.jobs.setPhase(task, TaskPhase::Starting, now);
     task->percent = 0;
+    task->pace = 100;
     task->progressAt = now;
     task->seen = false;
     task->stopConfirmed = false;
--- /dev/null
+++ b/src/libworkflow/simworkers.cpp
@@ -0,0 +1,298 @@
+#include "simworkers_pvt.h"
+
+#include "fescueledge/testing/simworld.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+SimWorkers::SimWorkers(SimWorld *world)
+    : m_world(world)
+{
+    workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(100), false);
+    };
+    gaugeOf = [](const SimWorker &, const RunRecord &) {
+        return std::int64_t{0};
+    };
+}
+
+SimWorkers::SimWorker *SimWorkers::add(const WorkerId &id, const DataCentreId &dataCentre, const std::string &rack,
+                                       const Resources &capacity)
+{
+    SimWorker &worker = m_workers[id];
+    worker.entry.id = id;
+    worker.entry.address = id;
+    worker.entry.service = "pool";
+    worker.entry.dataCentre = dataCentre;
+    worker.entry.rack = rack;
+    worker.entry.labels = {rack};
+    worker.entry.capacity = capacity;
+    worker.entry.life = ++m_lives;
+    worker.startedAt = m_world->now() - Milliseconds(1);
+    announce(worker.entry);
+    return &worker;
+}
+
+SimWorkers::SimWorker *SimWorkers::find(const WorkerId &id)
+{
+    const auto it = m_workers.find(id);
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+void SimWorkers::announce(const WorkerEntry &entry)
+{
+    FleetNews news;
+    news.present.push_back(entry);
+    for (const auto &listener : listeners) {
+        listener(news);
+    }
+}
+
+void SimWorkers::crash(const WorkerId &id)
+{
+    SimWorker &worker = m_workers.at(id);
+    settle(&worker);
+    worker.up = false;
+    for (const auto &[name, index] : worker.active) {
+        m_runs[index].ended = m_world->now();
+        m_runs[index].how = RunEnd::Lapsed;
+    }
+    worker.active.clear();
+    worker.ends.clear();
+}
+
+void SimWorkers::restart(const WorkerId &id)
+{
+    SimWorker &worker = m_workers.at(id);
+    worker.up = true;
+    worker.startedAt = m_world->now() - Milliseconds(1);
+    worker.highestTerm = 0;
+    worker.leaseUntil = WorkerTime{0};
+    worker.lastRun.clear();
+    worker.endCount = 0;
+    worker.entry.life = ++m_lives;
+    announce(worker.entry);
+}
+
+void SimWorkers::unlist(const WorkerId &id)
+{
+    m_unlisted.insert(id);
+    FleetNews news;
+    news.gone.push_back(id);
+    for (const auto &listener : listeners) {
+        listener(news);
+    }
+}
+
+void SimWorkers::setDraining(const WorkerId &id)
+{
+    m_workers.at(id).entry.draining = true;
+    announce(m_workers.at(id).entry);
+}
+
+std::vector<WorkerEntry> SimWorkers::listed() const
+{
+    std::vector<WorkerEntry> out;
+    for (const auto &[id, worker] : m_workers) {
+        if (m_unlisted.count(id) == 0) {
+            out.push_back(worker.entry);
+        }
+    }
+    return out;
+}
+
+WorkerTime SimWorkers::clockOf(const SimWorker &worker) const
+{
+    return std::chrono::duration_cast<WorkerTime>(m_world->now() - worker.startedAt);
+}
+
+void SimWorkers::end(SimWorker *worker, std::size_t index, RunEnd how)
+{
+    RunRecord &record = m_runs[index];
+    record.ended = std::min(m_world->now(), how == RunEnd::Done || how == RunEnd::Failed ? record.endsAt : m_world->now());
+    record.how = how;
+    EndedRun ended;
+    ended.number = ++worker->endCount;
+    ended.task = record.task;
+    ended.run = record.run;
+    ended.how = how;
+    worker->ends.push_back(ended);
+    RunNumber &last = worker->lastRun[toString(record.task)];
+    last = std::max(last, record.run);
+    worker->active.erase(toString(record.task));
+}
+
+void SimWorkers::settle(SimWorker *worker)
+{
+    const std::map<std::string, std::size_t> active = worker->active;
+    const bool lapsed = worker->leaseUntil.count() > 0 && clockOf(*worker) > worker->leaseUntil;
+    for (const auto &[name, index] : active) {
+        const RunRecord &record = m_runs[index];
+        const TimePoint leaseEnd = worker->startedAt + worker->leaseUntil;
+        if (record.endsAt <= m_world->now() && (!lapsed || record.endsAt <= leaseEnd)) {
+            end(worker, index, workOf(record.task).second || worker->failsAll ? RunEnd::Failed : RunEnd::Done);
+        } else if (lapsed) {
+            end(worker, index, RunEnd::Lapsed);
+            m_runs[index].ended = leaseEnd;
+        }
+    }
+}
+
+void SimWorkers::acknowledge(SimWorker *worker, std::uint64_t number)
+{
+    while (!worker->ends.empty() && worker->ends.front().number <= number) {
+        const EndedRun &ended = worker->ends.front();
+        for (RunRecord &record : m_runs) {
+            if (record.run == ended.run && record.worker == worker->entry.id && record.task == ended.task) {
+                record.acknowledged = true;
+            }
+        }
+        worker->ends.erase(worker->ends.begin());
+    }
+}
+
+OrderResult SimWorkers::start(const WorkerId &id, const StartOrder &order)
+{
+    SimWorker &worker = m_workers.at(id);
+    settle(&worker);
+    OrderResult result;
+    result.workerClock = clockOf(worker);
+    if (order.term < worker.highestTerm) {
+        result.outcome = OrderOutcome::StaleTerm;
+        return result;
+    }
+    worker.highestTerm = order.term;
+    if (order.leaseUntil < clockOf(worker)) {
+        result.outcome = OrderOutcome::Late;
+        return result;
+    }
+    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    const std::string name = toString(order.task);
+    const auto it = worker.active.find(name);
+    result.outcome = OrderOutcome::Done;
+    if (it != worker.active.end() && m_runs[it->second].run == order.run) {
+        return result;
+    }
+    const auto last = worker.lastRun.find(name);
+    if (last != worker.lastRun.end() && order.run <= last->second) {
+        result.outcome = OrderOutcome::StaleRun;
+        return result;
+    }
+    RunRecord record;
+    record.task = order.task;
+    record.run = order.run;
+    record.worker = id;
+    record.began = m_world->now();
+    record.endsAt = m_world->now() + workOf(order.task).first;
+    record.checkpoint = order.checkpoint;
+    record.payload = order.payload;
+    worker.active[name] = m_runs.size();
+    m_runs.push_back(record);
+    return result;
+}
+
+OrderResult SimWorkers::stop(const WorkerId &id, const TaskKey &task, RunNumber run, Term term)
+{
+    SimWorker &worker = m_workers.at(id);
+    settle(&worker);
+    OrderResult result;
+    result.workerClock = clockOf(worker);
+    if (term < worker.highestTerm) {
+        result.outcome = OrderOutcome::StaleTerm;
+        return result;
+    }
+    worker.highestTerm = term;
+    result.outcome = OrderOutcome::Done;
+    const std::string name = toString(task);
+    RunNumber &last = worker.lastRun[name];
+    last = std::max(last, run);
+    const auto it = worker.active.find(name);
+    if (it != worker.active.end() && m_runs[it->second].run == run) {
+        end(&worker, it->second, RunEnd::Stopped);
+    }
+    return result;
+}
+
+OrderResult SimWorkers::pace(const WorkerId &id, const TaskKey &task, RunNumber run, int percent, Term term)
+{
+    SimWorker &worker = m_workers.at(id);
+    settle(&worker);
+    OrderResult result;
+    result.workerClock = clockOf(worker);
+    if (term < worker.highestTerm) {
+        result.outcome = OrderOutcome::StaleTerm;
+        return result;
+    }
+    result.outcome = OrderOutcome::Rejected;
+    const auto it = worker.active.find(toString(task));
+    if (it != worker.active.end() && m_runs[it->second].run == run) {
+        m_runs[it->second].pace = percent;
+        result.outcome = OrderOutcome::Done;
+    }
+    return result;
+}
+
+Observation SimWorkers::observe(const WorkerId &id, const ObserveOrder &order)
+{
+    SimWorker &worker = m_workers.at(id);
+    settle(&worker);
+    Observation result;
+    result.workerClock = clockOf(worker);
+    result.life = worker.entry.life;
+    if (order.term < worker.highestTerm) {
+        result.outcome = OrderOutcome::StaleTerm;
+        return result;
+    }
+    worker.highestTerm = order.term;
+    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    acknowledge(&worker, order.acknowledged);
+    result.outcome = OrderOutcome::Done;
+    result.ended = worker.ends;
+    for (const auto &[name, index] : worker.active) {
+        const RunRecord &record = m_runs[index];
+        ActiveRun run;
+        run.task = record.task;
+        run.run = record.run;
+        run.percentAtWork = 100;
+        run.gauge = gaugeOf(worker, record);
+        result.active.push_back(run);
+    }
+    return result;
+}
+
+std::vector<SimWorkers::RunRecord> SimWorkers::runsOf(const JobId &job) const
+{
+    std::vector<RunRecord> out;
+    for (const RunRecord &record : m_runs) {
+        if (record.task.job == job) {
+            out.push_back(record);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> SimWorkers::tasksRunTwice()
+{
+    for (auto &[id, worker] : m_workers) {
+        settle(&worker);
+    }
+    std::map<std::string, std::vector<const RunRecord *>> byTask;
+    for (const RunRecord &record : m_runs) {
+        byTask[toString(record.task)].push_back(&record);
+    }
+    std::vector<std::string> out;
+    for (const auto &[name, records] : byTask) {
+        for (std::size_t i = 1; i < records.size(); ++i) {
+            const RunRecord &before = *records[i - 1];
+            const bool overlap = before.ended == TimePoint{} ? before.endsAt > records[i]->began
+                                                             : before.ended > records[i]->began;
+            if (overlap || (before.how == RunEnd::Done && before.acknowledged)) {
+                out.push_back(name);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/workflowworld.cpp
@@ -0,0 +1,448 @@
+#include "workflowworld_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+constexpr Milliseconds latency{1};
+constexpr Milliseconds observePoll{5};
+constexpr std::int64_t memoryMb = 100;
+
+/// Orders of one process to the simulated workers.
+class SimGateway : public WorkerGateway
+{
+public:
+    SimGateway(SimWorld *world, Loop *loop, SimWorkers *workers, NodeId self)
+        : m_world(world)
+        , m_loop(loop)
+        , m_workers(workers)
+        , m_self(std::move(self))
+    {
+    }
+
+    void start(const WorkerRef &worker, const StartOrder &order, Milliseconds timeout, OrderHandler handler) override
+    {
+        if (lateStarts > Duration::zero()) {
+            m_world->after(lateStarts, [this, worker, order] {
+                if (reaches(worker.id)) {
+                    m_workers->start(worker.id, order);
+                }
+            });
+            answerNothing(timeout, handler);
+            return;
+        }
+        carry(worker, timeout, handler, [this, worker, order] {
+            return m_workers->start(worker.id, order);
+        });
+    }
+
+    void stop(const WorkerRef &worker, const TaskKey &task, RunNumber run, Term term, Milliseconds timeout,
+              OrderHandler handler) override
+    {
+        carry(worker, timeout, handler, [this, worker, task, run, term] {
+            return m_workers->stop(worker.id, task, run, term);
+        });
+    }
+
+    void pace(const WorkerRef &worker, const TaskKey &task, RunNumber run, int percent, Term term,
+              Milliseconds timeout, OrderHandler handler) override
+    {
+        carry(worker, timeout, handler, [this, worker, task, run, percent, term] {
+            return m_workers->pace(worker.id, task, run, percent, term);
+        });
+    }
+
+    void observe(const WorkerRef &worker, const ObserveOrder &order, Milliseconds timeout,
+                 ObserveHandler handler) override
+    {
+        if (!reaches(worker.id)) {
+            m_loop->postAfter(timeout, [handler] {
+                handler(Observation{});
+            });
+            return;
+        }
+        m_world->after(latency, [this, worker, order, handler] {
+            wait(worker, order, m_world->now() + order.wait, handler);
+        });
+    }
+
+    Duration lateStarts{0};
+
+private:
+    bool reaches(const WorkerId &id) const
+    {
+        const SimWorkers::SimWorker *worker = m_workers->find(id);
+        return worker != nullptr && worker->up && worker->cutFrom.count(m_self) == 0;
+    }
+
+    void answerNothing(Milliseconds timeout, const OrderHandler &handler)
+    {
+        m_loop->postAfter(timeout, [handler] {
+            handler(OrderResult{});
+        });
+    }
+
+    void carry(const WorkerRef &worker, Milliseconds timeout, const OrderHandler &handler,
+               const std::function<OrderResult()> &order)
+    {
+        if (!reaches(worker.id)) {
+            answerNothing(timeout, handler);
+            return;
+        }
+        Loop *loop = m_loop;
+        m_world->after(latency, [loop, handler, order] {
+            const OrderResult result = order();
+            loop->postAfter(latency, [handler, result] {
+                handler(result);
+            });
+        });
+    }
+
+    void wait(const WorkerRef &worker, const ObserveOrder &order, TimePoint until, const ObserveHandler &handler)
+    {
+        Loop *loop = m_loop;
+        if (!reaches(worker.id)) {
+            loop->postAfter(latency, [handler] {
+                handler(Observation{});
+            });
+            return;
+        }
+        const Observation seen = m_workers->observe(worker.id, order);
+        if (seen.outcome != OrderOutcome::Done || !seen.ended.empty() || m_world->now() >= until) {
+            loop->postAfter(latency, [handler, seen] {
+                handler(seen);
+            });
+            return;
+        }
+        m_world->after(observePoll, [this, worker, order, until, handler] {
+            wait(worker, order, until, handler);
+        });
+    }
+
+    SimWorld *m_world;
+    Loop *m_loop;
+    SimWorkers *m_workers;
+    NodeId m_self;
+};
+
+/// The list of simulated workers, for one process.
+class SimFleetSource : public FleetSource
+{
+public:
+    SimFleetSource(Loop *loop, SimWorkers *workers)
+        : m_loop(loop)
+        , m_workers(workers)
+    {
+        const std::shared_ptr<Handler> handler = m_handler;
+        Loop *target = loop;
+        workers->listeners.push_back([handler, target](const FleetNews &news) {
+            target->postAfter(latency, [handler, news] {
+                if (*handler) {
+                    (*handler)(news);
+                }
+            });
+        });
+    }
+
+    void follow(Handler handler) override
+    {
+        *m_handler = std::move(handler);
+        FleetNews all;
+        all.complete = true;
+        all.present = m_workers->listed();
+        const std::shared_ptr<Handler> target = m_handler;
+        m_loop->postAfter(latency, [target, all] {
+            if (*target) {
+                (*target)(all);
+            }
+        });
+    }
+
+    void stop() override
+    {
+        *m_handler = nullptr;
+    }
+
+private:
+    Loop *m_loop;
+    SimWorkers *m_workers;
+    std::shared_ptr<Handler> m_handler = std::make_shared<Handler>();
+};
+
+/// Hands over the catalogs that a test sets.
+class SimCatalogSource : public CatalogSource
+{
+public:
+    void follow(Handler handler) override
+    {
+        m_handler = std::move(handler);
+        publish();
+    }
+
+    void set(const Catalog &catalog)
+    {
+        m_catalog = std::make_shared<Catalog>(catalog);
+        publish();
+    }
+
+private:
+    void publish()
+    {
+        if (m_handler && m_catalog) {
+            m_handler(m_catalog);
+        }
+    }
+
+    Handler m_handler;
+    std::shared_ptr<const Catalog> m_catalog;
+};
+
+Catalog defaultCatalog()
+{
+    Catalog catalog;
+    catalog.version = 1;
+    for (const char *name : {"batch", "urgent"}) {
+        QueuePolicy queue;
+        queue.name = name;
+        queue.service = "pool";
+        queue.priority = std::string(name) == "urgent" ? 0 : 2;
+        queue.maxAttempts = 3;
+        queue.slackFactor = 2;
+        queue.target = Milliseconds(1000);
+        catalog.queues.push_back(queue);
+    }
+    ServicePolicy service;
+    service.name = "pool";
+    service.workersGuardCapacity = true;
+    catalog.services.emplace(service.name, service);
+    return catalog;
+}
+
+} // namespace
+
+std::size_t MemoryLog::count(const std::string &event) const
+{
+    const std::string head = "event=" + event;
+    return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&head](const std::string &line) {
+        return line == head || line.compare(0, head.size() + 1, head + " ") == 0;
+    }));
+}
+
+struct WorkflowWorld::Process
+{
+    Process(WorkflowWorld *owner, int index, std::uint64_t seed)
+        : name("node-" + std::to_string(index))
+        , loop(&owner->world)
+        , table(&owner->world, &loop, &owner->rows, seed)
+        , transport(&owner->network, &loop, name)
+        , gateway(&owner->world, &loop, &owner->workers, name)
+        , fleet(&loop, &owner->workers)
+    {
+        NodeParts parts;
+        parts.loop = &loop;
+        parts.table = &table;
+        parts.peers = &transport;
+        parts.gateway = &gateway;
+        parts.fleet = &fleet;
+        parts.catalogs = &catalogs;
+        parts.log = &log;
+        parts.wallClock = [this] {
+            return std::chrono::time_point_cast<Milliseconds>(WallTime(
+                std::chrono::duration_cast<Milliseconds>(loop.now().time_since_epoch())));
+        };
+        parts.sinceBoot = [this] {
+            return loop.now().time_since_epoch();
+        };
+        NodeSelf self;
+        self.name = name;
+        self.peerAddress = name;
+        self.seed = seed;
+        catalogs.set(owner->catalog);
+        node = std::make_unique<WorkflowNode>(parts, self, CoordinatorSettings{});
+    }
+
+    NodeId name;
+    SimLoop loop;
+    FakeTableService table;
+    FakePeerTransport transport;
+    SimGateway gateway;
+    SimFleetSource fleet;
+    SimCatalogSource catalogs;
+    MemoryLog log;
+    std::unique_ptr<WorkflowNode> node;
+    bool killed = false;
+};
+
+WorkflowWorld::WorkflowWorld(int nodes, std::uint64_t seed)
+    : network(&world, seed)
+    , workers(&world)
+    , catalog(defaultCatalog())
+    , m_seed(seed)
+{
+    for (int i = 0; i < nodes; ++i) {
+        m_processes.push_back(nullptr);
+        startNode(i);
+    }
+}
+
+WorkflowWorld::~WorkflowWorld()
+{
+    for (const std::unique_ptr<Process> &process : m_processes) {
+        process->loop.kill();
+    }
+}
+
+void WorkflowWorld::startNode(int index)
+{
+    std::unique_ptr<Process> &slot = m_processes[static_cast<std::size_t>(index)];
+    if (slot) {
+        m_ended.push_back(std::move(slot)); // Calls of it may still be on their way.
+    }
+    slot = std::make_unique<Process>(this, index, ++m_seed * 1000 + static_cast<std::uint64_t>(index));
+    Process *process = slot.get();
+    network.setIsolated(process->name, false);
+    process->loop.post([process] {
+        process->node->start();
+    });
+}
+
+void WorkflowWorld::kill(int index)
+{
+    Process &process = *m_processes[static_cast<std::size_t>(index)];
+    process.loop.kill();
+    process.killed = true;
+    network.setIsolated(process.name, true);
+}
+
+void WorkflowWorld::pause(int index)
+{
+    m_processes[static_cast<std::size_t>(index)]->loop.pause();
+}
+
+void WorkflowWorld::resume(int index)
+{
+    m_processes[static_cast<std::size_t>(index)]->loop.resume();
+}
+
+int WorkflowWorld::coordinator() const
+{
+    for (std::size_t i = 0; i < m_processes.size(); ++i) {
+        if (!m_processes[i]->killed && m_processes[i]->node->isCoordinator()) {
+            return static_cast<int>(i);
+        }
+    }
+    return -1;
+}
+
+FakeTableService::Faults &WorkflowWorld::storeFaults(int index)
+{
+    return m_processes[static_cast<std::size_t>(index)]->table.faults;
+}
+
+void WorkflowWorld::delayStarts(int index, Duration delay)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.lateStarts = delay;
+}
+
+MemoryLog &WorkflowWorld::log(int index)
+{
+    return m_processes[static_cast<std::size_t>(index)]->log;
+}
+
+void WorkflowWorld::run(Duration span)
+{
+    world.runFor(span);
+}
+
+bool WorkflowWorld::runUntil(const std::function<bool()> &done, Duration limit)
+{
+    return world.runUntil(done, limit);
+}
+
+FrontAnswer WorkflowWorld::ask(int index,
+                               const std::function<void(WorkflowNode *, WorkflowNode::AnswerHandler)> &question)
+{
+    const std::shared_ptr<std::optional<FrontAnswer>> got = std::make_shared<std::optional<FrontAnswer>>();
+    Process *process = m_processes[static_cast<std::size_t>(index)].get();
+    process->loop.post([process, question, got] {
+        question(process->node.get(), [got](const FrontAnswer &answer) {
+            *got = answer;
+        });
+    });
+    runUntil(
+        [got] {
+            return got->has_value();
+        },
+        std::chrono::seconds(10));
+    return got->value_or(FrontAnswer{});
+}
+
+FrontOutcome WorkflowWorld::submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue)
+{
+    const QueuePolicy policy = *catalog.queue(queue);
+    return ask(index,
+               [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
+                   node->submit(policy, id, spec, Milliseconds(3000), handler);
+               })
+        .outcome;
+}
+
+FrontOutcome WorkflowWorld::cancel(int index, const JobId &id)
+{
+    return ask(index,
+               [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
+                   node->cancel(id, Milliseconds(3000), handler);
+               })
+        .outcome;
+}
+
+std::string WorkflowWorld::state(int index, const JobId &id)
+{
+    return ask(index,
+               [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
+                   node->status(id, handler);
+               })
+        .state;
+}
+
+std::optional<std::size_t> WorkflowWorld::pending(int index, const std::string &queue)
+{
+    const QueuePolicy policy = *catalog.queue(queue);
+    const FrontAnswer answer = ask(index, [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
+        node->pending(policy, handler);
+    });
+    return answer.outcome == FrontOutcome::Ok ? std::optional<std::size_t>(answer.pending) : std::nullopt;
+}
+
+void WorkflowWorld::setCatalog(const Catalog &newest)
+{
+    catalog = newest;
+    for (const std::unique_ptr<Process> &process : m_processes) {
+        Process *target = process.get();
+        process->loop.post([target, newest] {
+            target->catalogs.set(newest);
+        });
+    }
+}
+
+StepSpec simpleStep(std::uint32_t count)
+{
+    StepSpec step;
+    step.count = count;
+    step.perTask.milliCores = 1000;
+    step.perTask.memoryMb = memoryMb;
+    step.estimate = Milliseconds(100);
+    return step;
+}
+
+WorkflowSpec workflowOf(std::vector<StepSpec> steps)
+{
+    WorkflowSpec spec;
+    spec.payload = "work";
+    spec.steps = std::move(steps);
+    return spec;
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "fescueledge/eventlog.h"
+#include "fescueledge/testing/fakenetwork.h"
+#include "fescueledge/testing/fakepeertransport.h"
+#include "fescueledge/testing/faketableservice.h"
+#include "fescueledge/testing/memorytable.h"
+#include "fescueledge/testing/simloop.h"
+#include "fescueledge/testing/simworld.h"
+#include "fescueledge/workflow/catalogsource.h"
+#include "fescueledge/workflow/workflownode.h"
+#include "simworkers_pvt.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescueledge::workflow {
+
+/// Keeps the lines that a node logs.
+class MemoryLog : public EventLog
+{
+public:
+    void write(const LogLine &line) override
+    {
+        lines.push_back(line.text());
+    }
+    /// Lines of event @p event.
+    std::size_t count(const std::string &event) const;
+
+    std::vector<std::string> lines;
+};
+
+/// Nodes, a store, and workers in virtual time, without a network.
+class WorkflowWorld
+{
+public:
+    /// One simulated process.
+    struct Process;
+
+    explicit WorkflowWorld(int nodes, std::uint64_t seed = 1);
+    ~WorkflowWorld();
+    WorkflowWorld(const WorkflowWorld &) = delete;
+    WorkflowWorld &operator=(const WorkflowWorld &) = delete;
+
+    void run(Duration span);
+    /// Runs until @p done holds; false if it does not within @p limit.
+    bool runUntil(const std::function<bool()> &done, Duration limit);
+
+    /// Starts the process of node @p index, anew if it was killed.
+    void startNode(int index);
+    void kill(int index);
+    void pause(int index);
+    void resume(int index);
+    /// The index of the node that coordinates; -1 if there is none.
+    int coordinator() const;
+    FakeTableService::Faults &storeFaults(int index);
+    /// Makes each following start order of node @p index be carried out after @p delay and its answer be lost.
+    void delayStarts(int index, Duration delay);
+
+    /// Submits through node @p index and waits for the answer.
+    FrontOutcome submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue = "batch");
+    FrontOutcome cancel(int index, const JobId &id);
+    /// The state that node @p index tells; empty if it tells none.
+    std::string state(int index, const JobId &id);
+    std::optional<std::size_t> pending(int index, const std::string &queue);
+    /// Sets the catalog on all nodes.
+    void setCatalog(const Catalog &catalog);
+    MemoryLog &log(int index);
+
+    SimWorld world;
+    MemoryTable rows;
+    FakeNetwork network;
+    SimWorkers workers;
+    Catalog catalog;
+
+private:
+    FrontAnswer ask(int index, const std::function<void(WorkflowNode *, WorkflowNode::AnswerHandler)> &question);
+
+    std::vector<std::unique_ptr<Process>> m_processes;
+    std::vector<std::unique_ptr<Process>> m_ended;
+    std::uint64_t m_seed;
+};
+
+/// A step of @p count tasks of one core each.
+StepSpec simpleStep(std::uint32_t count);
+/// A workflow with these steps.
+WorkflowSpec workflowOf(std::vector<StepSpec> steps);
+
+} // namespace fescueledge::workflow
