Keep what is learnt of interference across coordinators, and count failed runs once

A failed run whose end was durable, but not yet acknowledged to its worker, was counted again by the next coordinator (LOST: shown as failed without cause). Declared processor use was taken for real use.

Change: the model goes along with progress writes every two seconds; members rank by size and then by latest start; a task keeps the numbers of its failed runs.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -43,6 +43,7 @@
 {
     m_context->term = start.term;
     m_context->tookOverAt = m_context->now();
+    m_context->interference.decode(start.interference);
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -21,6 +21,7 @@
     RowVersion chainVersion = 0;
     std::string chainValue; ///< Value of the coordinator's row.
     std::string occupiedWorkers; ///< Row of the earlier coordinator; empty if there is none.
+    std::string interference; ///< What it had learnt; empty if nothing.
 };
 
 /// Coordinates all workflows during one term: accepted jobs in, orders to workers out.
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -20,10 +20,10 @@
 constexpr double otherRackCost = 1;
 /// Added to the cost of a worker for each other image that serves there: the fewer images share a worker, the more
 /// fillers fit beside them.
-constexpr double otherImageCost = 0.5;
+constexpr double otherImageCost = 2;
 /// A filler may add this much of its target to the tail of a serving task, alone and together with those there.
-constexpr double tolerableAlone = 0.06;
-constexpr double tolerableTogether = 0.15;
+constexpr double tolerableAlone = 0.1;
+constexpr double tolerableTogether = 0.2;
 
 /// Processor time that fillers could get on @p worker, in thousandths of a core.
 double leftover(const Worker &worker)
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -115,7 +115,7 @@
         const json value = json::parse(row.value, nullptr, false);
         if (value.is_object() && value.contains("address")) {
             m_members[row.key.substr(row.key.find('/') + 1)] =
-                Member{value.value("address", std::string()), value.value("cores", 0.0)};
+                Member{value.value("address", std::string()), value.value("cores", 0.0), row.version};
         }
     }
 }
@@ -283,12 +283,15 @@
 
 Duration Election::rankDelay() const
 {
+    // Among nodes of one size the one that started last goes first: nodes are restarted in turn, and it had its turn.
+    const auto self = m_members.find(m_self.name);
+    const RowVersion registered = self == m_members.end() ? 0 : self->second.registered;
     int better = 0;
     for (const auto &[name, member] : m_members) {
         if (name == m_self.name || name == m_coordinator) {
             continue;
         }
-        if (member.cores > m_self.cores || (member.cores == m_self.cores && name < m_self.name)) {
+        if (member.cores > m_self.cores || (member.cores == m_self.cores && member.registered > registered)) {
             ++better;
         }
     }
@@ -327,24 +330,24 @@
 void Election::onElected(const CoordinatorRow &row, RowVersion version)
 {
     const std::shared_ptr<bool> alive = m_alive;
-    m_parts.table->read({rows::occupiedWorkers()}, [this, alive, row, version](const ReadResult &result) {
-        if (!*alive) {
-            return;
-        }
-        if (!result.available) {
-            m_parts.loop->postAfter(m_settings.orderRetry, [this, alive, row, version] {
-                if (*alive) {
-                    onElected(row, version);
-                }
-            });
-            return;
-        }
-        const Row *occupied = result.find(rows::occupiedWorkers());
-        lead(row, version, occupied == nullptr ? std::string() : occupied->value);
-    });
+    m_parts.table->read({rows::occupiedWorkers(), rows::interference()},
+                        [this, alive, row, version](const ReadResult &result) {
+                            if (!*alive) {
+                                return;
+                            }
+                            if (!result.available) {
+                                m_parts.loop->postAfter(m_settings.orderRetry, [this, alive, row, version] {
+                                    if (*alive) {
+                                        onElected(row, version);
+                                    }
+                                });
+                                return;
+                            }
+                            lead(row, version, result);
+                        });
 }
 
-void Election::lead(const CoordinatorRow &row, RowVersion version, const std::string &occupied)
+void Election::lead(const CoordinatorRow &row, RowVersion version, const ReadResult &left)
 {
     if (m_own || m_term > row.term) {
         return;
@@ -381,7 +384,10 @@
     start.term = row.term;
     start.chainVersion = version;
     start.chainValue = encode(row);
-    start.occupiedWorkers = occupied;
+    const Row *occupied = left.find(rows::occupiedWorkers());
+    const Row *model = left.find(rows::interference());
+    start.occupiedWorkers = occupied == nullptr ? std::string() : occupied->value;
+    start.interference = model == nullptr ? std::string() : model->value;
     context->catalog = m_catalog.get();
     announce();
     m_own = std::make_unique<Coordinator>(context, m_parts.table, m_parts.fleet, start, m_random.below(1U << 30U));
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -48,6 +48,7 @@
     {
         std::string address;
         double cores = 0;
+        RowVersion registered = 0; ///< Grows with each start of a node.
     };
     /// Content of the coordinator's row.
     struct CoordinatorRow
@@ -74,7 +75,7 @@
     void onCoordinatorRow(const ReadResult &result);
     void takeOver(const CoordinatorRow &current, RowVersion version);
     void onElected(const CoordinatorRow &row, RowVersion version);
-    void lead(const CoordinatorRow &row, RowVersion version, const std::string &occupied);
+    void lead(const CoordinatorRow &row, RowVersion version, const ReadResult &left);
     void stepDown(const char *reason);
     bool mayOrder() const;
     void noteStore(bool answered);
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -36,7 +36,7 @@
     TaskPhase phase = TaskPhase::Idle;
     Worker *worker = nullptr; ///< Set in all phases but Idle and Done.
     RunNumber run = 0; ///< Highest run number used so far.
-    std::uint32_t failures = 0;
+    std::vector<RunNumber> failedRuns; ///< Its runs that failed; each counts once, however often it is reported.
     std::string checkpoint;
     TimePoint phaseSince{}; ///< When the phase began.
     bool seen = false; ///< The run was seen on its worker: the order to start it is no longer on its way.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// Serving tasks use about this share of the processor time they declare; fillers may have the rest.
-constexpr double servingLoad = 0.6;
+constexpr double servingLoad = 0.42;
+/// Fillers use about this share of the processor time they declare.
+constexpr double fillerUse = 0.88;
 /// Loads below this are what rounding leaves of none.
 constexpr double leastLoad = 1e-9;
 
@@ -31,7 +33,7 @@
     }
     const bool serves = step.tailTarget.count() > 0;
     const double milliCores = static_cast<double>(step.perTask.milliCores);
-    worker->busyMilliCores += sign * milliCores * (serves ? servingLoad : 1);
+    worker->busyMilliCores += sign * milliCores * (serves ? servingLoad : step.filler ? fillerUse : 1);
     if (step.filler) {
         const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker->entry.capacity.milliCores));
         worker->fillerLoad[step.image] += sign * milliCores / capacity;
--- a/src/libworkflow/interferencemodel.cpp
+++ b/src/libworkflow/interferencemodel.cpp
@@ -1,6 +1,7 @@
 #include "interferencemodel_pvt.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -63,7 +64,11 @@
 {
     json out = json::object();
     for (const auto &[image, serving] : m_serving) {
-        out[image] = {{"base", serving.base}, {"effects", serving.effects}};
+        json effects = json::object();
+        for (const auto &[filler, effect] : serving.effects) {
+            effects[filler] = std::round(effect * 10) / 10;
+        }
+        out[image] = {{"base", std::round(serving.base * 100) / 100}, {"effects", effects}};
     }
     return out.dump();
 }
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -28,8 +28,8 @@
             done.push_back(task.index);
             continue;
         }
-        if (task.failures > 0) {
-            failures.push_back({task.index, task.failures});
+        if (!task.failedRuns.empty()) {
+            failures.push_back({task.index, task.failedRuns});
         }
         if (!task.checkpoint.empty()) {
             checkpoints.push_back({task.index, task.checkpoint});
@@ -70,7 +70,7 @@
     }
     if (progress.contains("failures")) {
         for (const json &entry : progress.at("failures")) {
-            step->tasks.at(entry.at(0).get<std::size_t>()).failures = entry.at(1).get<std::uint32_t>();
+            step->tasks.at(entry.at(0).get<std::size_t>()).failedRuns = entry.at(1).get<std::vector<RunNumber>>();
         }
     }
     if (progress.contains("checkpoints")) {
@@ -282,15 +282,16 @@
     }
 }
 
-void JobTable::countFailure(Task *task, TimePoint now)
+void JobTable::countFailure(Task *task, RunNumber run, TimePoint now)
 {
     Job *job = task->step->occurrence->job;
-    if (task->step->spec->longRunning) {
+    std::vector<RunNumber> &runs = task->failedRuns;
+    if (task->step->spec->longRunning || std::find(runs.begin(), runs.end(), run) != runs.end()) {
         return;
     }
-    ++task->failures;
+    runs.push_back(run);
     markDirty(job);
-    if (task->failures >= job->policy.maxAttempts && !job->ended()) {
+    if (runs.size() >= job->policy.maxAttempts && !job->ended()) {
         end(job, JobPhase::Failed, now);
     }
 }
--- a/src/libworkflow/jobtable_pvt.h
+++ b/src/libworkflow/jobtable_pvt.h
@@ -29,8 +29,8 @@
     void setPhase(Task *task, TaskPhase phase, TimePoint now);
     /// Counts @p task as done; opens the steps that waited for it, and may complete its job.
     void setDone(Task *task, TimePoint now, WallTime wall);
-    /// Counts a failed run; the job has failed when its attempts are used up.
-    void countFailure(Task *task, TimePoint now);
+    /// Counts failed run @p run, unless it is counted already; the job has failed when its attempts are used up.
+    void countFailure(Task *task, RunNumber run, TimePoint now);
     /// Ends the job in @p phase. Its tasks keep their phases; the caller stops them.
     void end(Job *job, JobPhase phase, TimePoint now);
     /// Frees what an ended job no longer needs, once none of its tasks is on a worker.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -268,7 +268,7 @@
     } else {
         context.jobs.setIdle(task);
         if (end.how == RunEnd::Failed) {
-            context.jobs.countFailure(task, now);
+            context.jobs.countFailure(task, end.run, now);
         }
     }
     if (job->ended()) {
@@ -289,7 +289,7 @@
         context.jobs.setDone(task, context.now(), context.wallClock());
         m_orders->stopUnknown(other, key, run);
     } else if (end.how == RunEnd::Failed) {
-        context.jobs.countFailure(task, context.now());
+        context.jobs.countFailure(task, end.run, context.now());
     }
     if (job->ended()) {
         m_orders->stopJob(job);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -123,7 +123,7 @@
         worker->blockedUntil = now + noRoomPause;
         break;
     case OrderOutcome::Rejected:
-        context.jobs.countFailure(task, now);
+        context.jobs.countFailure(task, task->run, now);
         if (task->step->occurrence->job->ended()) {
             stopJob(task->step->occurrence->job);
         }
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t maxRemovalsPerWrite = 10; ///< Three rows each.
 /// How long the fate of a write is looked for before the term is given up.
 constexpr Milliseconds commitPatience{60000};
+/// What is learnt of interference goes along with a write this often.
+constexpr Milliseconds modelInterval{2000};
 
 } // namespace
 
@@ -67,6 +69,19 @@
     return true;
 }
 
+void ProgressWriter::fillModel(Transaction *transaction)
+{
+    if (m_context->now() < m_modelAt + modelInterval) {
+        return;
+    }
+    m_modelAt = m_context->now();
+    const std::string model = m_context->interference.encode();
+    if (model != m_modelWritten) {
+        transaction->puts.push_back({rows::interference(), model});
+        m_modelWritten = model;
+    }
+}
+
 bool ProgressWriter::fill(Transaction *transaction, Batch *batch)
 {
     Context &context = *m_context;
@@ -109,6 +124,7 @@
         settle(*batch); // Ends that change nothing durable can be acknowledged as they are.
         return;
     }
+    fillModel(&transaction);
     m_inFlight = true;
     m_lastStart = m_context->now();
     const std::shared_ptr<Context> shared = m_context;
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -50,6 +50,7 @@
 
     void flush();
     bool fill(Transaction *transaction, Batch *batch);
+    void fillModel(Transaction *transaction);
     bool fillRecord(Transaction *transaction, Batch *batch);
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void settle(const Batch &batch);
@@ -61,6 +62,8 @@
     RowVersion m_chainVersion;
     std::string m_chainValue;
     std::string m_recordWritten;
+    std::string m_modelWritten;
+    TimePoint m_modelAt{};
     std::vector<JobId> m_removals;
     bool m_scheduled = false;
     bool m_inFlight = false;
--- a/src/libworkflow/rows_pvt.h
+++ b/src/libworkflow/rows_pvt.h
@@ -41,6 +41,12 @@
     return "occupied/workers";
 }
 
+/// What is learnt of how fillers disturb serving tasks.
+inline std::string interference()
+{
+    return "occupied/interference";
+}
+
 inline std::string node(const NodeId &id)
 {
     return "node/" + id;
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -110,7 +110,8 @@
 void SimWorkers::end(SimWorker *worker, std::size_t index, RunEnd how)
 {
     RunRecord &record = m_runs[index];
-    record.ended = std::min(m_world->now(), how == RunEnd::Done || how == RunEnd::Failed ? record.endsAt : m_world->now());
+    record.ended =
+        std::min(m_world->now(), how == RunEnd::Done || how == RunEnd::Failed ? record.endsAt : m_world->now());
     record.how = how;
     EndedRun ended;
     ended.number = ++worker->endCount;
@@ -285,8 +286,8 @@
     for (const auto &[name, records] : byTask) {
         for (std::size_t i = 1; i < records.size(); ++i) {
             const RunRecord &before = *records[i - 1];
-            const bool overlap = before.ended == TimePoint{} ? before.endsAt > records[i]->began
-                                                             : before.ended > records[i]->began;
+            const bool overlap =
+                before.ended == TimePoint{} ? before.endsAt > records[i]->began : before.ended > records[i]->began;
             if (overlap || (before.how == RunEnd::Done && before.acknowledged)) {
                 out.push_back(name);
             }
