--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -31,8 +31,7 @@
 {
 public:
     Impl(AsioLoop *loop, Handler handler)
-        : m_loop(loop)
-        , m_handler(std::move(handler))
+        : m_handler(std::move(handler))
         , m_acceptor(loop->context())
     {
     }
@@ -78,7 +77,6 @@
         m_sessions.erase(session);
     }
 
-    AsioLoop *m_loop;
     Handler m_handler;
     tcp::acceptor m_acceptor;
     std::set<SessionPtr> m_sessions;
