Blame fillers only for tails beyond a serving task's own swing, and let small jobs pass

In a burst, jobs in order of their objectives held each other up until all were late.

Change: positive errors count only above 0.8 of a target, at half the rate; slowed fillers move after 150 ms; among jobs of one urgency each goes behind by the time that 0.3% of the fleet takes for what is left of it.

--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -14,6 +14,9 @@
 
 /// A job that ends later than this many times its objective earns nothing, by the users' contract.
 constexpr int uselessAfterObjectives = 3;
+/// Among jobs of one urgency, a job goes behind others by the time that this share of the fleet takes for what is left
+/// of it: small jobs pass large ones in a burst, and large ones still get their turn.
+constexpr double handicapShare = 0.003;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
@@ -37,6 +40,20 @@
         / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
 }
 
+/// How long a small part of the fleet would take for what is left of @p job, by its declared sizes and estimates.
+Duration sizeHandicap(const Job &job, double fleetMilliCores)
+{
+    double work = 0;
+    for (const auto &[number, occurrence] : job.open) {
+        for (const Step &step : occurrence->steps) {
+            work += static_cast<double>(step.left) * static_cast<double>(step.spec->perTask.milliCores)
+                * static_cast<double>(step.spec->estimate.count());
+        }
+    }
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(work / std::max(1.0, fleetMilliCores * handicapShare)));
+}
+
 bool onOtherRack(const Worker &worker, const Step &step)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [&worker](const Task &task) {
@@ -65,6 +82,7 @@
     Rank rank;
     rank.priority = job.policy.priority;
     rank.objective = job.objective;
+    rank.objective += sizeHandicap(job, m_fleetMilliCores);
     const Duration allowance = job.objective - job.acceptedAt;
     if (step.spec->longRunning) {
         rank.group = 0;
@@ -91,6 +109,10 @@
         return;
     }
     context.jobs.prune();
+    m_fleetMilliCores = 0;
+    for (const auto &[id, worker] : context.fleet.all()) {
+        m_fleetMilliCores += static_cast<double>(worker->entry.capacity.milliCores);
+    }
     const TimePoint now = context.now();
     const bool earlierRunsKnown = m_observations->knowsEarlierRuns();
     std::vector<std::pair<Rank, Step *>> ranked;
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -49,6 +49,7 @@
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
+    double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
     std::map<Shape, std::vector<Resources>> m_noPlace; ///< Sizes that found no worker in the present run.
 };
--- a/src/libworkflow/interference_test.cpp
+++ b/src/libworkflow/interference_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cmath>
 
 using namespace fescueledge;
 using namespace fescueledge::workflow;
@@ -56,6 +57,17 @@
     CHECK(copy.added("web", "loud", 0.1) == Approx(model.added("web", "loud", 0.1)).margin(0.01)); // Rows are rounded.
 }
 
+TEST_CASE("the swing of a serving task's own load blames nobody")
+{
+    InterferenceModel model;
+    for (int i = 0; i < 400; ++i) {
+        const double swing = 0.45 * (1 + 0.5 * std::sin(i * 0.031));
+        model.learn("web", swing, {{"quiet", 0.1}, {"calm", 0.2}});
+    }
+    CHECK(model.added("web", "quiet", 0.1) < 0.1);
+    CHECK(model.added("web", "calm", 0.2) < 0.1);
+}
+
 TEST_CASE("fillers that disturb are slowed down at once, moved away, and not placed there again")
 {
     WorkflowWorld world(1);
--- a/src/libworkflow/interferencemodel.cpp
+++ b/src/libworkflow/interferencemodel.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 /// Share of an error that one gauge corrects. Some ten gauges a second come for each pair: learnt in a second or two.
-constexpr double effectRate = 0.1;
+constexpr double effectRate = 0.05;
+constexpr double blameAbove = 0.8;
 constexpr double baseRate = 0.05;
 /// The base moves slower while fillers are present: they, too, may be the cause.
 constexpr double sharedBaseRate = 0.015;
@@ -33,9 +34,11 @@
     for (const auto &[image, share] : load) {
         norm += share * share;
     }
+    // A serving task's own load lengthens its tail as well, by up to half; only what is beyond that blames fillers.
+    const double blame = error > 0 && tail < blameAbove ? 0 : error;
     for (const auto &[image, share] : load) {
         double &effect = known.effects[image];
-        effect = std::max(0.0, effect + effectRate * error * share / norm);
+        effect = std::max(0.0, effect + effectRate * blame * share / norm);
     }
     known.base += (load.empty() ? baseRate : sharedBaseRate) * error;
     known.base = std::clamp(known.base, leastBase, largestBase);
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -17,9 +17,9 @@
 /// A tail over its target for so long stops all fillers, whatever the model says: half of what users bear.
 constexpr Milliseconds overTargetLimit{1500};
 /// A change of pace shows in the gauges after so long.
-constexpr Milliseconds settleTime{600};
+constexpr Milliseconds settleTime{400};
 /// A filler that has been held at a low pace for so long is moved.
-constexpr Milliseconds stuckTime{700};
+constexpr Milliseconds stuckTime{150};
 constexpr int slowPace = 50;
 constexpr int speedUpStep = 50;
 constexpr int fullPace = 100;
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -433,3 +433,37 @@
     CHECK(world->state(1, jobB) == "queued");
     CHECK(world->state(1, jobA) == "in_progress");
 }
+
+TEST_CASE("burst of jobs of all sizes: small jobs pass large ones, and large ones still get their turn")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 8);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(400), false);
+    };
+    const JobId large = "00000000000000f0";
+    StepSpec many = simpleStep(64);
+    many.estimate = Milliseconds(400);
+    world->submit(0, large, workflowOf({many}));
+    std::vector<JobId> small;
+    for (int i = 0; i < 40; ++i) {
+        small.push_back("00000000000001" + std::to_string(10 + i));
+        StepSpec few = simpleStep(4);
+        few.estimate = Milliseconds(400);
+        world->submit(0, small.back(), workflowOf({few}));
+        world->run(Milliseconds(60));
+    }
+    // At this load the fleet is full: the large job alone would hold up the small ones for 1.6 s each time.
+    int inObjective = 0;
+    CHECK(reaches(*world, 0, large, "complete", std::chrono::seconds(15)));
+    for (const JobId &id : small) {
+        const std::vector<SimWorkers::RunRecord> runs = world->workers.runsOf(id);
+        TimePoint first = TimePoint::max();
+        TimePoint last{};
+        for (const SimWorkers::RunRecord &run : runs) {
+            first = std::min(first, run.began);
+            last = std::max(last, run.ended);
+        }
+        inObjective += runs.size() == 4 && last - first < Milliseconds(1800) ? 1 : 0;
+    }
+    CHECK(inObjective >= 36);
+}
