Refuse submissions at once while the store is silent, and make fewer calls to it

The store was asked more often than decisions need.

Change: a write that is not answered for 0.7 s puts the store in doubt; then callers are refused at once, with the time to come back, and one write is tried at a time. Fates are looked for up to 1.5 s. Progress is written at most every 40 ms and job changes are gathered for 30 ms. Fillers may add 0.06 of a target alone, 0.15 together.

Test: 'store silent under a stream of submissions'.

--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -22,7 +22,7 @@
     /// How long the state of an ended job can be asked for.
     Milliseconds statusRetention{130000};
     /// Least time between two writes of progress: bounds the calls to the store.
-    Milliseconds writeInterval{25};
+    Milliseconds writeInterval{40};
     /// A change in the list of workers or of jobs is asked for again after so long without an answer.
     Milliseconds watchWait{1000};
 };
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -17,7 +17,7 @@
 /// What becomes startable within this time is placed together.
 constexpr Milliseconds dispatchDelay{5};
 /// Job changes are gathered for so long before the next are asked for.
-constexpr Milliseconds jobPause{15};
+constexpr Milliseconds jobPause{30};
 constexpr const char *cancelSuffix = ".cancel";
 constexpr const char *jobPrefix = "job/";
 
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -25,8 +25,8 @@
 /// fillers fit beside them.
 constexpr double otherImageCost = 2;
 /// A filler may add this much of its target to the tail of a serving task, alone and together with those there.
-constexpr double tolerableAlone = 0.1;
-constexpr double tolerableTogether = 0.2;
+constexpr double tolerableAlone = 0.06;
+constexpr double tolerableTogether = 0.15;
 
 /// Processor time that fillers could get on @p worker, in thousandths of a core.
 double leftover(const Worker &worker)
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -20,10 +20,12 @@
 /// A caller is answered at least this long before its patience ends.
 constexpr Milliseconds answerMargin{300};
 /// A write whose fate is unknown is looked for at most this long: the caller does better to ask another node.
-constexpr Milliseconds fatePatience{700};
+constexpr Milliseconds fatePatience{1500};
+/// A write that was not answered for so long puts the store in doubt: one 65 times slower than usual still answers.
+constexpr Milliseconds doubtAfter{700};
 /// Callers who came while the store was away come back after this time: outages last seconds.
 constexpr std::chrono::seconds storeRetryAfter{1};
-/// After a refused write new ones are refused without a try for so long.
+/// After a refused or unanswered write new ones are refused without a try for so long.
 constexpr Milliseconds storePause{150};
 /// For a question to the coordinator; then the store is asked.
 constexpr Milliseconds peerTimeout{300};
@@ -111,7 +113,7 @@
     void statusFromStore(const JobId &id, const AnswerHandler &handler);
     void onCancelRows(const JobId &id, Milliseconds patience, const ReadResult &result, const AnswerHandler &handler);
     void logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since);
-    void noteCommit(CommitStatus status);
+    void noteCommit(std::uint64_t submission, CommitStatus status);
     bool storeRefuses() const;
 
     NodeParts m_parts;
@@ -120,6 +122,9 @@
     Random m_random;
     Election m_election;
     TimePoint m_storePausedUntil{};
+    bool m_storeInDoubt = false; ///< The last write that ended was not answered: one is tried at a time.
+    std::uint64_t m_nextSubmission = 0;
+    std::map<std::uint64_t, TimePoint> m_submissions; ///< Writes under way, and since when.
 };
 
 void WorkflowNode::Impl::start()
@@ -173,13 +178,23 @@
 
 bool WorkflowNode::Impl::storeRefuses() const
 {
-    return m_parts.loop->now() < m_storePausedUntil;
+    const TimePoint now = m_parts.loop->now();
+    if (now < m_storePausedUntil) {
+        return true;
+    }
+    if (m_submissions.empty()) {
+        return false;
+    }
+    // A caller that is refused at once, and truly, can ask another node; one that waits here can not.
+    return m_storeInDoubt || now > m_submissions.begin()->second + doubtAfter;
 }
 
-void WorkflowNode::Impl::noteCommit(CommitStatus status)
+void WorkflowNode::Impl::noteCommit(std::uint64_t submission, CommitStatus status)
 {
+    m_submissions.erase(submission);
     const bool bad = status == CommitStatus::Unavailable || status == CommitStatus::Unknown;
     m_storePausedUntil = bad ? m_parts.loop->now() + storePause : TimePoint{};
+    m_storeInDoubt = status == CommitStatus::Unknown;
 }
 
 void WorkflowNode::Impl::logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since)
@@ -220,10 +235,12 @@
     transaction.writeId = m_random.uniqueId();
     transaction.conditions.push_back({rows::job(id), 0});
     transaction.puts.push_back({rows::job(id), encodeJobRow(row)});
+    const std::uint64_t submission = m_nextSubmission++;
+    m_submissions.emplace(submission, since);
     const std::shared_ptr<Impl> self = shared_from_this();
     m_resolver.commit(
-        transaction, patienceFor(patience), [self, id, queue, since, handler](const CommitResult &result) {
-            self->noteCommit(result.status);
+        transaction, patienceFor(patience), [self, submission, id, queue, since, handler](const CommitResult &result) {
+            self->noteCommit(submission, result.status);
             self->logAccept(id, queue, result.status, since);
             switch (result.status) {
             case CommitStatus::Committed:
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -467,3 +467,30 @@
     }
     CHECK(inObjective >= 36);
 }
+
+TEST_CASE("store silent under a stream of submissions: callers are refused at once, not held one after the other")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(2, 1);
+    world->storeFaults(0).down = true;
+    world->storeFaults(0).timeout = Milliseconds(1000);
+    int held = 0;
+    int refused = 0;
+    std::vector<TimePoint> sentAt;
+    for (int i = 0; i < 40; ++i) {
+        const JobId id = "000000000000a0" + std::to_string(10 + i);
+        const TimePoint sent = world->world.now();
+        world->submitLater(0, id, workflowOf({simpleStep(1)}), [&, sent](const FrontAnswer &answer) {
+            const bool quick = world->world.now() - sent < Milliseconds(50);
+            held += quick ? 0 : 1;
+            refused += quick && answer.outcome == FrontOutcome::Unavailable && answer.retryAfter.count() > 0 ? 1 : 0;
+        });
+        world->run(Milliseconds(100));
+    }
+    world->run(std::chrono::seconds(3));
+    CHECK(held + refused == 40);
+    CHECK(held <= 10);
+    // What was refused has not been stored, and never will be.
+    world->storeFaults(0).down = false;
+    world->run(std::chrono::seconds(2));
+    CHECK(world->submit(0, jobA, workflowOf({simpleStep(1)})) == FrontOutcome::Ok);
+}
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -389,6 +389,16 @@
         .outcome;
 }
 
+void WorkflowWorld::submitLater(int index, const JobId &id, const WorkflowSpec &spec,
+                                const WorkflowNode::AnswerHandler &handler)
+{
+    const QueuePolicy policy = *catalog.queue("batch");
+    Process *process = m_processes[static_cast<std::size_t>(index)].get();
+    process->loop.post([process, policy, id, spec, handler] {
+        process->node->submit(policy, id, spec, Milliseconds(3000), handler);
+    });
+}
+
 FrontOutcome WorkflowWorld::cancel(int index, const JobId &id)
 {
     return ask(index,
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -61,6 +61,8 @@
 
     /// Submits through node @p index and waits for the answer.
     FrontOutcome submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue = "batch");
+    /// Submits without waiting for the answer.
+    void submitLater(int index, const JobId &id, const WorkflowSpec &spec, const WorkflowNode::AnswerHandler &handler);
     FrontOutcome cancel(int index, const JobId &id);
     /// The state that node @p index tells; empty if it tells none.
     std::string state(int index, const JobId &id);
