Let only nodes that know the configuration stand for election

Change: a node without a catalog does not take over.

Tests: 'a node that does not know the catalog yet does not coordinate' failed before.

--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -243,6 +243,7 @@
     if (!result.available || m_own || m_resigned) {
         return;
     }
+    const bool stands = m_catalog != nullptr; // Without a catalog it would not know where nothing may start.
     const Row *row = result.find(rows::coordinator());
     const CoordinatorRow current = row == nullptr ? CoordinatorRow{} : decode(row->value);
     const RowVersion version = row == nullptr ? 0 : row->version;
@@ -253,7 +254,7 @@
             return;
         }
     }
-    if (!suspects() && !current.resigned && current.node != m_self.name) {
+    if (!stands || (!suspects() && !current.resigned && current.node != m_self.name)) {
         return;
     }
     m_reading = true;
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -494,3 +494,18 @@
     world->run(std::chrono::seconds(2));
     CHECK(world->submit(0, jobA, workflowOf({simpleStep(1)})) == FrontOutcome::Ok);
 }
+
+TEST_CASE("a node that does not know the catalog yet does not coordinate, and takes over when it does")
+{
+    WorkflowWorld world(1);
+    world.withholdCatalog(0);
+    Resources capacity;
+    capacity.milliCores = 4000;
+    capacity.memoryMb = 100000;
+    world.workers.add("w0", "dc-a", "r0", capacity);
+    world.run(Milliseconds(3000));
+    CHECK(world.coordinator() == -1);
+    CHECK(world.submit(0, jobA, workflowOf({simpleStep(2)})) == FrontOutcome::Ok);
+    world.setCatalog(world.catalog);
+    CHECK(reaches(world, 0, jobA, "complete", std::chrono::seconds(5)));
+}
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -259,7 +259,9 @@
         self.name = name;
         self.peerAddress = name;
         self.seed = seed;
-        catalogs.set(owner->catalog);
+        if (!owner->m_withholdCatalog) {
+            catalogs.set(owner->catalog);
+        }
         node = std::make_unique<WorkflowNode>(parts, self, CoordinatorSettings{});
     }
 
@@ -308,6 +310,14 @@
     });
 }
 
+void WorkflowWorld::withholdCatalog(int index)
+{
+    kill(index);
+    m_withholdCatalog = true;
+    startNode(index);
+    m_withholdCatalog = false;
+}
+
 void WorkflowWorld::kill(int index)
 {
     Process &process = *m_processes[static_cast<std::size_t>(index)];
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -67,6 +67,8 @@
     /// The state that node @p index tells; empty if it tells none.
     std::string state(int index, const JobId &id);
     std::optional<std::size_t> pending(int index, const std::string &queue);
+    /// Starts node @p index anew without a catalog, until setCatalog().
+    void withholdCatalog(int index);
     /// Sets the catalog on all nodes.
     void setCatalog(const Catalog &catalog);
     MemoryLog &log(int index);
@@ -83,6 +85,7 @@
     std::vector<std::unique_ptr<Process>> m_processes;
     std::vector<std::unique_ptr<Process>> m_ended;
     std::uint64_t m_seed;
+    bool m_withholdCatalog = false;
 };
 
 /// A step of @p count tasks of one core each.
