--- a/src/include/fescueledge/daemonsettings.h
+++ b/src/include/fescueledge/daemonsettings.h
@@ -72,6 +72,7 @@
 {
     bool enabled = false;
     std::string ready; ///< Listener for the balancer's question whether this node takes callers.
+    std::string metrics; ///< Listener for the metrics page; empty for none.
     double cores = 1; ///< Processor time of this VM, in cores.
     workflow::CoordinatorSettings times;
 };
--- a/src/include/fescueledge/eventlog.h
+++ b/src/include/fescueledge/eventlog.h
@@ -2,6 +2,7 @@
 
 #include "fescueledge/types.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,17 @@
     LogLine &with(std::string_view key, std::int64_t value);
     LogLine &with(std::string_view key, Milliseconds value); ///< The key should end in `_ms`.
 
+    /// Value of key `outcome`; empty if it was not given.
+    const std::string &outcome() const
+    {
+        return m_outcome;
+    }
+    /// Value of key `took_ms`, if it was given.
+    const std::optional<Milliseconds> &took() const
+    {
+        return m_took;
+    }
+
     const std::string &text() const
     {
         return m_text;
@@ -30,6 +42,8 @@
     std::string m_text;
     std::size_t m_eventStart = 0;
     std::size_t m_eventSize = 0;
+    std::string m_outcome;
+    std::optional<Milliseconds> m_took;
 };
 
 /// Where the structured log of a process goes. Never blocks its caller.
--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -70,7 +70,7 @@
 public:
     using AnswerHandler = std::function<void(const FrontAnswer &)>;
 
-    WorkflowNode(NodeParts parts, NodeSelf self, CoordinatorSettings settings);
+    WorkflowNode(const NodeParts &parts, const NodeSelf &self, const CoordinatorSettings &settings);
     ~WorkflowNode();
     WorkflowNode(const WorkflowNode &) = delete;
     WorkflowNode &operator=(const WorkflowNode &) = delete;
@@ -88,10 +88,10 @@
 
     /// Accepts @p spec as job @p id of @p queue: it is durable when the answer says so.
     void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds patience,
-                AnswerHandler handler);
-    void status(const JobId &id, AnswerHandler handler);
-    void cancel(const JobId &id, Milliseconds patience, AnswerHandler handler);
-    void pending(const QueuePolicy &queue, AnswerHandler handler);
+                const AnswerHandler &handler);
+    void status(const JobId &id, const AnswerHandler &handler);
+    void cancel(const JobId &id, Milliseconds patience, const AnswerHandler &handler);
+    void pending(const QueuePolicy &queue, const AnswerHandler &handler);
 
 private:
     class Impl;
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -181,6 +181,10 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.ready = value.text;
          }},
+        {{"metrics", ValueType::Address, false, "", 0, 0, "Listener for `/metrics`; none without it."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.metrics = value.text;
+         }},
         {{"cores", ValueType::Decimal, false, "1", 1, 1000000,
           "Processor time of this VM, in cores. Of the nodes that live, the one with the most coordinates."},
          [](WorkflowSettings &target, const SettingValue &value) {
--- /dev/null
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -0,0 +1,89 @@
+#include "fescueledge/meteredlog.h"
+#include "fescueledge/stdoutlog.h"
+#include "fescueledge/testing/simloop.h"
+#include "fescueledge/testing/simworld.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+
+namespace {
+
+std::int64_t lineCount(const std::string &text)
+{
+    return std::count(text.begin(), text.end(), '\n');
+}
+
+} // namespace
+
+TEST_CASE("a line holds event, keys and values, quoted where they need it")
+{
+    LogLine line("run_start");
+    line.with("job", "a1").with("detail", "no room \"here\"").with("run", std::int64_t{2}).with("took_ms", Milliseconds(7));
+    CHECK(line.text() == "event=run_start job=a1 detail=\"no room 'here'\" run=2 took_ms=7");
+    CHECK(line.event() == "run_start");
+}
+
+TEST_CASE("flood of lines with a reader that takes nothing: memory stays bounded, nobody waits, and the loss is told")
+{
+    SimWorld world;
+    SimLoop loop(&world);
+    std::string written;
+    bool blocked = true;
+    StdoutLog::Limits limits;
+    limits.linesPerSecond = 100;
+    limits.waitingBytes = 4096;
+    StdoutLog log(
+        &loop, "n1",
+        [] {
+            return std::int64_t{5};
+        },
+        [&](const std::string &text) {
+            if (blocked) {
+                return std::size_t{0};
+            }
+            written += text;
+            return text.size();
+        },
+        limits);
+    for (int i = 0; i < 10000; ++i) {
+        log.write(LogLine("run_start").with("job", std::to_string(i)));
+    }
+    world.runFor(Milliseconds(500));
+    CHECK(written.empty());
+    CHECK(log.suppressed() >= 9900);
+    blocked = false;
+    world.runFor(Milliseconds(1000));
+    CHECK(lineCount(written) <= 100);
+    log.write(LogLine("run_end"));
+    world.runFor(Milliseconds(500));
+    CHECK(written.find("event=log_suppressed name=run_start lines=") != std::string::npos);
+    CHECK(written.find("event=run_end") != std::string::npos);
+}
+
+TEST_CASE("events are counted by outcome and their times gathered, also those that the log leaves out")
+{
+    SimWorld world;
+    SimLoop loop(&world);
+    StdoutLog::Limits limits;
+    limits.linesPerSecond = 1;
+    StdoutLog out(
+        &loop, "n1",
+        [] {
+            return std::int64_t{5};
+        },
+        [](const std::string &text) {
+            return text.size();
+        },
+        limits);
+    MeteredLog log(&out);
+    for (int i = 0; i < 3; ++i) {
+        log.write(LogLine("job_submit").with("outcome", "accepted").with("took_ms", Milliseconds(30)));
+    }
+    log.setGauge("coordinates", 1);
+    const std::string page = log.page();
+    CHECK(page.find("fescueledge_events_total{event=\"job_submit\",outcome=\"accepted\"} 3") != std::string::npos);
+    CHECK(page.find("fescueledge_event_seconds_bucket{event=\"job_submit\",le=\"0.05\"} 3") != std::string::npos);
+    CHECK(page.find("fescueledge_coordinates 1") != std::string::npos);
+}
--- a/src/libutil/eventlog.cpp
+++ b/src/libutil/eventlog.cpp
@@ -21,6 +21,9 @@
 
 LogLine &LogLine::with(std::string_view key, std::string_view value)
 {
+    if (key == "outcome") {
+        m_outcome = value;
+    }
     m_text += ' ';
     m_text += key;
     m_text += '=';
@@ -47,6 +50,9 @@
 
 LogLine &LogLine::with(std::string_view key, Milliseconds value)
 {
+    if (key == "took_ms") {
+        m_took = value;
+    }
     return with(key, static_cast<std::int64_t>(value.count()));
 }
 
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -23,7 +23,6 @@
 constexpr int failuresToDoubt = 3;
 /// Members are read again at least this often.
 constexpr Milliseconds memberWait{5000};
-constexpr Milliseconds registerPatience{3000};
 constexpr Milliseconds electionPatience{1000};
 
 } // namespace
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -162,12 +162,26 @@
     m_context->superseded();
 }
 
+void ProgressWriter::logEnd(const Job &job) const
+{
+    const TimePoint now = m_context->now();
+    m_context->log->write(LogLine("job_end")
+                              .with("job", job.id)
+                              .with("queue", job.policy.name)
+                              .with("outcome", job.phase == JobPhase::Complete ? "complete" : "failed")
+                              .with("late", job.endedAt > job.objective ? 1 : 0)
+                              .with("took_ms", std::chrono::duration_cast<Milliseconds>(now - job.acceptedAt)));
+}
+
 void ProgressWriter::settle(const Batch &batch)
 {
     Context &context = *m_context;
     for (const JobId &id : batch.ended) {
         Job *job = context.jobs.find(id);
         if (job != nullptr && job->ended()) {
+            if (!job->phaseDurable) {
+                logEnd(*job);
+            }
             job->phaseDurable = true;
             JobTable::trim(job);
         }
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -54,6 +54,7 @@
     bool fillRecord(Transaction *transaction, Batch *batch);
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void settle(const Batch &batch);
+    void logEnd(const Job &job) const;
     void putBack(const Batch &batch);
 
     std::shared_ptr<Context> m_context;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -47,6 +47,22 @@
     return "queued";
 }
 
+/// What became of a caller's write, for logs.
+const char *commitName(CommitStatus status)
+{
+    switch (status) {
+    case CommitStatus::Committed:
+        return "accepted";
+    case CommitStatus::Conflict:
+        return "known";
+    case CommitStatus::Unavailable:
+        return "refused";
+    case CommitStatus::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 FrontAnswer unavailable(const std::string &detail)
 {
     FrontAnswer answer;
@@ -85,12 +101,11 @@
 class WorkflowNode::Impl : public std::enable_shared_from_this<WorkflowNode::Impl>
 {
 public:
-    Impl(NodeParts parts, NodeSelf self, CoordinatorSettings settings)
+    Impl(const NodeParts &parts, const NodeSelf &self, const CoordinatorSettings &settings)
         : m_parts(parts)
-        , m_self(self)
         , m_resolver(m_parts.loop, m_parts.table)
         , m_random(self.seed + 1)
-        , m_election(parts, std::move(self), settings)
+        , m_election(parts, self, settings)
     {
     }
 
@@ -117,7 +132,6 @@
     bool storeRefuses() const;
 
     NodeParts m_parts;
-    NodeSelf m_self;
     CommitResolver m_resolver;
     Random m_random;
     Election m_election;
@@ -199,16 +213,12 @@
 
 void WorkflowNode::Impl::logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since)
 {
-    static const std::map<CommitStatus, const char *> names{{CommitStatus::Committed, "accepted"},
-                                                            {CommitStatus::Conflict, "known"},
-                                                            {CommitStatus::Unavailable, "refused"},
-                                                            {CommitStatus::Unknown, "unknown"}};
     const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - since);
     m_parts.log->write(LogLine("job_submit")
                            .with("job", id)
                            .with("queue", queue.name)
                            .with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
-                           .with("outcome", names.at(status))
+                           .with("outcome", commitName(status))
                            .with("took_ms", took));
 }
 
@@ -343,8 +353,7 @@
     transaction.puts.push_back({rows::cancellation(id), "{}"});
     const std::shared_ptr<Impl> self = shared_from_this();
     m_resolver.commit(transaction, patienceFor(patience), [self, id, handler](const CommitResult &commit) {
-        self->m_parts.log->write(
-            LogLine("job_cancel").with("job", id).with("outcome", static_cast<std::int64_t>(commit.status)));
+        self->m_parts.log->write(LogLine("job_cancel").with("job", id).with("outcome", commitName(commit.status)));
         switch (commit.status) {
         case CommitStatus::Committed:
         case CommitStatus::Conflict: // Somebody else cancelled it, or it ended and was cleared away.
@@ -389,8 +398,8 @@
                         });
 }
 
-WorkflowNode::WorkflowNode(NodeParts parts, NodeSelf self, CoordinatorSettings settings)
-    : m_impl(std::make_shared<Impl>(std::move(parts), std::move(self), settings))
+WorkflowNode::WorkflowNode(const NodeParts &parts, const NodeSelf &self, const CoordinatorSettings &settings)
+    : m_impl(std::make_shared<Impl>(parts, self, settings))
 {
 }
 
@@ -427,22 +436,22 @@
 }
 
 void WorkflowNode::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds patience,
-                          AnswerHandler handler)
+                          const AnswerHandler &handler)
 {
     m_impl->submit(queue, id, spec, patience, handler);
 }
 
-void WorkflowNode::status(const JobId &id, AnswerHandler handler)
+void WorkflowNode::status(const JobId &id, const AnswerHandler &handler)
 {
     m_impl->status(id, handler);
 }
 
-void WorkflowNode::cancel(const JobId &id, Milliseconds patience, AnswerHandler handler)
+void WorkflowNode::cancel(const JobId &id, Milliseconds patience, const AnswerHandler &handler)
 {
     m_impl->cancel(id, patience, handler);
 }
 
-void WorkflowNode::pending(const QueuePolicy &queue, AnswerHandler handler)
+void WorkflowNode::pending(const QueuePolicy &queue, const AnswerHandler &handler)
 {
     m_impl->pending(queue, handler);
 }
