Answer callers' writes in one place, and format the telemetry files

Cause: submit and cancel each translated what became of a write; files that were new when the formatter ran were not formatted, and the check stopped there.

Change: commitAnswer() serves both; formatting only in src/libtelemetry.

--- a/src/libtelemetry/meteredlog.cpp
+++ b/src/libtelemetry/meteredlog.cpp
@@ -52,8 +52,10 @@
 {
     prometheus::Family<prometheus::Gauge> *&family = m_state->gauges[name];
     if (family == nullptr) {
-        family = &prometheus::BuildGauge().Name("fescueledge_" + name).Help("See the operations page.").Register(
-            m_state->registry);
+        family = &prometheus::BuildGauge()
+                      .Name("fescueledge_" + name)
+                      .Help("See the operations page.")
+                      .Register(m_state->registry);
     }
     family->Add({}).Set(value);
 }
--- a/src/libtelemetry/telemetry_test.cpp
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -20,7 +20,10 @@
 TEST_CASE("a line holds event, keys and values, quoted where they need it")
 {
     LogLine line("run_start");
-    line.with("job", "a1").with("detail", "no room \"here\"").with("run", std::int64_t{2}).with("took_ms", Milliseconds(7));
+    line.with("job", "a1")
+        .with("detail", "no room \"here\"")
+        .with("run", std::int64_t{2})
+        .with("took_ms", Milliseconds(7));
     CHECK(line.text() == "event=run_start job=a1 detail=\"no room 'here'\" run=2 took_ms=7");
     CHECK(line.event() == "run_start");
 }
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -88,6 +88,21 @@
     return answer;
 }
 
+/// The answer to a caller whose write ended so.
+FrontAnswer commitAnswer(CommitStatus status)
+{
+    switch (status) {
+    case CommitStatus::Committed:
+    case CommitStatus::Conflict: // Somebody wrote it before: the same caller's earlier try, or another who asked so.
+        return outcomeAnswer(FrontOutcome::Ok);
+    case CommitStatus::Unavailable:
+        return unavailable("the store refused the write");
+    case CommitStatus::Unknown:
+        break;
+    }
+    return outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write");
+}
+
 Milliseconds patienceFor(Milliseconds callerPatience)
 {
     if (callerPatience.count() <= 0) {
@@ -248,23 +263,12 @@
     const std::uint64_t submission = m_nextSubmission++;
     m_submissions.emplace(submission, since);
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_resolver.commit(
-        transaction, patienceFor(patience), [self, submission, id, queue, since, handler](const CommitResult &result) {
-            self->noteCommit(submission, result.status);
-            self->logAccept(id, queue, result.status, since);
-            switch (result.status) {
-            case CommitStatus::Committed:
-            case CommitStatus::Conflict: // It was accepted before, from an earlier try of the same caller.
-                handler(outcomeAnswer(FrontOutcome::Ok));
-                break;
-            case CommitStatus::Unavailable:
-                handler(unavailable("the store refused the write"));
-                break;
-            case CommitStatus::Unknown:
-                handler(outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write"));
-                break;
-            }
-        });
+    m_resolver.commit(transaction, patienceFor(patience),
+                      [self, submission, id, queue, since, handler](const CommitResult &result) {
+                          self->noteCommit(submission, result.status);
+                          self->logAccept(id, queue, result.status, since);
+                          handler(commitAnswer(result.status));
+                      });
 }
 
 void WorkflowNode::Impl::status(const JobId &id, const AnswerHandler &handler)
@@ -354,18 +358,7 @@
     const std::shared_ptr<Impl> self = shared_from_this();
     m_resolver.commit(transaction, patienceFor(patience), [self, id, handler](const CommitResult &commit) {
         self->m_parts.log->write(LogLine("job_cancel").with("job", id).with("outcome", commitName(commit.status)));
-        switch (commit.status) {
-        case CommitStatus::Committed:
-        case CommitStatus::Conflict: // Somebody else cancelled it, or it ended and was cleared away.
-            handler(outcomeAnswer(FrontOutcome::Ok));
-            break;
-        case CommitStatus::Unavailable:
-            handler(unavailable("the store refused the write"));
-            break;
-        case CommitStatus::Unknown:
-            handler(outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write"));
-            break;
-        }
+        handler(commitAnswer(commit.status));
     });
 }
 
