Reckon with the headroom of serving tasks instead of their tails

The model took a tail as the sum of a base and of shares of the fillers' load. It is the tail of a queue: service time / idle share. A model that is linear in tails misjudges the same pair at every swing, blames too late at the peak and leaves room unused below it.

Change: the model works on target / tail, where loads add up. A Kalman filter follows level and slope of each step (ServingTrend) and the effect of each pair with its uncertainty. Fillers are placed where the headroom that is left at worst suffices, where they take least; paces are computed from what is expected 0.6 s ahead, not from the last tail.

Ruled out: saturation of the whole worker, load of other serving tasks and batch tasks beside them: no structure in the residuals of the fit.

The earlier tests of the model are kept with their bounds, in headroom instead of tails.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -43,7 +43,9 @@
 {
     m_context->term = start.term;
     m_context->tookOverAt = m_context->now();
-    m_context->interference.decode(start.interference);
+    if (!start.interference.empty() && !m_context->interference.decode(start.interference)) {
+        m_context->log->write(LogLine("interference_unreadable").with("outcome", "learnt anew"));
+    }
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -1,8 +1,8 @@
 #include "dispatchsystem_pvt.h"
 
+#include "headroom_pvt.h"
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
-#include "pacingsystem_pvt.h"
 
 #include <algorithm>
 #include <limits>
@@ -24,9 +24,11 @@
 /// Added to the cost of a worker for each other image that serves there: the fewer images share a worker, the more
 /// fillers fit beside them.
 constexpr double otherImageCost = 2;
-/// A filler may add this much of its target to the tail of a serving task, alone and together with those there.
-constexpr double tolerableAlone = 0.06;
-constexpr double tolerableTogether = 0.15;
+/// A filler is placed only where each serving task would keep this headroom (1 is just enough) for so long.
+constexpr double leastHeadroomLeft = 1.1;
+constexpr Milliseconds placementOutlook{700};
+/// Fillers go where they take the least headroom; idle processor time decides among workers that are nearly alike.
+constexpr double idleWeight = 0.3;
 
 /// Processor time that fillers could get on @p worker, in thousandths of a core.
 double leftover(const Worker &worker)
@@ -34,12 +36,6 @@
     return static_cast<double>(worker.entry.capacity.milliCores) - worker.busyMilliCores;
 }
 
-double shareOf(const Worker &worker, std::int64_t milliCores)
-{
-    return static_cast<double>(milliCores)
-        / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
-}
-
 /// How long a small part of the fleet would take for what is left of @p job, by its declared sizes and estimates.
 Duration sizeHandicap(const Job &job, double fleetMilliCores)
 {
@@ -125,6 +121,7 @@
         return a.first < b.first;
     });
     m_noPlace.clear();
+    m_headroom.clear();
     for (const std::pair<Rank, Step *> &entry : ranked) {
         if (entry.second->spec->gang) {
             startGang(entry.second);
@@ -168,6 +165,7 @@
             return;
         }
         m_orders->start(&task, worker);
+        m_headroom.erase(worker);
     }
 }
 
@@ -193,10 +191,12 @@
             break;
         }
         FleetTable::place(&task, worker);
+        m_headroom.erase(worker);
         places.emplace_back(&task, worker);
     }
     for (const std::pair<Task *, Worker *> &place : places) {
         FleetTable::release(place.first);
+        m_headroom.erase(place.second);
     }
     if (places.size() < step->left) {
         return;
@@ -230,15 +230,43 @@
     return spec.maxPerWorker == 0 || FleetTable::countOf(worker, step) < spec.maxPerWorker;
 }
 
-bool DispatchSystem::harmless(const Worker &worker, const StepSpec &filler) const
+const std::vector<StepHeadroom> &DispatchSystem::headroomOn(const Worker &worker) const
+{
+    const auto it = m_headroom.find(&worker);
+    if (it != m_headroom.end()) {
+        return it->second;
+    }
+    return m_headroom
+        .emplace(&worker,
+                 headroomOf(worker, m_context->interference, worker.fillerLoad, m_context->now(), placementOutlook))
+        .first->second;
+}
+
+double DispatchSystem::headroomBeside(const Worker &worker, const StepSpec &filler) const
 {
     const InterferenceModel &model = m_context->interference;
     const double share = shareOf(worker, filler.perTask.milliCores);
-    return std::none_of(worker.servingImages.begin(), worker.servingImages.end(), [&](const auto &serving) {
-        const double alone = model.added(serving.first, filler.image, share);
-        return alone > tolerableAlone
-            || (alone > 0 && alone + model.added(serving.first, worker.fillerLoad) > tolerableTogether);
-    });
+    double least = std::numeric_limits<double>::max();
+    for (const StepHeadroom &serving : headroomOn(worker)) {
+        least = std::min(least, serving.leastBeside(model.taken(serving.step->spec->image, filler.image, share)));
+    }
+    return least;
+}
+
+double DispatchSystem::headroomTaken(const Worker &worker, const StepSpec &filler) const
+{
+    const InterferenceModel &model = m_context->interference;
+    const double share = shareOf(worker, filler.perTask.milliCores);
+    double most = 0;
+    for (const auto &[image, tasks] : worker.servingImages) {
+        most = std::max(most, model.taken(image, filler.image, share).expected);
+    }
+    return most;
+}
+
+bool DispatchSystem::harmless(const Worker &worker, const StepSpec &filler) const
+{
+    return headroomBeside(worker, filler) >= leastHeadroomLeft;
 }
 
 double DispatchSystem::servingCost(const Worker &worker, const StepSpec &spec) const
@@ -248,11 +276,12 @@
     // Serving tasks of one image share workers, and fill them: the other workers stay free for fillers.
     return otherImageCost * static_cast<double>(others) - (same ? otherImageCost : 0)
         - shareOf(worker, worker.used.milliCores)
-        + std::min(1.0, m_context->interference.added(spec.image, worker.fillerLoad));
+        + std::min(1.0, m_context->interference.taken(spec.image, worker.fillerLoad).expected);
 }
 
 bool DispatchSystem::hasPlaceElsewhere(const Task &task) const
 {
+    m_headroom.clear(); // Kept for one run only.
     const Step &step = *task.step;
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
@@ -269,7 +298,9 @@
     if (spec.tailTarget.count() > 0) {
         cost = servingCost(worker, spec);
     } else if (spec.filler) {
-        cost = 1 - leftover(worker) / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+        cost = headroomTaken(worker, spec)
+            + idleWeight
+                * (1 - leftover(worker) / std::max(1.0, static_cast<double>(worker.entry.capacity.milliCores)));
     } else {
         cost = shareOf(worker, worker.used.milliCores);
     }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "headroom_pvt.h"
 
 #include <tuple>
 
@@ -45,12 +46,20 @@
     Worker *choose(const Step &step) const;
     double cost(const Worker &worker, const Step &step) const;
     double servingCost(const Worker &worker, const StepSpec &spec) const;
+    /// Headroom of the serving steps on @p worker beside the fillers there, at full pace.
+    const std::vector<StepHeadroom> &headroomOn(const Worker &worker) const;
+    /// The least headroom that serving tasks on @p worker would keep beside one more task of @p filler.
+    double headroomBeside(const Worker &worker, const StepSpec &filler) const;
+    /// The most headroom that one more task of @p filler would take from a serving task on @p worker.
+    double headroomTaken(const Worker &worker, const StepSpec &filler) const;
     bool harmless(const Worker &worker, const StepSpec &filler) const;
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
+    /// Headroom on the workers looked at in the present run, as long as nothing was placed there.
+    mutable std::map<const Worker *, std::vector<StepHeadroom>> m_headroom;
     std::map<Shape, std::vector<Resources>> m_noPlace; ///< Sizes that found no worker in the present run.
 };
 
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -3,6 +3,7 @@
 #include "fescueledge/workflow/catalog.h"
 #include "fescueledge/workflow/workergateway.h"
 #include "fescueledge/workflow/workflowspec.h"
+#include "servingtrend_pvt.h"
 
 #include <map>
 #include <memory>
@@ -45,6 +46,7 @@
     TimePoint progressAt{}; ///< When the percentage last changed.
     std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
     int pace = 100; ///< Speed last ordered, in percent; -1 if that order was not answered.
+    TimePoint pacedAt{}; ///< When that order was sent.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
     bool preempted = false; ///< Its stop makes room for a more urgent task.
@@ -61,6 +63,7 @@
     std::uint32_t idle = 0; ///< Tasks in phase Idle.
     bool open = false; ///< Its dependencies are done and its time has come.
     bool listed = false; ///< It stands in JobTable::openSteps().
+    ServingTrend trend; ///< Of its own load, if its tasks serve.
 };
 
 /// One run through the steps of a workflow.
@@ -124,6 +127,7 @@
     double busyMilliCores = 0; ///< What its tasks are expected to use of the processors, fillers included.
     std::map<std::string, double> fillerLoad; ///< Share of its processors that the fillers on it declare, by image.
     std::map<std::string, int> servingImages; ///< Serving tasks on it, by image.
+    std::map<Step *, int> servingSteps; ///< The same by step.
     std::set<Task *> tasks; ///< On it, in any phase but Idle and Done.
     std::uint64_t endsApplied = 0; ///< Number of the last end taken into the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last end that is durable.
@@ -139,6 +143,7 @@
     std::set<JobId> failedJobs; ///< Jobs of those runs.
     double slowness = 1; ///< How much longer runs take than elsewhere, learnt.
     TimePoint pacedAt{}; ///< When fillers on it were last slowed down or sped up.
+    TimePoint learntAt{}; ///< When the interference model last took in its gauges.
 };
 
 /// The key of @p task.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -23,9 +23,21 @@
     return need;
 }
 
-/// Adds a task of @p step to the worker's sums (@p sign 1), or takes it off (-1).
-void account(Worker *worker, const StepSpec &step, int sign)
+/// Adds @p n to the count of @p key, which goes when nothing is left.
+template<typename Key>
+void addTo(std::map<Key, int> *counts, const Key &key, int n)
 {
+    int &count = (*counts)[key];
+    count += n;
+    if (count <= 0) {
+        counts->erase(key);
+    }
+}
+
+/// Adds a task of @p owner to the worker's sums (@p sign 1), or takes it off (-1).
+void account(Worker *worker, Step *owner, int sign)
+{
+    const StepSpec &step = *owner->spec;
     if (sign > 0) {
         worker->used += charge(step);
     } else {
@@ -42,10 +54,8 @@
         }
     }
     if (serves) {
-        worker->servingImages[step.image] += sign;
-        if (worker->servingImages[step.image] <= 0) {
-            worker->servingImages.erase(step.image);
-        }
+        addTo(&worker->servingImages, step.image, sign);
+        addTo(&worker->servingSteps, owner, sign);
     }
 }
 
@@ -84,7 +94,7 @@
 {
     task->worker = worker;
     if (worker->tasks.insert(task).second) {
-        account(worker, *task->step->spec, 1);
+        account(worker, task->step, 1);
     }
 }
 
@@ -92,7 +102,7 @@
 {
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
-        account(worker, *task->step->spec, -1);
+        account(worker, task->step, -1);
     }
     task->worker = nullptr;
 }
--- /dev/null
+++ b/src/libworkflow/headroom.cpp
@@ -0,0 +1,66 @@
+#include "headroom_pvt.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+constexpr double fullPace = 100;
+
+} // namespace
+
+double shareOf(const Worker &worker, std::int64_t milliCores)
+{
+    return static_cast<double>(milliCores)
+        / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+}
+
+bool isRunningFiller(const Task &task)
+{
+    return task.step->spec->filler && task.phase == TaskPhase::Running;
+}
+
+double pacedShare(const Worker &worker, const Task &task)
+{
+    // A pace that was not confirmed may be any.
+    const double pace = task.pace < 0 ? fullPace : task.pace;
+    return shareOf(worker, task.step->spec->perTask.milliCores) * pace / fullPace;
+}
+
+FillerLoad gaugedLoad(const Worker &worker)
+{
+    FillerLoad load;
+    for (const Task *task : worker.tasks) {
+        if (isRunningFiller(*task) && task->gauge > 0) {
+            load[task->step->spec->image] += shareOf(worker, task->gauge);
+        }
+    }
+    return load;
+}
+
+FillerLoad pacedLoad(const Worker &worker)
+{
+    FillerLoad load;
+    for (const Task *task : worker.tasks) {
+        if (task->step->spec->filler) {
+            load[task->step->spec->image] += pacedShare(worker, *task);
+        }
+    }
+    return load;
+}
+
+std::vector<StepHeadroom> headroomOf(const Worker &worker, const InterferenceModel &model, const FillerLoad &load,
+                                     TimePoint now, Duration ahead)
+{
+    std::vector<StepHeadroom> out;
+    out.reserve(worker.servingSteps.size());
+    for (const auto &[step, tasks] : worker.servingSteps) {
+        const std::string &image = step->spec->image;
+        const double own = step->trend.known() ? step->trend.leastWithin(now, ahead) : model.usualHeadroom(image);
+        out.push_back({step, own, model.taken(image, load)});
+    }
+    return out;
+}
+
+} // namespace fescueledge::workflow
--- a/src/libworkflow/interference_test.cpp
+++ b/src/libworkflow/interference_test.cpp
@@ -1,6 +1,8 @@
 // Load pattern: serving tasks fill most of the fleet, fillers run beside them, and some images of fillers lengthen the
 // tails of some images of serving tasks. Which ones is not known beforehand.
+#include "fescueledge/random.h"
 #include "interferencemodel_pvt.h"
+#include "servingtrend_pvt.h"
 #include "workflowworld_pvt.h"
 
 #include <algorithm>
@@ -16,6 +18,12 @@
 constexpr std::int64_t calmTailMs = 8;
 constexpr std::int64_t disturbedTailMs = 60;
 
+/// Gauges come each half second.
+TimePoint gaugeTime(int index)
+{
+    return TimePoint{} + std::chrono::hours(1) + index * Milliseconds(500);
+}
+
 StepSpec servingStep(const std::string &image)
 {
     StepSpec step = simpleStep(2);
@@ -40,32 +48,110 @@
 TEST_CASE("the model finds out which filler disturbs which serving image")
 {
     InterferenceModel model;
+    ServingTrend web;
+    ServingTrend mail;
     for (int i = 0; i < 200; ++i) {
+        const TimePoint now = gaugeTime(i);
         const bool loud = i % 2 == 0;
         FillerLoad load{{"quiet", 0.1}};
         if (loud) {
             load["loud"] = 0.1;
         }
-        model.learn("web", loud ? 1.7 : 0.5, load);
-        model.learn("mail", 0.5, load);
+        model.learn("web", &web, 1 / (loud ? 1.7 : 0.5), load, now);
+        model.learn("mail", &mail, 1 / 0.5, load, now);
     }
-    CHECK(model.added("web", "loud", 0.1) > 0.6);
-    CHECK(model.added("web", "quiet", 0.1) < 0.3);
-    CHECK(model.added("mail", "loud", 0.1) < 0.1);
+    CHECK(model.taken("web", "loud", 0.1).expected > 0.6);
+    CHECK(model.taken("web", "quiet", 0.1).expected < 0.3);
+    CHECK(model.taken("mail", "loud", 0.1).expected < 0.1);
     InterferenceModel copy;
-    copy.decode(model.encode());
-    CHECK(copy.added("web", "loud", 0.1) == Approx(model.added("web", "loud", 0.1)).margin(0.01)); // Rows are rounded.
+    REQUIRE(copy.decode(model.encode()));
+    // Rows are rounded.
+    CHECK(copy.taken("web", "loud", 0.1).expected == Approx(model.taken("web", "loud", 0.1).expected).margin(0.01));
+}
+
+TEST_CASE("a model that can't be read is learnt anew, and leaves the one at hand as it is")
+{
+    InterferenceModel model;
+    ServingTrend web;
+    for (int i = 0; i < 20; ++i) {
+        model.learn("web", &web, 1, {{"loud", 0.1}}, gaugeTime(i));
+    }
+    const std::string before = model.encode();
+    for (const char *value : {"", "[]", "7", R"({"web":{"base":0.5,"effects":{"loud":3}}})", R"({"web":[]})"}) {
+        CHECK_FALSE(model.decode(value));
+        CHECK(model.encode() == before);
+    }
 }
 
 TEST_CASE("the swing of a serving task's own load blames nobody")
 {
     InterferenceModel model;
+    ServingTrend web;
     for (int i = 0; i < 400; ++i) {
         const double swing = 0.45 * (1 + 0.5 * std::sin(i * 0.031));
-        model.learn("web", swing, {{"quiet", 0.1}, {"calm", 0.2}});
+        model.learn("web", &web, 1 / swing, {{"quiet", 0.1}, {"calm", 0.2}}, gaugeTime(i));
     }
-    CHECK(model.added("web", "quiet", 0.1) < 0.1);
-    CHECK(model.added("web", "calm", 0.2) < 0.1);
+    CHECK(model.taken("web", "quiet", 0.1).expected < 0.1);
+    CHECK(model.taken("web", "calm", 0.2).expected < 0.1);
+}
+
+TEST_CASE("swinging load beside fillers of ten images: who disturbs is known within ten seconds, at any load")
+{
+    // Tails of a queue: service time / (1 - load), with a target of 4.5 service times. Three of ten images disturb.
+    Random random(11);
+    InterferenceModel model;
+    std::vector<ServingTrend> trends(4);
+    const auto effect = [](int image) {
+        return image < 3 ? 1.5 : 0.12;
+    };
+    const auto ownLoad = [](std::size_t step, double seconds) {
+        return 0.42 * (1 + 0.5 * std::sin(0.6 * seconds + 1.7 * static_cast<double>(step)));
+    };
+    double worstError = 0;
+    for (int round = 0; round < 60; ++round) {
+        const TimePoint now = gaugeTime(round);
+        const double seconds = 0.5 * round;
+        for (std::size_t step = 0; step < trends.size(); ++step) {
+            for (int worker = 0; worker < 6; ++worker) {
+                FillerLoad load;
+                double busy = ownLoad(step, seconds);
+                for (int filler = 0; filler < 3; ++filler) {
+                    const int image = static_cast<int>(random.below(10));
+                    load["filler-" + std::to_string(image)] += 0.08;
+                    busy += effect(image) * 0.08;
+                }
+                const double noise = 0.9 + 0.2 * random.unit();
+                model.learn("web", &trends[step], 4.5 * std::max(0.05, 1 - busy) * noise, load, now);
+            }
+            if (round >= 20) {
+                const double own = 4.5 * (1 - ownLoad(step, seconds + 0.6));
+                worstError = std::max(worstError, std::abs(trends[step].at(now + Milliseconds(600)) - own));
+            }
+        }
+    }
+    for (int image = 0; image < 10; ++image) {
+        const double taken = model.taken("web", "filler-" + std::to_string(image), 0.1).expected;
+        CHECK(taken == Approx(4.5 * effect(image) * 0.1).margin(0.15));
+    }
+    CHECK(worstError < 0.5); // Of a headroom that swings by 1.9.
+}
+
+TEST_CASE("serving tasks at the peak of their load: fillers of an unknown image start one by one, known ones together")
+{
+    // Three serving tasks with headroom 1.7 on a worker of 16 cores; "light" is known to take little.
+    InterferenceModel model;
+    ServingTrend trend;
+    for (int i = 0; i < 100; ++i) {
+        model.learn("web", &trend, 1.7 - (i % 2 == 0 ? 0.06 : 0),
+                    i % 2 == 0 ? FillerLoad{{"light", 0.1}} : FillerLoad{}, gaugeTime(i));
+    }
+    const auto leastLeft = [&model](const FillerLoad &load) {
+        return 1.7 - model.taken("web", load).atWorst();
+    };
+    CHECK(leastLeft({{"unknown", 0.08}}) > 1.15);
+    CHECK(leastLeft({{"unknown", 0.16}}) < 1.15);
+    CHECK(leastLeft({{"unknown", 0.08}, {"other", 0.08}}) < 1.15);
+    CHECK(leastLeft({{"light", 0.4}}) > 1.15);
 }
 
 TEST_CASE("fillers that disturb are slowed down at once, moved away, and not placed there again")
--- a/src/libworkflow/interferencemodel.cpp
+++ b/src/libworkflow/interferencemodel.cpp
@@ -1,9 +1,10 @@
 #include "interferencemodel_pvt.h"
 
+#include "servingtrend_pvt.h"
+
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <vector>
 
 namespace fescueledge::workflow {
 
@@ -11,56 +12,96 @@
 
 namespace {
 
-/// Share of an error that one gauge corrects. Some ten gauges a second come for each pair: learnt in a second or two.
-constexpr double effectRate = 0.05;
-constexpr double blameAbove = 0.8;
-constexpr double baseRate = 0.05;
-/// The base moves slower while fillers are present: they, too, may be the cause.
-constexpr double sharedBaseRate = 0.015;
-/// Keeps corrections small when only little filler load is present: it explains little.
-constexpr double regularization = 0.02;
-/// Gauges above this many targets say no more than that.
-constexpr double largestTail = 6;
-constexpr double leastBase = 0.1;
-constexpr double largestBase = 1;
+/// An unknown pair: most fillers take little headroom from most images, some take several times their share.
+constexpr double firstEffect = 1;
+constexpr double firstEffectVariance = 16;
+/// No effect counts as better known than this, so that the model follows changes.
+constexpr double leastEffectVariance = 0.1;
+/// Gauges are rough: this share of the headroom, and what rounding adds.
+constexpr double gaugeNoise = 0.12;
+constexpr double roundingVariance = 0.02;
+/// Above this headroom a tail is so short that rounding hides its length.
+constexpr double largestHeadroom = 6;
+/// Of an image that was never gauged: somewhat more than its target leaves under its usual load.
+constexpr double firstUsualHeadroom = 2;
+/// Share of a trend's level that moves what is usual for its image, each gauge.
+constexpr double usualRate = 0.01;
+/// Rows hold two decimals.
+constexpr double rowPrecision = 100;
+
+double rounded(double value)
+{
+    return std::round(value * rowPrecision) / rowPrecision;
+}
 
 } // namespace
 
-void InterferenceModel::learn(const std::string &serving, double tail, const FillerLoad &load)
+InterferenceModel::Effect::Effect()
+    : mean(firstEffect)
+    , variance(firstEffectVariance)
+{
+}
+
+InterferenceModel::Serving::Serving()
+    : usualHeadroom(firstUsualHeadroom)
+{
+}
+
+void InterferenceModel::learn(const std::string &serving, ServingTrend *trend, double headroom, const FillerLoad &load,
+                              TimePoint now)
 {
     Serving &known = m_serving[serving];
-    const double error = std::min(tail, largestTail) - known.base - added(serving, load);
-    double norm = regularization;
+    if (!trend->known()) {
+        trend->begin(known.usualHeadroom, now);
+    }
+    trend->advance(now);
+    const double gauge = std::min(headroom, largestHeadroom);
+    const double expected = trend->at(now) - taken(serving, load).expected;
+    const double noise = gaugeNoise * std::max(gauge, expected);
+    double total = trend->variance() + noise * noise + roundingVariance;
     for (const auto &[image, share] : load) {
-        norm += share * share;
+        total += known.effects[image].variance * share * share;
     }
-    // A serving task's own load lengthens its tail as well, by up to half; only what is beyond that blames fillers.
-    const double blame = error > 0 && tail < blameAbove ? 0 : error;
+    const double error = gauge - expected;
+    trend->correct(error, total);
     for (const auto &[image, share] : load) {
-        double &effect = known.effects[image];
-        effect = std::max(0.0, effect + effectRate * blame * share / norm);
+        Effect &effect = known.effects[image];
+        const double gain = effect.variance * share / total;
+        effect.mean = std::max(0.0, effect.mean - gain * error);
+        effect.variance = std::max(leastEffectVariance, effect.variance * (1 - gain * share));
     }
-    known.base += (load.empty() ? baseRate : sharedBaseRate) * error;
-    known.base = std::clamp(known.base, leastBase, largestBase);
+    known.usualHeadroom += usualRate * (trend->at(now) - known.usualHeadroom);
 }
 
-double InterferenceModel::added(const std::string &serving, const FillerLoad &load) const
+InterferenceModel::Effect InterferenceModel::effectOf(const std::string &serving, const std::string &filler) const
 {
-    double sum = 0;
+    const auto known = m_serving.find(serving);
+    if (known == m_serving.end()) {
+        return Effect();
+    }
+    const auto effect = known->second.effects.find(filler);
+    return effect == known->second.effects.end() ? Effect() : effect->second;
+}
+
+TakenHeadroom InterferenceModel::taken(const std::string &serving, const FillerLoad &load) const
+{
+    TakenHeadroom sum;
     for (const auto &[image, share] : load) {
-        sum += added(serving, image, share);
+        sum += taken(serving, image, share);
     }
     return sum;
 }
 
-double InterferenceModel::added(const std::string &serving, const std::string &filler, double share) const
+TakenHeadroom InterferenceModel::taken(const std::string &serving, const std::string &filler, double share) const
+{
+    const Effect effect = effectOf(serving, filler);
+    return TakenHeadroom{effect.mean * share, effect.variance * share * share};
+}
+
+double InterferenceModel::usualHeadroom(const std::string &serving) const
 {
     const auto known = m_serving.find(serving);
-    if (known == m_serving.end()) {
-        return 0;
-    }
-    const auto effect = known->second.effects.find(filler);
-    return effect == known->second.effects.end() ? 0 : effect->second * share;
+    return known == m_serving.end() ? firstUsualHeadroom : known->second.usualHeadroom;
 }
 
 std::string InterferenceModel::encode() const
@@ -69,24 +110,33 @@
     for (const auto &[image, serving] : m_serving) {
         json effects = json::object();
         for (const auto &[filler, effect] : serving.effects) {
-            effects[filler] = std::round(effect * 10) / 10;
+            effects[filler] = {rounded(effect.mean), rounded(effect.variance)};
         }
-        out[image] = {{"base", std::round(serving.base * 100) / 100}, {"effects", effects}};
+        out[image] = {{"usual", rounded(serving.usualHeadroom)}, {"effects", effects}};
     }
     return out.dump();
 }
 
-void InterferenceModel::decode(const std::string &value)
+bool InterferenceModel::decode(const std::string &value)
 {
-    const json in = json::parse(value, nullptr, false);
-    if (!in.is_object()) {
-        return;
-    }
-    for (const auto &[image, entry] : in.items()) {
-        Serving serving;
-        serving.base = entry.value("base", serving.base);
-        serving.effects = entry.value("effects", serving.effects);
-        m_serving[image] = serving;
+    try {
+        std::map<std::string, Serving> read;
+        const json in = json::parse(value);
+        if (!in.is_object()) {
+            return false;
+        }
+        for (const auto &[image, entry] : in.items()) {
+            Serving &serving = read[image];
+            serving.usualHeadroom = entry.at("usual").get<double>();
+            for (const auto &[filler, effect] : entry.at("effects").items()) {
+                serving.effects[filler].mean = effect.at(0).get<double>();
+                serving.effects[filler].variance = effect.at(1).get<double>();
+            }
+        }
+        m_serving = std::move(read);
+        return true;
+    } catch (const json::exception &) {
+        return false;
     }
 }
 
--- a/src/libworkflow/interferencemodel_pvt.h
+++ b/src/libworkflow/interferencemodel_pvt.h
@@ -1,41 +1,60 @@
 #pragma once
 
+#include "fescueledge/types.h"
+#include "takenheadroom_pvt.h"
+
 #include <map>
 #include <string>
 
 namespace fescueledge::workflow {
 
+class ServingTrend;
+
 /// Shares of a worker's processors in use by fillers, by image.
 using FillerLoad = std::map<std::string, double>;
 
-/// Learns from gauges how much fillers of each image lengthen the tails of serving tasks of each image.
+/// Learns from gauges how much headroom fillers of each image take from serving tasks of each image.
 ///
-/// Tails are taken as a share of their target: `base(serving) + sum of effect(serving, filler) * load(filler)`. Each
-/// gauge corrects the effects of the fillers that were present, in proportion to their load (normalized least mean
-/// squares). An effect is never below zero.
+/// Headroom is target / tail (see ServingTrend): `headroom = trend of the step - sum of effect(serving, filler) *
+/// load(filler)`. Each gauge corrects the trend and the effects of the fillers that were present, each in proportion
+/// to how uncertain it is (a Kalman filter that leaves out the covariances between effects). An effect is never below
+/// zero.
 class InterferenceModel
 {
 public:
-    /// Takes in one gauge: the tail of a task of image @p serving, as a share of its target, beside @p load.
-    void learn(const std::string &serving, double tail, const FillerLoad &load);
+    /// Takes in one gauge: @p headroom of a task of image @p serving, whose step has @p trend, beside @p load.
+    void learn(const std::string &serving, ServingTrend *trend, double headroom, const FillerLoad &load, TimePoint now);
 
-    /// How much of its target @p load adds to the tail of a task of image @p serving.
-    double added(const std::string &serving, const FillerLoad &load) const;
+    /// Headroom that @p load takes from a task of image @p serving. A pair that was never seen together counts as
+    /// risky.
+    TakenHeadroom taken(const std::string &serving, const FillerLoad &load) const;
     /// The same for a filler of image @p filler that uses @p share of the worker.
-    double added(const std::string &serving, const std::string &filler, double share) const;
+    TakenHeadroom taken(const std::string &serving, const std::string &filler, double share) const;
+    /// Headroom without fillers of a step of image @p serving that was not gauged yet.
+    double usualHeadroom(const std::string &serving) const;
 
-    /// The model as the value of a row, and back; what can't be read leaves the model as it is.
+    /// The model as the value of a row, and back; returns false and leaves the model as it is if it can't be read.
     std::string encode() const;
-    void decode(const std::string &value);
+    bool decode(const std::string &value);
 
 private:
+    /// Headroom that a filler takes for each share of a worker that it uses.
+    struct Effect
+    {
+        Effect();
+        double mean;
+        double variance;
+    };
     /// What is known of one serving image.
     struct Serving
     {
-        double base = 0.5; ///< Until gauges tell: targets are a few times the undisturbed tail.
-        std::map<std::string, double> effects;
+        Serving();
+        double usualHeadroom;
+        std::map<std::string, Effect> effects;
     };
 
+    Effect effectOf(const std::string &serving, const std::string &filler) const;
+
     std::map<std::string, Serving> m_serving;
 };
 
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -232,6 +232,7 @@
         return;
     }
     task->pace = percent;
+    task->pacedAt = m_context->now();
     const RunRef ref{keyOf(*task), task->run, task->worker->id};
     m_context->log->write(LogLine("run_pace")
                               .with("job", ref.task.job)
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -1,5 +1,6 @@
 #include "pacingsystem_pvt.h"
 
+#include "headroom_pvt.h"
 #include "ordersystem_pvt.h"
 
 #include <algorithm>
@@ -8,25 +9,30 @@
 
 namespace {
 
-/// Above this share of its target a tail counts as too long: gauges are rough and half a second old.
-constexpr double slowDownAbove = 0.85;
-/// Below this share for every serving task, fillers are sped up again.
-constexpr double speedUpBelow = 0.6;
-/// Fillers may add this much of a target to a tail before they are slowed down.
-constexpr double toleratedAddition = 0.1;
+/// Headroom 1 is just enough. Below this fillers are slowed down: gauges are rough and a quarter of a second old.
+constexpr double leastHeadroom = 1.1;
+/// Slowed fillers are sped up only while this would be left.
+constexpr double comfortableHeadroom = 1.25;
+/// Headroom is looked at so far ahead: the next gauges, and an order to change the pace, take about that long.
+constexpr Milliseconds lookAhead{600};
+/// Fillers that take less than this are no culprits.
+constexpr double negligible = 0.03;
 /// A tail over its target for so long stops all fillers, whatever the model says: half of what users bear.
 constexpr Milliseconds overTargetLimit{1500};
-/// A change of pace shows in the gauges after so long.
-constexpr Milliseconds settleTime{400};
+/// Gauges cover half a second; the same ones are learnt from once.
+constexpr Milliseconds gaugePeriod{450};
 /// A filler that has been held at a low pace for so long is moved.
 constexpr Milliseconds stuckTime{150};
 constexpr int slowPace = 50;
-constexpr int speedUpStep = 50;
+/// Paces are whole multiples of this; below the least one a filler is better stopped from working.
+constexpr int paceStep = 10;
+constexpr int leastPace = 30;
 constexpr int fullPace = 100;
 
-double tailOf(const Task &task)
+/// Target / tail of a serving task, as gauged.
+double gaugedHeadroom(const Task &task)
 {
-    return static_cast<double>(task.gauge) / static_cast<double>(task.step->spec->tailTarget.count());
+    return static_cast<double>(task.step->spec->tailTarget.count()) / static_cast<double>(task.gauge);
 }
 
 bool isServing(const Task &task)
@@ -34,112 +40,113 @@
     return task.step->spec->tailTarget.count() > 0 && task.phase == TaskPhase::Running && task.gauge > 0;
 }
 
-bool isRunningFiller(const Task &task)
+/// The pace at which @p task takes @p less headroom than the @p takes that it does now.
+int slowerPace(const Task &task, double takes, double less)
 {
-    return task.step->spec->filler && task.phase == TaskPhase::Running;
-}
-
-double share(const Worker &worker, std::int64_t milliCores)
-{
-    return static_cast<double>(milliCores)
-        / static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.milliCores));
+    const double now = task.pace < 0 ? fullPace : task.pace;
+    const int pace = static_cast<int>(now * (1 - less / takes)) / paceStep * paceStep;
+    return pace < leastPace ? 0 : pace;
 }
 
 } // namespace
 
-FillerLoad gaugedLoad(const Worker &worker)
-{
-    FillerLoad load;
-    for (const Task *task : worker.tasks) {
-        if (isRunningFiller(*task) && task->gauge > 0) {
-            load[task->step->spec->image] += share(worker, task->gauge);
-        }
-    }
-    return load;
-}
-
 PacingSystem::PacingSystem(std::shared_ptr<Context> context, OrderSystem *orders)
     : m_context(std::move(context))
     , m_orders(orders)
 {
 }
 
-void PacingSystem::learn(const Worker &worker)
+void PacingSystem::learn(Worker *worker)
 {
-    const FillerLoad load = gaugedLoad(worker);
-    for (const Task *task : worker.tasks) {
+    const TimePoint now = m_context->now();
+    if (now < worker->learntAt + gaugePeriod) {
+        return;
+    }
+    worker->learntAt = now;
+    const FillerLoad load = gaugedLoad(*worker);
+    for (const Task *task : worker->tasks) {
         if (isServing(*task) && task->percent == fullPace) {
-            m_context->interference.learn(task->step->spec->image, tailOf(*task), load);
+            m_context->interference.learn(task->step->spec->image, &task->step->trend, gaugedHeadroom(*task), load,
+                                          now);
         }
     }
 }
 
-void PacingSystem::observe(Worker *worker)
+TimePoint PacingSystem::noteTails(Worker *worker) const
 {
-    learn(*worker);
-    const TimePoint now = m_context->now();
-    const Task *worst = nullptr;
-    bool fillers = false;
+    TimePoint since{};
     for (Task *task : worker->tasks) {
-        fillers = fillers || isRunningFiller(*task);
         if (!isServing(*task)) {
             continue;
         }
-        if (tailOf(*task) <= 1) {
+        if (gaugedHeadroom(*task) >= 1) {
             task->overTargetSince = TimePoint{};
         } else if (task->overTargetSince == TimePoint{}) {
-            task->overTargetSince = now;
+            task->overTargetSince = m_context->now();
         }
-        if (worst == nullptr || tailOf(*task) > tailOf(*worst)) {
-            worst = task;
+        if (task->overTargetSince != TimePoint{} && (since == TimePoint{} || task->overTargetSince < since)) {
+            since = task->overTargetSince;
         }
     }
-    if (!fillers) {
+    return since;
+}
+
+std::vector<StepHeadroom> PacingSystem::expected(const Worker &worker) const
+{
+    return headroomOf(worker, m_context->interference, pacedLoad(worker), m_context->now(), lookAhead);
+}
+
+void PacingSystem::observe(Worker *worker)
+{
+    learn(worker);
+    const TimePoint overSince = noteTails(worker);
+    if (std::none_of(worker->tasks.begin(), worker->tasks.end(), [](const Task *task) {
+            return isRunningFiller(*task);
+        })) {
         return;
     }
-    if (worst != nullptr && worst->overTargetSince != TimePoint{} && now - worst->overTargetSince > overTargetLimit) {
+    const bool overTarget = overSince != TimePoint{};
+    const std::vector<StepHeadroom> steps = expected(*worker);
+    const auto worst = std::min_element(steps.begin(), steps.end(), [](const auto &a, const auto &b) {
+        return a.left() < b.left();
+    });
+    if (overTarget && m_context->now() - overSince > overTargetLimit) {
         slowAll(worker);
-    } else if (worst != nullptr && tailOf(*worst) > slowDownAbove && now > worker->pacedAt + settleTime) {
-        slowCulprits(worker, *worst);
-    } else if (worst == nullptr || (tailOf(*worst) < speedUpBelow && now > worker->pacedAt + settleTime)) {
+    } else if (worst != steps.end() && worst->left() < leastHeadroom) {
+        slowCulprits(worker, *worst, overTarget);
+    } else if (!overTarget) {
         speedUp(worker);
     }
     moveStuck(worker);
 }
 
-void PacingSystem::slowCulprits(Worker *worker, const Task &victim)
+void PacingSystem::slowCulprits(Worker *worker, const StepHeadroom &victim, bool overTarget)
 {
     const InterferenceModel &model = m_context->interference;
-    const std::string &image = victim.step->spec->image;
     std::vector<std::pair<double, Task *>> culprits;
-    double sum = 0;
+    double missing = leastHeadroom - victim.left();
     for (Task *task : worker->tasks) {
-        if (isRunningFiller(*task) && task->pace != 0) {
-            const double adds =
-                model.added(image, task->step->spec->image, share(*worker, task->step->spec->perTask.milliCores));
-            culprits.emplace_back(adds, task);
-            sum += adds;
+        if (!isRunningFiller(*task) || task->pace == 0) {
+            continue;
+        }
+        const double takes =
+            model.taken(victim.step->spec->image, task->step->spec->image, pacedShare(*worker, *task)).expected;
+        if (takes >= negligible) {
+            culprits.emplace_back(takes, task);
+        } else if (overTarget && task->pace > slowPace) {
+            m_orders->pace(task, slowPace); // Until the model knows the culprit.
         }
     }
     std::sort(culprits.begin(), culprits.end(), [](const auto &a, const auto &b) {
         return a.first > b.first;
     });
     worker->pacedAt = m_context->now();
-    if (sum <= toleratedAddition) {
-        // The model knows no culprit. Over its target, all are slowed down until it does.
-        for (const std::pair<double, Task *> &entry : culprits) {
-            if (tailOf(victim) > 1) {
-                m_orders->pace(entry.second, slowPace);
-            }
-        }
-        return;
-    }
     for (const std::pair<double, Task *> &entry : culprits) {
-        if (sum <= toleratedAddition) {
+        if (missing <= 0) {
             break;
         }
-        m_orders->pace(entry.second, 0);
-        sum -= entry.first;
+        m_orders->pace(entry.second, slowerPace(*entry.second, entry.first, missing));
+        missing -= entry.first;
     }
 }
 
@@ -156,22 +163,24 @@
 void PacingSystem::speedUp(Worker *worker)
 {
     const InterferenceModel &model = m_context->interference;
+    std::vector<StepHeadroom> steps = expected(*worker);
     for (Task *task : worker->tasks) {
         if (!isRunningFiller(*task) || task->pace == fullPace) {
             continue;
         }
-        double adds = 0;
-        for (const Task *serving : worker->tasks) {
-            if (isServing(*serving)) {
-                adds = std::max(adds,
-                                model.added(serving->step->spec->image, task->step->spec->image,
-                                            share(*worker, task->step->spec->perTask.milliCores)));
-            }
+        const double more = shareOf(*worker, task->step->spec->perTask.milliCores) - pacedShare(*worker, *task);
+        const std::string &image = task->step->spec->image;
+        const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
+            return entry.left() - model.taken(entry.step->spec->image, image, more).expected >= comfortableHeadroom;
+        });
+        if (!enough) {
+            continue;
         }
-        if (adds <= toleratedAddition) {
-            m_orders->pace(task, std::min(fullPace, std::max(task->pace, 0) + speedUpStep));
-            worker->pacedAt = m_context->now();
+        for (StepHeadroom &entry : steps) {
+            entry.taken += model.taken(entry.step->spec->image, image, more);
         }
+        m_orders->pace(task, fullPace);
+        worker->pacedAt = m_context->now();
     }
 }
 
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -5,11 +5,12 @@
 namespace fescueledge::workflow {
 
 class OrderSystem;
+struct StepHeadroom;
 
 /// Keeps the response times of serving tasks under their targets.
 ///
-/// It learns from each observation which fillers disturb which serving tasks, slows the culprits down at once, and
-/// moves them to a worker where they disturb nobody.
+/// It learns from each observation which fillers disturb which serving tasks, slows the culprits down as soon as the
+/// headroom that is expected gets short, and moves them to a worker where they disturb nobody.
 class PacingSystem
 {
 public:
@@ -21,8 +22,11 @@
     std::function<bool(const Task &)> hasBetterPlace;
 
 private:
-    void learn(const Worker &worker);
-    void slowCulprits(Worker *worker, const Task &victim);
+    void learn(Worker *worker);
+    /// Notes which serving tasks are over their target; returns since when the first of them is, the epoch for none.
+    TimePoint noteTails(Worker *worker) const;
+    std::vector<StepHeadroom> expected(const Worker &worker) const;
+    void slowCulprits(Worker *worker, const StepHeadroom &victim, bool overTarget);
     void slowAll(Worker *worker);
     void speedUp(Worker *worker);
     void moveStuck(Worker *worker);
@@ -31,6 +35,4 @@
     OrderSystem *m_orders;
 };
 
-/// What the fillers on @p worker use of it, by image, as gauged.
-FillerLoad gaugedLoad(const Worker &worker);
 } // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/takenheadroom_pvt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cmath>
+
+namespace fescueledge::workflow {
+
+/// Headroom that fillers take from a serving task, and how uncertain that is.
+struct TakenHeadroom
+{
+    /// Standard deviations between what is expected and the worst that is reckoned with.
+    static constexpr double caution = 1;
+
+    double expected = 0;
+    double variance = 0;
+
+    double atWorst() const
+    {
+        return expected + caution * std::sqrt(variance);
+    }
+    TakenHeadroom &operator+=(const TakenHeadroom &other)
+    {
+        expected += other.expected;
+        variance += other.variance;
+        return *this;
+    }
+};
+
+} // namespace fescueledge::workflow
