Keep work going while the store is slow, silent or cut off from the coordinator

Changes: whoever accepts or cancels a job tells the coordinator; rows of jobs stand in sixteen partitions; a term reads its state in parallel and renews recorded workers' leases first; a coordinator tells of a waiting write after 0.5 s, and is replaced by a node whose own read was quick. Since a replaced coordinator may be told of a job too, its successor treats all jobs as possibly started until the recorded workers have answered (test: run without that, a task ran twice). A node that ends closes its coordination first; it was destroyed after its parts (found by the new tests).

Ruled out: a condition on the term in each submission (needs one partition for all jobs); longer leases (a worker that is lost would be waited for longer).

--- a/src/include/fescueledge/testing/faketableservice.h
+++ b/src/include/fescueledge/testing/faketableservice.h
@@ -17,8 +17,10 @@
     struct Faults
     {
         bool down = false; ///< Nothing is answered; commits end as Unknown or Unavailable after the timeout.
+        bool watchesSilent = false; ///< Watches end without an answer after their wait; all else works.
         double loseRequest = 0; ///< Probability that a commit is lost before it takes effect.
         double loseAnswer = 0; ///< Probability that the answer to a commit that took effect is lost.
+        int scanRounds = 1; ///< Calls, one after the other, that a scan takes.
         Milliseconds latency{5}; ///< Half of it passes before the effect, half after.
         Milliseconds timeout{500}; ///< Time after which a lost answer is noticed.
     };
@@ -34,7 +36,7 @@
 
 private:
     void pollChanges(const std::string &collection, RowVersion since, TimePoint until, const WatchHandler &handler);
-    void answerRead(const std::function<ReadResult()> &query, const ReadHandler &handler);
+    void answerRead(const std::function<ReadResult()> &query, Duration latency, const ReadHandler &handler);
 
     SimWorld *m_world;
     Loop *m_loop;
--- a/src/include/fescueledge/watchabletable.h
+++ b/src/include/fescueledge/watchabletable.h
@@ -22,7 +22,9 @@
 
 /// A table service that also tells of changes.
 ///
-/// The part of a key before its first `/` names a collection; a watch covers one collection.
+/// The part of a key before its first `/` names a collection; a watch covers one collection. The part between the first
+/// and the second `/`, if there is one, names a partition: the keys of a transaction share one, and a partition takes
+/// one transaction after the other. A scan of several partitions is no snapshot, but `asOf` is the oldest of them.
 class WatchableTable : public TableService
 {
 public:
--- a/src/include/fescueledge/workflow/collectionfollower.h
+++ b/src/include/fescueledge/workflow/collectionfollower.h
@@ -30,6 +30,8 @@
     void setPause(Milliseconds pause);
     /// Called after each call, with whether the service answered.
     void onContact(std::function<void(bool)> handler);
+    /// All changes up to this version were handed over.
+    RowVersion seenUpTo() const;
     /// Starts; @p snapshot is called with all rows, at first and whenever the history was lost.
     void start(SnapshotHandler snapshot, ChangesHandler changes);
 
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -23,7 +23,7 @@
         [table, keys] {
             return table->read(keys);
         },
-        handler);
+        faults.latency, handler);
 }
 
 void FakeTableService::scan(const std::string &prefix, ReadHandler handler)
@@ -33,10 +33,11 @@
         [table, prefix] {
             return table->scan(prefix);
         },
-        handler);
+        faults.latency * faults.scanRounds, handler);
 }
 
-void FakeTableService::answerRead(const std::function<ReadResult()> &query, const ReadHandler &handler)
+void FakeTableService::answerRead(const std::function<ReadResult()> &query, Duration latency,
+                                  const ReadHandler &handler)
 {
     Loop *loop = m_loop;
     if (faults.down) {
@@ -45,7 +46,7 @@
         });
         return;
     }
-    const Duration half = faults.latency / 2;
+    const Duration half = latency / 2;
     m_world->after(half, [loop, half, query, handler] {
         const ReadResult result = query();
         loop->postAfter(half, [handler, result] {
@@ -83,6 +84,12 @@
 
 void FakeTableService::watch(const std::string &collection, RowVersion since, Milliseconds wait, WatchHandler handler)
 {
+    if (faults.watchesSilent) {
+        m_loop->postAfter(wait + faults.timeout, [handler] {
+            handler(WatchResult());
+        });
+        return;
+    }
     pollChanges(collection, since, m_loop->now() + wait, handler);
 }
 
--- a/src/libworkflow/collectionfollower.cpp
+++ b/src/libworkflow/collectionfollower.cpp
@@ -58,6 +58,11 @@
     m_state->contact = std::move(handler);
 }
 
+RowVersion CollectionFollower::seenUpTo() const
+{
+    return m_state->since;
+}
+
 void CollectionFollower::start(SnapshotHandler snapshot, ChangesHandler changes)
 {
     m_state->snapshot = std::move(snapshot);
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -19,7 +19,6 @@
 /// Job changes are gathered for so long before the next are asked for.
 constexpr Milliseconds jobPause{30};
 constexpr const char *cancelSuffix = ".cancel";
-constexpr const char *jobPrefix = "job/";
 
 bool endsWith(const std::string &text, const std::string &end)
 {
@@ -39,13 +38,11 @@
     , m_pacing(m_context, &m_orders)
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
     , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchWait)
-    , m_start(start)
+    , m_loader(m_context, table)
+    , m_leaseKeeper(m_context)
 {
     m_context->term = start.term;
     m_context->tookOverAt = m_context->now();
-    if (!start.interference.empty() && !m_context->interference.decode(start.interference)) {
-        m_context->log->write(LogLine("interference_unreadable").with("outcome", "learnt anew"));
-    }
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
@@ -72,7 +69,23 @@
     m_writer.storeReachable = [this](bool reachable) {
         noteStore(reachable);
     };
-    loadProgress();
+    m_loader.storeReachable = [this](bool reachable) {
+        noteStore(reachable);
+    };
+    m_loader.workersRead = [this](const std::string &record) {
+        if (!record.empty() && !m_jobsRead) {
+            m_leaseKeeper.renew(decodeWorkerRecord(record));
+        }
+    };
+    m_loader.start([this](TermState state) {
+        takeState(std::move(state));
+    });
+    followJobs();
+    m_fleetSource->follow([this, shared = m_context](const FleetNews &news) {
+        if (!shared->ended) {
+            onFleetNews(news);
+        }
+    });
 }
 
 Coordinator::~Coordinator()
@@ -81,52 +94,67 @@
     m_fleetSource->stop();
 }
 
-void Coordinator::loadProgress()
+void Coordinator::followJobs()
 {
-    const std::shared_ptr<Context> context = m_context;
-    m_table->scan("progress/", [this, context](const ReadResult &result) {
-        if (context->ended) {
-            return;
-        }
-        noteStore(result.available);
-        if (!result.available) {
-            context->loop->postAfter(context->settings.orderRetry, [this, context] {
-                if (!context->ended) {
-                    loadProgress();
-                }
-            });
-            return;
+    m_jobFollower.setPause(jobPause);
+    m_jobFollower.onContact([this](bool answered) {
+        noteStore(answered);
+    });
+    m_jobFollower.start(
+        [this](const std::vector<Row> &rows) {
+            m_jobsRead = true;
+            onJobRows(rows);
+        },
+        [this](const std::vector<WatchResult::Change> &changes) {
+            onJobChanges(changes);
+        });
+}
+
+void Coordinator::takeState(TermState state)
+{
+    m_stateLoaded = true;
+    m_state = std::move(state);
+    if (!m_state.interference.empty() && !m_context->interference.decode(m_state.interference)) {
+        m_context->log->write(LogLine("interference_unreadable").with("outcome", "learnt anew"));
+    }
+    beginIfLoaded();
+}
+
+void Coordinator::beginIfLoaded()
+{
+    if (m_jobsLoaded || !m_stateLoaded || !m_jobsRead) {
+        return;
+    }
+    for (const Row &row : m_earlyRows) {
+        takeJobRow(row);
+        if (m_context->ended) {
+            return; // One of them was the marker of a later term.
         }
-        for (const Row &row : result.rows) {
-            m_progress[row.key.substr(row.key.find('/') + 1)] = row.value;
+    }
+    m_earlyRows.clear();
+    m_jobsLoaded = true;
+    for (const auto &[id, progress] : m_state.progress) {
+        if (m_context->jobs.find(id) == nullptr) {
+            m_writer.removeProgress(id); // A removal of the job was cut short.
         }
-        m_jobFollower.setPause(jobPause);
-        m_jobFollower.onContact([this](bool answered) {
-            noteStore(answered);
-        });
-        m_jobFollower.start(
-            [this](const std::vector<Row> &rows) {
-                onJobRows(rows, true);
-            },
-            [this](const std::vector<WatchResult::Change> &changes) {
-                onJobChanges(changes);
-            });
-    });
+    }
+    m_state.progress.clear();
+    begin();
 }
 
-void Coordinator::onJobRows(const std::vector<Row> &rows, bool snapshot)
+void Coordinator::onJobRows(const std::vector<Row> &rows)
 {
+    if (!m_jobsLoaded) {
+        m_earlyRows.insert(m_earlyRows.end(), rows.begin(), rows.end());
+        beginIfLoaded();
+        return;
+    }
     for (const Row &row : rows) {
         if (m_context->ended) {
             return;
         }
         takeJobRow(row);
     }
-    if (snapshot && !m_jobsLoaded && !m_context->ended) {
-        m_jobsLoaded = true;
-        m_progress.clear();
-        begin();
-    }
     scheduleDispatch();
 }
 
@@ -138,7 +166,7 @@
             rows.push_back(change.row);
         }
     }
-    onJobRows(rows, false);
+    onJobRows(rows);
 }
 
 void Coordinator::takeJobRow(const Row &row)
@@ -149,7 +177,7 @@
         }
         return;
     }
-    const std::string name = row.key.substr(std::string(jobPrefix).size());
+    const std::string name = row.key.substr(row.key.rfind('/') + 1);
     if (endsWith(name, cancelSuffix)) {
         cancel(name.substr(0, name.size() - std::string(cancelSuffix).size()));
         return;
@@ -164,9 +192,11 @@
         const TimePoint now = m_context->now();
         Job *job = m_context->jobs.add(name, accepted.spec, policy == nullptr ? accepted.policy : *policy,
                                        accepted.acceptedAt, now, m_context->wallClock());
-        job->beforeTerm = !m_jobsLoaded;
-        const auto it = m_progress.find(name);
-        if (it != m_progress.end()) {
+        // An earlier coordinator that does not know of this term may have been told of the job as well.
+        job->rowVersion = row.version;
+        job->beforeTerm = !m_earlierRunsKnown;
+        const auto it = m_state.progress.find(name);
+        if (it != m_state.progress.end()) {
             m_context->jobs.applyProgress(job, it->second, now, m_context->wallClock());
         }
         if (m_cancelledEarly.erase(name) > 0) {
@@ -194,17 +224,36 @@
     scheduleDispatch();
 }
 
+void Coordinator::takeAccepted(const JobId &id, const std::string &value, RowVersion version)
+{
+    // A version that the watch has passed is of a job that is known, or was removed since.
+    if (!m_jobsLoaded || version <= m_jobFollower.seenUpTo() || m_context->jobs.find(id) != nullptr) {
+        return;
+    }
+    Row row;
+    row.key = rows::job(id);
+    row.value = value;
+    row.version = version;
+    takeJobRow(row);
+    scheduleDispatch();
+}
+
+void Coordinator::takeCancelled(const JobId &id)
+{
+    if (m_context->jobs.find(id) != nullptr) {
+        cancel(id);
+    }
+}
+
 void Coordinator::begin()
 {
     m_context->log->write(LogLine("jobs_loaded")
                               .with("term", static_cast<std::int64_t>(m_context->term))
                               .with("jobs", static_cast<std::int64_t>(m_context->jobs.all().size())));
-    const std::shared_ptr<Context> context = m_context;
-    m_fleetSource->follow([this, context](const FleetNews &news) {
-        if (!context->ended) {
-            onFleetNews(news);
-        }
-    });
+    for (const FleetNews &news : m_earlyNews) {
+        onFleetNews(news);
+    }
+    m_earlyNews.clear();
 }
 
 void Coordinator::expectRecordedWorkers(const std::string &record)
@@ -233,6 +282,10 @@
 
 void Coordinator::onFleetNews(const FleetNews &news)
 {
+    if (!m_jobsLoaded) {
+        m_earlyNews.push_back(news);
+        return;
+    }
     Context &context = *m_context;
     const TimePoint now = context.now();
     std::set<WorkerId> present;
@@ -269,8 +322,8 @@
     }
     if (!m_fleetLoaded) {
         m_fleetLoaded = true;
-        if (!m_start.occupiedWorkers.empty()) {
-            expectRecordedWorkers(m_start.occupiedWorkers);
+        if (!m_state.occupiedWorkers.empty()) {
+            expectRecordedWorkers(m_state.occupiedWorkers);
         }
         for (const auto &[id, worker] : context.fleet.all()) {
             FleetTable::noteForeignLease(worker.get(), context.settings.isolationLimit + context.settings.workerLease,
@@ -318,7 +371,7 @@
         JobTable::trim(job.get());
         if (job->ended() && job->phaseDurable && job->open.empty()
             && now > job->endedAt + m_context->settings.statusRetention) {
-            m_writer.remove(id);
+            m_writer.remove(job.get());
         }
     }
 }
@@ -351,6 +404,7 @@
     m_context->loop->postAfter(dispatchDelay, [this, shared] {
         if (!shared->ended) {
             m_dispatchScheduled = false;
+            m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
             m_dispatch.run();
         }
     });
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -5,10 +5,12 @@
 #include "fescueledge/watchabletable.h"
 #include "fescueledge/workflow/collectionfollower.h"
 #include "fescueledge/workflow/fleetsource.h"
+#include "leasekeeper_pvt.h"
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
 #include "pacingsystem_pvt.h"
 #include "progresswriter_pvt.h"
+#include "termloader_pvt.h"
 
 #include <optional>
 
@@ -20,8 +22,6 @@
     Term term = 0;
     RowVersion chainVersion = 0;
     std::string chainValue; ///< Value of the coordinator's row.
-    std::string occupiedWorkers; ///< Row of the earlier coordinator; empty if there is none.
-    std::string interference; ///< What it had learnt; empty if nothing.
 };
 
 /// Coordinates all workflows during one term: accepted jobs in, orders to workers out.
@@ -39,18 +39,29 @@
     /// Nothing before all accepted jobs are loaded.
     std::optional<std::size_t> pending(const std::string &queue) const;
     void setCatalog(const Catalog *catalog);
+    /// Takes a job from the node that accepted it, without waiting for the watch. Its row is @p value at @p version.
+    void takeAccepted(const JobId &id, const std::string &value, RowVersion version);
+    /// The same for a request to cancel a job.
+    void takeCancelled(const JobId &id);
+    /// How long a write has been waiting for the store's answer.
+    Duration writeWaits() const
+    {
+        return m_writer.waits();
+    }
     /// Called with whether the store answers.
     void onStoreContact(std::function<void(bool)> handler);
-    /// Called when the term marker of a later term was seen.
     Term term() const
     {
         return m_context->term;
     }
 
 private:
-    void loadProgress();
-    void onJobRows(const std::vector<Row> &rows, bool snapshot);
+    void followJobs();
+    void onJobRows(const std::vector<Row> &rows);
     void onJobChanges(const std::vector<WatchResult::Change> &changes);
+    void takeState(TermState state);
+    /// Begins the work when everything from before the term is there.
+    void beginIfLoaded();
     void takeJobRow(const Row &row);
     void cancel(const JobId &id);
     void begin();
@@ -71,11 +82,17 @@
     PacingSystem m_pacing;
     ProgressWriter m_writer;
     CollectionFollower m_jobFollower;
-    TermStart m_start;
-    std::map<JobId, std::string> m_progress; ///< Rows read at the start, until their jobs are added.
+    TermLoader m_loader;
+    LeaseKeeper m_leaseKeeper;
+    TermState m_state; ///< From before the term, until it is taken into the tables.
+    bool m_stateLoaded = false;
+    bool m_jobsRead = false;
+    std::vector<Row> m_earlyRows; ///< Jobs that were read before the state.
+    std::vector<FleetNews> m_earlyNews; ///< News of workers from before all jobs were known.
     std::set<JobId> m_cancelledEarly; ///< Cancellations seen before their jobs.
     std::function<void(bool)> m_storeContact;
     bool m_jobsLoaded = false;
+    bool m_earlierRunsKnown = false; ///< Earlier coordinators can start nothing any more, and what they did is known.
     bool m_fleetLoaded = false;
     bool m_dispatchScheduled = false;
     TimePoint m_cleanedAt{};
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -21,6 +21,15 @@
 constexpr Milliseconds rankStep{60};
 /// A coordinator whose calls to the store failed so often in a row says so, and another may take over.
 constexpr int failuresToDoubt = 3;
+/// A write of the coordinator that waits for so long while nothing else is answered puts its way to the store in doubt:
+/// a store that is 60 times slower than usual still answers.
+constexpr Milliseconds storeDoubt{500};
+/// A coordinator in such doubt for so long is replaced by a node that reaches the store well ...
+constexpr Milliseconds doubtPatience{250};
+/// ... which is one that got an answer within this time.
+constexpr Milliseconds healthyRead{250};
+/// After so long without a coordinator that reaches the store, any node that got an answer takes over.
+constexpr Milliseconds silentStoreLimit{3000};
 /// Members are read again at least this often.
 constexpr Milliseconds memberWait{5000};
 constexpr Milliseconds electionPatience{1000};
@@ -46,8 +55,15 @@
 }
 
 Election::~Election()
+{
+    close();
+}
+
+void Election::close()
 {
     *m_alive = false;
+    m_own.reset();
+    m_memberFollower.reset();
 }
 
 std::string Election::encode(const CoordinatorRow &row)
@@ -148,7 +164,21 @@
 
 bool Election::suspects() const
 {
-    return m_coordinator.empty() || m_parts.loop->now() > m_heardAt + suspicion;
+    return m_coordinator.empty() || m_parts.loop->now() > m_heardAt + suspicion || hearsOfSilentStore();
+}
+
+bool Election::hearsOfSilentStore() const
+{
+    return m_storeDoubtedAt != TimePoint{} && m_parts.loop->now() >= m_storeDoubtedAt + doubtPatience;
+}
+
+bool Election::storeAnswers() const
+{
+    if (!m_own) {
+        return true;
+    }
+    const Duration silent = std::min(m_own->writeWaits(), Duration(m_parts.sinceBoot() - m_storeAt));
+    return m_storeFailures < failuresToDoubt && silent < storeDoubt;
 }
 
 json Election::pingBody() const
@@ -198,6 +228,9 @@
     if (term == m_term && body.value("leads", false)) {
         if (body.value("store", true)) {
             m_heardAt = m_parts.loop->now();
+            m_storeDoubtedAt = TimePoint{};
+        } else if (m_storeDoubtedAt == TimePoint{}) {
+            m_storeDoubtedAt = m_parts.loop->now();
         }
     } else if (term == m_term) {
         m_heardAt = std::min(m_heardAt, m_parts.loop->now() - suspicion - pingInterval); // It no longer coordinates.
@@ -218,7 +251,7 @@
     }
     json reply = pingBody();
     reply["leads"] = m_own != nullptr;
-    reply["store"] = m_storeFailures < failuresToDoubt;
+    reply["store"] = storeAnswers();
     return PeerMessage{"coordinator-pong", reply};
 }
 
@@ -228,6 +261,7 @@
         return;
     }
     m_reading = true;
+    m_readAt = m_parts.loop->now();
     const std::shared_ptr<bool> alive = m_alive;
     m_parts.table->read({rows::coordinator()}, [this, alive](const ReadResult &result) {
         if (*alive) {
@@ -253,6 +287,10 @@
             return;
         }
     }
+    const bool wellConnected = m_parts.loop->now() < m_readAt + healthyRead;
+    if (hearsOfSilentStore() && !wellConnected && m_parts.loop->now() < m_heardAt + silentStoreLimit) {
+        return; // The store is slow for this node too: taking over would not help.
+    }
     if (!stands || (!suspects() && !current.resigned && current.node != m_self.name)) {
         return;
     }
@@ -277,6 +315,7 @@
     m_coordinator = row.node;
     m_coordinatorAddress = row.address;
     m_heardAt = m_parts.loop->now();
+    m_storeDoubtedAt = TimePoint{};
     m_parts.log->write(
         LogLine("coordinator_known").with("node", row.node).with("term", static_cast<std::int64_t>(row.term)));
 }
@@ -322,37 +361,18 @@
         }
         m_reading = false;
         if (result.status == CommitStatus::Committed) {
-            onElected(next, result.version);
+            lead(next, result.version);
         }
     });
 }
 
-void Election::onElected(const CoordinatorRow &row, RowVersion version)
-{
-    const std::shared_ptr<bool> alive = m_alive;
-    m_parts.table->read({rows::occupiedWorkers(), rows::interference()},
-                        [this, alive, row, version](const ReadResult &result) {
-                            if (!*alive) {
-                                return;
-                            }
-                            if (!result.available) {
-                                m_parts.loop->postAfter(m_settings.orderRetry, [this, alive, row, version] {
-                                    if (*alive) {
-                                        onElected(row, version);
-                                    }
-                                });
-                                return;
-                            }
-                            lead(row, version, result);
-                        });
-}
-
-void Election::lead(const CoordinatorRow &row, RowVersion version, const ReadResult &left)
+void Election::lead(const CoordinatorRow &row, RowVersion version)
 {
     if (m_own || m_term > row.term) {
         return;
     }
     m_term = row.term;
+    m_storeDoubtedAt = TimePoint{};
     m_coordinator = m_self.name;
     m_coordinatorAddress = m_self.peerAddress;
     m_pingedBy.clear();
@@ -384,10 +404,6 @@
     start.term = row.term;
     start.chainVersion = version;
     start.chainValue = encode(row);
-    const Row *occupied = left.find(rows::occupiedWorkers());
-    const Row *model = left.find(rows::interference());
-    start.occupiedWorkers = occupied == nullptr ? std::string() : occupied->value;
-    start.interference = model == nullptr ? std::string() : model->value;
     context->catalog = m_catalog.get();
     announce();
     m_own = std::make_unique<Coordinator>(context, m_parts.table, m_parts.fleet, start, m_random.below(1U << 30U));
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -27,6 +27,8 @@
 
     void start();
     void resign();
+    /// Ends all that goes on; the parts that it was given may go afterwards.
+    void close();
     void setCatalog(std::shared_ptr<const Catalog> catalog);
 
     /// The coordinator as far as this node knows; empty if none is known.
@@ -71,11 +73,13 @@
     void onPong(const PeerResult &result);
     PeerMessage answerPing(const NodeId &from, const nlohmann::json &body);
     bool suspects() const;
+    /// Whether the coordinator answers, and has said for a while that the store does not answer it.
+    bool hearsOfSilentStore() const;
+    bool storeAnswers() const;
     void readCoordinator();
     void onCoordinatorRow(const ReadResult &result);
     void takeOver(const CoordinatorRow &current, RowVersion version);
-    void onElected(const CoordinatorRow &row, RowVersion version);
-    void lead(const CoordinatorRow &row, RowVersion version, const ReadResult &left);
+    void lead(const CoordinatorRow &row, RowVersion version);
     void stepDown(const char *reason);
     bool mayOrder() const;
     void noteStore(bool answered);
@@ -96,7 +100,8 @@
     NodeId m_coordinator;
     std::string m_coordinatorAddress;
     TimePoint m_heardAt{}; ///< Last good answer of the coordinator.
-    TimePoint m_suspectedAt{}; ///< When the suspicion that led to the read under way began.
+    TimePoint m_storeDoubtedAt{}; ///< Since when it says that the store does not answer it; the epoch if it does.
+    TimePoint m_readAt{}; ///< When the last read of the coordinator's row began.
     bool m_reading = false;
     bool m_resigned = false; ///< This node no longer stands for election.
 
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -87,7 +87,9 @@
     JobPhase phase = JobPhase::Queued;
     bool phaseDurable = true; ///< The progress row says so too.
     bool dirty = false; ///< The progress row is behind.
-    bool beforeTerm = false; ///< Accepted before this coordinator took over: another one may have started its tasks.
+    bool beforeTerm = false; ///< Another coordinator may have started its tasks, in an earlier term.
+    RowVersion rowVersion = 0; ///< Of the row that accepted it.
+    bool removing = false; ///< Its rows are being removed.
     TimePoint acceptedAt{};
     TimePoint objective{}; ///< Done later than this counts as late.
     TimePoint endedAt{};
--- /dev/null
+++ b/src/libworkflow/leasekeeper.cpp
@@ -0,0 +1,65 @@
+#include "leasekeeper_pvt.h"
+
+#include <utility>
+
+namespace fescueledge::workflow {
+
+LeaseKeeper::LeaseKeeper(std::shared_ptr<Context> context)
+    : m_context(std::move(context))
+{
+}
+
+void LeaseKeeper::renew(const std::vector<RecordedWorker> &workers)
+{
+    m_context->log->write(LogLine("leases_renewed_early")
+                              .with("term", static_cast<std::int64_t>(m_context->term))
+                              .with("workers", static_cast<std::int64_t>(workers.size())));
+    for (const RecordedWorker &worker : workers) {
+        if (m_context->mayOrder()) {
+            askClock(WorkerRef{worker.entry.id, worker.entry.address});
+        }
+    }
+}
+
+void LeaseKeeper::askClock(const WorkerRef &worker)
+{
+    ObserveOrder order;
+    order.term = m_context->term;
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->gateway->observe(worker, order, m_context->settings.observeTimeout,
+                                [this, shared, worker](const Observation &answer) {
+                                    if (shared->ended) {
+                                        return;
+                                    }
+                                    note(answer);
+                                    if (answer.outcome == OrderOutcome::Done && !answer.active.empty()) {
+                                        sendLease(worker, answer.workerClock);
+                                    }
+                                });
+}
+
+void LeaseKeeper::sendLease(const WorkerRef &worker, WorkerTime clock)
+{
+    if (!m_context->mayOrder()) {
+        return;
+    }
+    ObserveOrder order;
+    order.term = m_context->term;
+    order.leaseUntil = clock + m_context->settings.workerLease;
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->gateway->observe(worker, order, m_context->settings.observeTimeout,
+                                [this, shared](const Observation &answer) {
+                                    if (!shared->ended) {
+                                        note(answer);
+                                    }
+                                });
+}
+
+void LeaseKeeper::note(const Observation &answer)
+{
+    if (answer.outcome == OrderOutcome::StaleTerm) {
+        m_context->superseded();
+    }
+}
+
+} // namespace fescueledge::workflow
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -12,7 +12,7 @@
 
 /// Rows of one transaction, below the store's limit of 100 entries with room for the fixed ones.
 constexpr std::size_t maxJobsPerWrite = 60;
-constexpr std::size_t maxRemovalsPerWrite = 10; ///< Three rows each.
+constexpr std::size_t maxRemovalsPerWrite = 30;
 /// How long the fate of a write is looked for before the term is given up.
 constexpr Milliseconds commitPatience{60000};
 /// What is learnt of interference goes along with a write this often.
@@ -24,18 +24,50 @@
                                std::string chainValue, std::uint64_t seed)
     : m_context(std::move(context))
     , m_resolver(m_context->loop, table)
+    , m_table(table)
     , m_random(seed)
     , m_chainVersion(chainVersion)
     , m_chainValue(std::move(chainValue))
 {
 }
 
-void ProgressWriter::remove(const JobId &id)
+void ProgressWriter::remove(Job *job)
+{
+    if (job->removing) {
+        return;
+    }
+    job->removing = true;
+    // First the row that makes it a job, in its own partition: what is left of its progress then means nothing.
+    Transaction transaction;
+    transaction.writeId = m_random.uniqueId();
+    transaction.conditions.push_back({rows::job(job->id), job->rowVersion});
+    transaction.removals.push_back(rows::job(job->id));
+    transaction.removals.push_back(rows::cancellation(job->id));
+    const std::shared_ptr<Context> shared = m_context;
+    m_table->commit(transaction, [this, shared, id = job->id](const CommitResult &result) {
+        Job *removed = shared->ended ? nullptr : shared->jobs.find(id);
+        if (removed == nullptr) {
+            return;
+        }
+        if (result.status == CommitStatus::Committed || result.status == CommitStatus::Conflict) {
+            removeProgress(id); // After a conflict an earlier try has taken effect.
+        } else {
+            removed->removing = false; // Asked for again at the next cleaning.
+        }
+    });
+}
+
+void ProgressWriter::removeProgress(const JobId &id)
 {
     m_removals.push_back(id);
     wake();
 }
 
+Duration ProgressWriter::waits() const
+{
+    return m_inFlight ? m_context->now() - m_lastStart : Duration::zero();
+}
+
 void ProgressWriter::wake()
 {
     if (m_scheduled || m_inFlight) {
@@ -104,9 +136,7 @@
     while (!m_removals.empty() && batch->removed.size() < maxRemovalsPerWrite) {
         const JobId id = m_removals.back();
         m_removals.pop_back();
-        for (const std::string &key : {rows::job(id), rows::cancellation(id), rows::progress(id)}) {
-            transaction->removals.push_back(key);
-        }
+        transaction->removals.push_back(rows::progress(id));
         batch->removed.push_back(id);
         any = true;
     }
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -26,8 +26,13 @@
 
     /// Writes soon, if there is something to write.
     void wake();
-    /// Asks for the rows of an ended job to be removed.
-    void remove(const JobId &id);
+    /// Removes the rows of an ended job, and then the job from the tables.
+    void remove(Job *job);
+    /// Removes the progress of a job whose row is gone.
+    void removeProgress(const JobId &id);
+
+    /// How long the write under way has been waiting for its answer; zero if there is none.
+    Duration waits() const;
 
     /// Called after a transaction was committed.
     std::function<void()> committed;
@@ -59,6 +64,7 @@
 
     std::shared_ptr<Context> m_context;
     CommitResolver m_resolver;
+    TableService *m_table;
     Random m_random;
     RowVersion m_chainVersion;
     std::string m_chainValue;
--- a/src/libworkflow/rows_pvt.h
+++ b/src/libworkflow/rows_pvt.h
@@ -4,7 +4,10 @@
 
 #include <string>
 
-/// Keys of the rows that coordination keeps in the table service.
+/// Keys of the rows that coordination keeps in the table service: `collection/name` or `collection/partition/name`.
+///
+/// Jobs are accepted in partitions of their own (see WatchableTable): when the service is slow, neither they nor what
+/// the coordinator writes wait for each other.
 namespace fescueledge::workflow::rows {
 
 /// The coordinator of the newest term. Every transaction of a coordinator is conditioned on it.
@@ -19,15 +22,16 @@
     return "job/.term";
 }
 
+/// Identifiers are random hexadecimal digits: sixteen partitions.
 inline std::string job(const JobId &id)
 {
-    return "job/" + id;
+    return "job/" + id.substr(0, 1) + "/" + id;
 }
 
 /// A request to cancel a job.
 inline std::string cancellation(const JobId &id)
 {
-    return "job/" + id + ".cancel";
+    return job(id) + ".cancel";
 }
 
 inline std::string progress(const JobId &id)
--- /dev/null
+++ b/src/libworkflow/termloader.cpp
@@ -0,0 +1,75 @@
+#include "termloader_pvt.h"
+
+#include "fescueledge/tableservice.h"
+#include "rows_pvt.h"
+
+#include <utility>
+
+namespace fescueledge::workflow {
+
+TermLoader::TermLoader(std::shared_ptr<Context> context, TableService *table)
+    : m_context(std::move(context))
+    , m_table(table)
+{
+}
+
+void TermLoader::start(LoadedHandler loaded)
+{
+    m_loaded = std::move(loaded);
+    m_waiting = 2;
+    readProgress();
+    readRecords();
+}
+
+void TermLoader::readProgress()
+{
+    const std::shared_ptr<Context> context = m_context;
+    m_table->scan("progress/", [this, context](const ReadResult &result) {
+        if (context->ended || !usable(result, &TermLoader::readProgress)) {
+            return;
+        }
+        for (const Row &row : result.rows) {
+            m_state.progress[row.key.substr(row.key.find('/') + 1)] = row.value;
+        }
+        finish();
+    });
+}
+
+void TermLoader::readRecords()
+{
+    const std::shared_ptr<Context> context = m_context;
+    m_table->read({rows::occupiedWorkers(), rows::interference()}, [this, context](const ReadResult &result) {
+        if (context->ended || !usable(result, &TermLoader::readRecords)) {
+            return;
+        }
+        const Row *occupied = result.find(rows::occupiedWorkers());
+        const Row *model = result.find(rows::interference());
+        m_state.occupiedWorkers = occupied == nullptr ? std::string() : occupied->value;
+        m_state.interference = model == nullptr ? std::string() : model->value;
+        workersRead(m_state.occupiedWorkers);
+        finish();
+    });
+}
+
+bool TermLoader::usable(const ReadResult &result, Reader again)
+{
+    storeReachable(result.available);
+    if (!result.available) {
+        const std::shared_ptr<Context> context = m_context;
+        context->loop->postAfter(context->settings.orderRetry, [this, context, again] {
+            if (!context->ended) {
+                (this->*again)();
+            }
+        });
+    }
+    return result.available;
+}
+
+void TermLoader::finish()
+{
+    if (--m_waiting == 0) {
+        m_loaded(std::move(m_state));
+    }
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/termloader_pvt.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "context_pvt.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace fescueledge {
+class TableService;
+struct ReadResult;
+} // namespace fescueledge
+
+namespace fescueledge::workflow {
+
+/// What earlier coordinators left in the store, besides the jobs themselves.
+struct TermState
+{
+    std::map<JobId, std::string> progress; ///< Rows by job.
+    std::string occupiedWorkers; ///< Row of the workers that may run something; empty if there is none.
+    std::string interference; ///< What was learnt of it; empty if nothing.
+};
+
+/// Reads that state at the start of a term, all at once: each call of a slow store takes long.
+class TermLoader
+{
+public:
+    using LoadedHandler = std::function<void(TermState)>;
+
+    TermLoader(std::shared_ptr<Context> context, TableService *table);
+
+    /// Calls @p loaded once all is read, however often the store has to be asked.
+    void start(LoadedHandler loaded);
+    /// Called with the row of the workers that may run something, as soon as that is read.
+    std::function<void(const std::string &)> workersRead;
+    /// Called after each read, with whether the store answered.
+    std::function<void(bool)> storeReachable;
+
+private:
+    using Reader = void (TermLoader::*)();
+
+    void readProgress();
+    void readRecords();
+    /// Tells whether @p result can be used; otherwise @p again is called later.
+    bool usable(const ReadResult &result, Reader again);
+    void finish();
+
+    std::shared_ptr<Context> m_context;
+    TableService *m_table;
+    LoadedHandler m_loaded;
+    TermState m_state;
+    int m_waiting = 0;
+};
+
+} // namespace fescueledge::workflow
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -21,7 +21,7 @@
 constexpr Milliseconds answerMargin{300};
 /// A write whose fate is unknown is looked for at most this long: the caller does better to ask another node.
 constexpr Milliseconds fatePatience{1500};
-/// A write that was not answered for so long puts the store in doubt: one 65 times slower than usual still answers.
+/// A write that was not answered for so long, while no other was, puts the store in doubt.
 constexpr Milliseconds doubtAfter{700};
 /// Callers who came while the store was away come back after this time: outages last seconds.
 constexpr std::chrono::seconds storeRetryAfter{1};
@@ -139,10 +139,24 @@
     std::shared_ptr<const Catalog> catalog;
 
 private:
+    /// A job that a caller hands in.
+    struct Submission
+    {
+        JobId id;
+        std::string queue;
+        std::string row;
+        TimePoint since{};
+        std::uint64_t number = 0; ///< Among the writes under way.
+        AnswerHandler handler;
+    };
+
     void setReceivers();
+    void onAcceptedNotice(const json &body);
+    void onWritten(const Submission &submission, const CommitResult &result);
+    void tellCoordinator(const char *kind, const json &body);
     void statusFromStore(const JobId &id, const AnswerHandler &handler);
     void onCancelRows(const JobId &id, Milliseconds patience, const ReadResult &result, const AnswerHandler &handler);
-    void logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since);
+    void logAccept(const JobId &id, const std::string &queue, CommitStatus status, TimePoint since);
     void noteCommit(std::uint64_t submission, CommitStatus status);
     bool storeRefuses() const;
 
@@ -151,6 +165,7 @@
     Random m_random;
     Election m_election;
     TimePoint m_storePausedUntil{};
+    TimePoint m_storeAnsweredAt{}; ///< Last answer to a write.
     bool m_storeInDoubt = false; ///< The last write that ended was not answered: one is tried at a time.
     std::uint64_t m_nextSubmission = 0;
     std::map<std::uint64_t, TimePoint> m_submissions; ///< Writes under way, and since when.
@@ -190,6 +205,22 @@
             }
             respond(PeerMessage{"job-status", body});
         });
+    m_parts.peers->setReceiver(
+        "job-accepted", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            if (self) {
+                self->onAcceptedNotice(message.body);
+            }
+            respond(PeerMessage{"job-accepted", json::object()});
+        });
+    m_parts.peers->setReceiver(
+        "job-cancelled", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            if (self && self->m_election.own() != nullptr) {
+                self->m_election.own()->takeCancelled(message.body.value("id", JobId()));
+            }
+            respond(PeerMessage{"job-cancelled", json::object()});
+        });
     m_parts.peers->setReceiver(
         "queue-pending", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
             const std::shared_ptr<Impl> self = weak.lock();
@@ -215,7 +246,8 @@
         return false;
     }
     // A caller that is refused at once, and truly, can ask another node; one that waits here can not.
-    return m_storeInDoubt || now > m_submissions.begin()->second + doubtAfter;
+    // A slow store still answers one or the other.
+    return m_storeInDoubt || now > std::max(m_submissions.begin()->second, m_storeAnsweredAt) + doubtAfter;
 }
 
 void WorkflowNode::Impl::noteCommit(std::uint64_t submission, CommitStatus status)
@@ -224,14 +256,15 @@
     const bool bad = status == CommitStatus::Unavailable || status == CommitStatus::Unknown;
     m_storePausedUntil = bad ? m_parts.loop->now() + storePause : TimePoint{};
     m_storeInDoubt = status == CommitStatus::Unknown;
+    m_storeAnsweredAt = bad ? m_storeAnsweredAt : m_parts.loop->now();
 }
 
-void WorkflowNode::Impl::logAccept(const JobId &id, const QueuePolicy &queue, CommitStatus status, TimePoint since)
+void WorkflowNode::Impl::logAccept(const JobId &id, const std::string &queue, CommitStatus status, TimePoint since)
 {
     const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - since);
     m_parts.log->write(LogLine("job_submit")
                            .with("job", id)
-                           .with("queue", queue.name)
+                           .with("queue", queue)
                            .with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
                            .with("outcome", commitName(status))
                            .with("took_ms", took));
@@ -248,7 +281,7 @@
     }
     const TimePoint since = m_parts.loop->now();
     if (storeRefuses()) {
-        logAccept(id, queue, CommitStatus::Unavailable, since);
+        logAccept(id, queue.name, CommitStatus::Unavailable, since);
         handler(unavailable("the store is not available"));
         return;
     }
@@ -256,19 +289,61 @@
     row.spec = spec;
     row.policy = queue;
     row.acceptedAt = m_parts.wallClock();
+    const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
+    submission->id = id;
+    submission->queue = queue.name;
+    submission->row = encodeJobRow(row);
+    submission->since = since;
+    submission->number = m_nextSubmission++;
+    submission->handler = handler;
+    m_submissions.emplace(submission->number, since);
     Transaction transaction;
     transaction.writeId = m_random.uniqueId();
     transaction.conditions.push_back({rows::job(id), 0});
-    transaction.puts.push_back({rows::job(id), encodeJobRow(row)});
-    const std::uint64_t submission = m_nextSubmission++;
-    m_submissions.emplace(submission, since);
+    transaction.puts.push_back({rows::job(id), submission->row});
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_resolver.commit(transaction, patienceFor(patience),
-                      [self, submission, id, queue, since, handler](const CommitResult &result) {
-                          self->noteCommit(submission, result.status);
-                          self->logAccept(id, queue, result.status, since);
-                          handler(commitAnswer(result.status));
-                      });
+    m_resolver.commit(transaction, patienceFor(patience), [self, submission](const CommitResult &result) {
+        self->onWritten(*submission, result);
+    });
+}
+
+void WorkflowNode::Impl::onWritten(const Submission &submission, const CommitResult &result)
+{
+    noteCommit(submission.number, result.status);
+    logAccept(submission.id, submission.queue, result.status, submission.since);
+    if (result.status == CommitStatus::Committed) {
+        tellCoordinator("job-accepted",
+                        json{{"id", submission.id},
+                             {"row", json::binary({submission.row.begin(), submission.row.end()})},
+                             {"version", result.version}});
+    }
+    submission.handler(commitAnswer(result.status));
+}
+
+void WorkflowNode::Impl::tellCoordinator(const char *kind, const json &body)
+{
+    if (m_election.own() != nullptr) {
+        if (std::string(kind) == "job-accepted") {
+            onAcceptedNotice(body);
+        } else {
+            m_election.own()->takeCancelled(body.value("id", JobId()));
+        }
+        return;
+    }
+    if (!m_election.coordinator().empty()) {
+        // Not repeated: the coordinator watches the rows too.
+        m_parts.peers->call(m_election.coordinator(), PeerMessage{kind, body}, peerTimeout, [](const PeerResult &) {});
+    }
+}
+
+void WorkflowNode::Impl::onAcceptedNotice(const json &body)
+{
+    if (m_election.own() == nullptr || !body.contains("row") || !body.at("row").is_binary()) {
+        return;
+    }
+    const json::binary_t &row = body.at("row").get_binary();
+    m_election.own()->takeAccepted(body.value("id", JobId()), std::string(row.begin(), row.end()),
+                                   body.value("version", RowVersion{0}));
 }
 
 void WorkflowNode::Impl::status(const JobId &id, const AnswerHandler &handler)
@@ -358,6 +433,9 @@
     const std::shared_ptr<Impl> self = shared_from_this();
     m_resolver.commit(transaction, patienceFor(patience), [self, id, handler](const CommitResult &commit) {
         self->m_parts.log->write(LogLine("job_cancel").with("job", id).with("outcome", commitName(commit.status)));
+        if (commit.status == CommitStatus::Committed) {
+            self->tellCoordinator("job-cancelled", json{{"id", id}});
+        }
         handler(commitAnswer(commit.status));
     });
 }
@@ -396,7 +474,10 @@
 {
 }
 
-WorkflowNode::~WorkflowNode() = default;
+WorkflowNode::~WorkflowNode()
+{
+    m_impl->election().close(); // Answers that are still awaited hold the rest for a while longer than the parts.
+}
 
 void WorkflowNode::start()
 {
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -495,6 +495,164 @@
     CHECK(world->submit(0, jobA, workflowOf({simpleStep(1)})) == FrontOutcome::Ok);
 }
 
+TEST_CASE("the coordinator's watches silent: jobs accepted at any node start at once, and cancelled ones stop")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 2, 4);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job == jobB ? 60000 : 100), false);
+    };
+    world->storeFaults(world->coordinator()).watchesSilent = true;
+    world->run(std::chrono::seconds(1)); // The watch under way ends with the next change, or by itself.
+    for (int i = 0; i < 3; ++i) {
+        const JobId id = "000000000000000" + std::to_string(i);
+        CHECK(world->submit(i, id, workflowOf({simpleStep(2)})) == FrontOutcome::Ok);
+        world->run(Milliseconds(60));
+        CHECK(world->workers.runsOf(id).size() == 2);
+    }
+    CHECK(world->submit(otherThan(world->coordinator(), 3), jobB, workflowOf({simpleStep(2)})) == FrontOutcome::Ok);
+    world->run(Milliseconds(100));
+    CHECK(world->cancel(otherThan(world->coordinator(), 3), jobB) == FrontOutcome::Ok);
+    world->run(Milliseconds(100));
+    for (const SimWorkers::RunRecord &run : world->workers.runsOf(jobB)) {
+        CHECK(run.how == RunEnd::Stopped);
+    }
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+TEST_CASE("a coordinator that was replaced unawares is told of no job that its successor starts")
+{
+    // Node `old` reaches half of the workers and node `friendly`, hears nothing of the store's news, and nothing of the
+    // third node, which takes over and reaches the other half of the workers.
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 4);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(2000), false);
+    };
+    const int old = world->coordinator();
+    const int friendly = otherThan(old, 3);
+    const int next = otherThan(friendly, 3);
+    const auto name = [](int node) {
+        return "node-" + std::to_string(node);
+    };
+    for (const int node : {old, friendly}) {
+        world->network.setCut(name(node), name(next), true);
+        world->network.setCut(name(next), name(node), true);
+    }
+    world->storeFaults(old).watchesSilent = true;
+    for (int i = 0; i < 4; ++i) {
+        world->workers.find("w" + std::to_string(i))->cutFrom.insert(name(i % 2 == 0 ? old : next));
+    }
+    int accepted = 0;
+    for (int i = 0; i < 30; ++i) {
+        const JobId id = "00000000000000" + std::to_string(10 + i);
+        world->submitLater(friendly, id, workflowOf({simpleStep(1)}), [&accepted](const FrontAnswer &answer) {
+            accepted += answer.outcome == FrontOutcome::Ok ? 1 : 0;
+        });
+        world->run(Milliseconds(100));
+    }
+    world->run(std::chrono::seconds(15));
+    CHECK(accepted == 30);
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+TEST_CASE("the coordinator loses the store under a stream of jobs: another node starts them within 1.5 s")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 4, 8);
+    const int cut = world->coordinator();
+    const int node = otherThan(cut, 3);
+    const auto submitFor = [&](int first, int jobs) {
+        for (int i = first; i < first + jobs; ++i) {
+            world->submitLater(node, "00000000000000" + std::to_string(10 + i), workflowOf({simpleStep(1)}),
+                               [](const FrontAnswer &) {});
+            world->run(Milliseconds(100));
+        }
+    };
+    submitFor(0, 5);
+    world->storeFaults(cut).down = true;
+    world->storeFaults(cut).timeout = Milliseconds(1000);
+    const TimePoint cutAt = world->world.now();
+    submitFor(5, 15);
+    CHECK(world->coordinator() != cut);
+    world->run(Milliseconds(500));
+    for (int i = 5; i < 20; ++i) {
+        const std::vector<SimWorkers::RunRecord> runs =
+            world->workers.runsOf("00000000000000" + std::to_string(10 + i));
+        REQUIRE(runs.size() == 1);
+        CHECK(runs.front().began - cutAt < Milliseconds(100 * (i - 5) + 1500));
+    }
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+TEST_CASE("takeovers while the store is slow: what runs keeps its lease")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(4, 4, 8);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(60000), false);
+    };
+    world->submit(0, jobA, workflowOf({simpleStep(16)}));
+    world->run(Milliseconds(1000));
+    for (int i = 0; i < 4; ++i) {
+        world->storeFaults(i).latency = Milliseconds(700);
+        world->storeFaults(i).timeout = Milliseconds(1200);
+        world->storeFaults(i).scanRounds = 4;
+    }
+    for (int takeover = 0; takeover < 3; ++takeover) {
+        const int killed = world->coordinator();
+        REQUIRE(killed >= 0);
+        world->kill(killed);
+        REQUIRE(world->runUntil(
+            [&] {
+                return world->coordinator() >= 0;
+            },
+            std::chrono::seconds(6)));
+        world->run(Milliseconds(900)); // Less than it takes to read all jobs.
+    }
+    world->run(std::chrono::seconds(10));
+    const std::vector<SimWorkers::RunRecord> runs = world->workers.runsOf(jobA);
+    CHECK(runs.size() == 16);
+    CHECK(std::none_of(runs.begin(), runs.end(), [](const auto &run) {
+        return run.ended != TimePoint{};
+    }));
+}
+
+TEST_CASE("ended jobs are forgotten with all their rows, also when the coordinator goes in between")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 2, 8);
+    for (int i = 0; i < 20; ++i) {
+        const JobId id = std::string(1, "0123456789abcdef"[i % 16]) + "00000000000000" + std::to_string(i % 10);
+        world->submit(i % 3, id, workflowOf({simpleStep(1)}));
+    }
+    world->cancel(0, "0000000000000000");
+    world->run(std::chrono::seconds(129));
+    for (int i = 0; i < 12; ++i) {
+        const int killed = world->coordinator();
+        if (killed >= 0) {
+            world->kill(killed);
+            world->startNode(killed);
+        }
+        world->run(Milliseconds(1700));
+    }
+    world->run(std::chrono::seconds(150)); // A new coordinator counts the retention anew.
+    CHECK(world->rows.scan("job/").rows.size() == 1); // The term marker.
+    CHECK(world->rows.scan("progress/").rows.empty());
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+TEST_CASE("a store that is slow for all: the coordinator stays")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 4, 8);
+    const int coordinator = world->coordinator();
+    for (int i = 0; i < 3; ++i) {
+        world->storeFaults(i).latency = Milliseconds(600);
+        world->storeFaults(i).timeout = Milliseconds(1000);
+    }
+    for (int i = 0; i < 40; ++i) {
+        world->submitLater(i % 3, "00000000000000" + std::to_string(10 + i), workflowOf({simpleStep(1)}),
+                           [](const FrontAnswer &) {});
+        world->run(Milliseconds(100));
+        CHECK(world->coordinator() == coordinator);
+    }
+}
+
 TEST_CASE("a node that does not know the catalog yet does not coordinate, and takes over when it does")
 {
     WorkflowWorld world(1);
