Send starts in portions and keep the processor for the rest

Change: a run sends 48 starts at most; the next one comes after three times what the last took, 0.1 s at most, and ranks anew, so what is more urgent passes a backlog; headroom is kept for 0.1 s and told last. The new test fails without the limit.

Ruled out: a lost answer of the feed alone (1.45 s at most until it is asked again).

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -4,6 +4,7 @@
 #include "rows_pvt.h"
 #include "workerrecord_pvt.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescueledge::workflow {
@@ -16,6 +17,9 @@
 constexpr Milliseconds cleanInterval{2000};
 /// What becomes startable within this time is placed together.
 constexpr Milliseconds dispatchDelay{5};
+/// Between two runs passes this many times what the last one took: a backlog leaves the processor to all else.
+constexpr int dispatchPause = 3;
+constexpr Milliseconds longestDispatchDelay{100};
 /// Job changes are gathered for so long before the next are asked for.
 constexpr Milliseconds jobPause{30};
 constexpr const char *cancelSuffix = ".cancel";
@@ -401,13 +405,16 @@
     }
     m_dispatchScheduled = true;
     const std::shared_ptr<Context> shared = m_context;
-    m_context->loop->postAfter(dispatchDelay, [this, shared] {
-        if (!shared->ended) {
-            m_dispatchScheduled = false;
-            m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
-            m_dispatch.run();
-        }
-    });
+    m_context->loop->postAfter(
+        std::clamp<Duration>(dispatchPause * m_dispatchTook, dispatchDelay, longestDispatchDelay), [this, shared] {
+            if (!shared->ended) {
+                m_dispatchScheduled = false;
+                m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
+                const TimePoint begun = m_context->now();
+                m_dispatch.run();
+                m_dispatchTook = m_context->now() - begun;
+            }
+        });
 }
 
 void Coordinator::noteStore(bool reachable)
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -95,6 +95,7 @@
     bool m_earlierRunsKnown = false; ///< Earlier coordinators can start nothing any more, and what they did is known.
     bool m_fleetLoaded = false;
     bool m_dispatchScheduled = false;
+    Duration m_dispatchTook{0}; ///< The last run, waiting for the processor included.
     TimePoint m_cleanedAt{};
 };
 
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -17,6 +17,9 @@
 /// Among jobs of one urgency, a job goes behind others by the time that this share of the fleet takes for what is left
 /// of it: small jobs pass large ones in a burst, and large ones still get their turn.
 constexpr double handicapShare = 0.003;
+/// Starts in one run; the next run ranks anew. So in a burst the loop turns to answers, callers and new configurations
+/// in between, and what is more urgent and comes meanwhile goes first.
+constexpr std::uint64_t startsPerRun = 48;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
@@ -27,6 +30,8 @@
 /// A filler is placed only where each serving task would keep this headroom (1 is just enough) for so long.
 constexpr double leastHeadroomLeft = 1.1;
 constexpr Milliseconds placementOutlook{700};
+/// Headroom is worked out anew after so long: gauges come less often, and it moves by a few hundredths meanwhile.
+constexpr Milliseconds headroomPeriod{100};
 /// Fillers go where they take the least headroom; idle processor time decides among workers that are nearly alike.
 constexpr double idleWeight = 0.3;
 
@@ -98,11 +103,11 @@
     return !job.ended() && (earlierRunsKnown || !job.beforeTerm);
 }
 
-void DispatchSystem::run()
+bool DispatchSystem::run()
 {
     Context &context = *m_context;
     if (!context.mayOrder()) {
-        return;
+        return false;
     }
     context.jobs.prune();
     m_fleetMilliCores = 0;
@@ -121,14 +126,19 @@
         return a.first < b.first;
     });
     m_noPlace.clear();
-    m_headroom.clear();
+    refreshHeadroom();
+    const std::uint64_t limit = m_orders->startsSent + startsPerRun;
     for (const std::pair<Rank, Step *> &entry : ranked) {
+        if (m_orders->startsSent >= limit) {
+            return true;
+        }
         if (entry.second->spec->gang) {
             startGang(entry.second);
         } else {
-            startStep(entry.second);
+            startStep(entry.second, limit);
         }
     }
+    return false;
 }
 
 DispatchSystem::Shape DispatchSystem::shapeOf(const Step &step)
@@ -148,7 +158,7 @@
     });
 }
 
-void DispatchSystem::startStep(Step *step)
+void DispatchSystem::startStep(Step *step, std::uint64_t limit)
 {
     if (knownNotToFit(*step)) {
         return;
@@ -157,6 +167,9 @@
         if (task.phase != TaskPhase::Idle) {
             continue;
         }
+        if (m_orders->startsSent >= limit) {
+            return;
+        }
         Worker *worker = choose(*step);
         if (worker == nullptr) {
             if (step->spec->maxPerWorker == 0) {
@@ -230,6 +243,15 @@
     return spec.maxPerWorker == 0 || FleetTable::countOf(worker, step) < spec.maxPerWorker;
 }
 
+void DispatchSystem::refreshHeadroom()
+{
+    const TimePoint now = m_context->now();
+    if (now >= m_headroomAt + headroomPeriod) {
+        m_headroom.clear();
+        m_headroomAt = now;
+    }
+}
+
 const std::vector<StepHeadroom> &DispatchSystem::headroomOn(const Worker &worker) const
 {
     const auto it = m_headroom.find(&worker);
@@ -248,7 +270,7 @@
     const double share = shareOf(worker, filler.perTask.milliCores);
     double least = std::numeric_limits<double>::max();
     for (const StepHeadroom &serving : headroomOn(worker)) {
-        least = std::min(least, serving.leastBeside(model.taken(serving.step->spec->image, filler.image, share)));
+        least = std::min(least, serving.leastBeside(model.taken(serving.image, filler.image, share)));
     }
     return least;
 }
@@ -279,9 +301,9 @@
         + std::min(1.0, m_context->interference.taken(spec.image, worker.fillerLoad).expected);
 }
 
-bool DispatchSystem::hasPlaceElsewhere(const Task &task) const
+bool DispatchSystem::hasPlaceElsewhere(const Task &task)
 {
-    m_headroom.clear(); // Kept for one run only.
+    refreshHeadroom();
     const Step &step = *task.step;
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
@@ -317,20 +339,20 @@
 {
     Worker *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    const bool filler = step.spec->filler;
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (!usable(*worker, step)) {
+        if (filler && leftover(*worker) < static_cast<double>(step.spec->perTask.milliCores)) {
             continue;
         }
-        if (step.spec->filler
-            && (leftover(*worker) < static_cast<double>(step.spec->perTask.milliCores)
-                || !harmless(*worker, *step.spec))) {
+        if (!usable(*worker, step)) {
             continue;
         }
         const double c = cost(*worker, step);
-        if (c < bestCost) {
-            bestCost = c;
-            best = worker.get();
+        if (c >= bestCost || (filler && !harmless(*worker, *step.spec))) {
+            continue; // What is harmless takes longest to tell: last.
         }
+        bestCost = c;
+        best = worker.get();
     }
     return best;
 }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -4,6 +4,7 @@
 #include "headroom_pvt.h"
 
 #include <tuple>
+#include <unordered_map>
 
 namespace fescueledge::workflow {
 
@@ -16,10 +17,10 @@
 public:
     DispatchSystem(std::shared_ptr<Context> context, OrderSystem *orders, const ObservationSystem *observations);
 
-    /// Starts what can be started now.
-    void run();
+    /// Starts what can be started now; returns true if there may be more, which the next run starts.
+    bool run();
     /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
-    bool hasPlaceElsewhere(const Task &task) const;
+    bool hasPlaceElsewhere(const Task &task);
 
 private:
     /// How urgent a step is; smaller goes first.
@@ -40,12 +41,15 @@
     bool knownNotToFit(const Step &step) const;
     Rank rankOf(const Step &step, TimePoint now) const;
     bool mayStart(const Step &step, bool earlierRunsKnown) const;
-    void startStep(Step *step);
+    /// Starts tasks of @p step until the run has started @p limit in all.
+    void startStep(Step *step, std::uint64_t limit);
     void startGang(Step *step);
     bool usable(const Worker &worker, const Step &step) const;
     Worker *choose(const Step &step) const;
     double cost(const Worker &worker, const Step &step) const;
     double servingCost(const Worker &worker, const StepSpec &spec) const;
+    /// Forgets headroom that was worked out too long ago.
+    void refreshHeadroom();
     /// Headroom of the serving steps on @p worker beside the fillers there, at full pace.
     const std::vector<StepHeadroom> &headroomOn(const Worker &worker) const;
     /// The least headroom that serving tasks on @p worker would keep beside one more task of @p filler.
@@ -58,8 +62,9 @@
     OrderSystem *m_orders;
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
-    /// Headroom on the workers looked at in the present run, as long as nothing was placed there.
-    mutable std::map<const Worker *, std::vector<StepHeadroom>> m_headroom;
+    /// Headroom on the workers looked at lately, as long as nothing was placed there.
+    mutable std::unordered_map<const Worker *, std::vector<StepHeadroom>> m_headroom;
+    TimePoint m_headroomAt{}; ///< When the oldest of it was worked out.
     std::map<Shape, std::vector<Resources>> m_noPlace; ///< Sizes that found no worker in the present run.
 };
 
--- a/src/libworkflow/headroom.cpp
+++ b/src/libworkflow/headroom.cpp
@@ -58,7 +58,7 @@
     for (const auto &[step, tasks] : worker.servingSteps) {
         const std::string &image = step->spec->image;
         const double own = step->trend.known() ? step->trend.leastWithin(now, ahead) : model.usualHeadroom(image);
-        out.push_back({step, own, model.taken(image, load)});
+        out.push_back({image, own, model.taken(image, load)});
     }
     return out;
 }
--- a/src/libworkflow/headroom_pvt.h
+++ b/src/libworkflow/headroom_pvt.h
@@ -11,7 +11,7 @@
 /// Headroom of one serving step on one worker; 1 is just enough.
 struct StepHeadroom
 {
-    const Step *step = nullptr;
+    std::string image; ///< Of the step.
     double own = 0; ///< Without fillers.
     TakenHeadroom taken; ///< By fillers.
 
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -129,8 +129,7 @@
         if (!isRunningFiller(*task) || task->pace == 0) {
             continue;
         }
-        const double takes =
-            model.taken(victim.step->spec->image, task->step->spec->image, pacedShare(*worker, *task)).expected;
+        const double takes = model.taken(victim.image, task->step->spec->image, pacedShare(*worker, *task)).expected;
         if (takes >= negligible) {
             culprits.emplace_back(takes, task);
         } else if (overTarget && task->pace > slowPace) {
@@ -171,13 +170,13 @@
         const double more = shareOf(*worker, task->step->spec->perTask.milliCores) - pacedShare(*worker, *task);
         const std::string &image = task->step->spec->image;
         const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
-            return entry.left() - model.taken(entry.step->spec->image, image, more).expected >= comfortableHeadroom;
+            return entry.left() - model.taken(entry.image, image, more).expected >= comfortableHeadroom;
         });
         if (!enough) {
             continue;
         }
         for (StepHeadroom &entry : steps) {
-            entry.taken += model.taken(entry.step->spec->image, image, more);
+            entry.taken += model.taken(entry.image, image, more);
         }
         m_orders->pace(task, fullPace);
         worker->pacedAt = m_context->now();
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -637,6 +637,30 @@
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
+TEST_CASE("a burst of wide jobs: starts are sent in portions, and an urgent job that comes meanwhile passes the rest")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 40, 16);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(30000), false);
+    };
+    for (int i = 0; i < 4; ++i) {
+        world->submitLater(0, "000000000000000" + std::to_string(i), workflowOf({simpleStep(300)}),
+                           [](const FrontAnswer &) {});
+    }
+    world->run(Milliseconds(20)); // Accepted; the first portions are under way.
+    CHECK(world->submit(0, jobA, workflowOf({simpleStep(20)}), "urgent") == FrontOutcome::Ok);
+    world->run(Milliseconds(500));
+    CHECK(world->workers.runsOf(jobA).size() == 20);
+    std::map<std::int64_t, int> startsAt;
+    for (const SimWorkers::RunRecord &run : world->workers.runs()) {
+        ++startsAt[std::chrono::duration_cast<Milliseconds>(run.began.time_since_epoch()).count()];
+    }
+    for (const auto &[at, starts] : startsAt) {
+        CHECK(starts <= 48);
+    }
+    CHECK(world->workers.runs().size() == 640); // All the room there is.
+}
+
 TEST_CASE("a store that is slow for all: the coordinator stays")
 {
     const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 4, 8);
