Let short urgent jobs pass long-running ones, and take workers over without waiting for lost orders

Changes: urgent jobs that can meet their objective rank before long-running ones; a worker's first answer in a term is waited for 0.2 s and asked for again at once; a filler needs more headroom by 0.4 of what it takes; the coordinator is suspected after 0.6 s.

Both new tests fail on the code before.

--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -13,6 +13,9 @@
     Milliseconds observeWait{800};
     /// Added to the wait for the answer itself.
     Milliseconds observeTimeout{600};
+    /// For the first answer of a worker in a term, which new starts wait for: a healthy one takes a few milliseconds,
+    /// on a busy node a hundred.
+    Milliseconds adoptTimeout{200};
     /// For a start, stop or pace order.
     Milliseconds orderTimeout{500};
     /// Before an order that failed is tried again.
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -30,6 +30,8 @@
 /// A filler is placed only where each serving task would keep this headroom (1 is just enough) for so long.
 constexpr double leastHeadroomLeft = 1.1;
 constexpr Milliseconds placementOutlook{700};
+/// A filler that takes much has to leave more: what it takes shows half a second later, and so does a misjudgement.
+constexpr double marginForTaken = 0.4;
 /// Headroom is worked out anew after so long: gauges come less often, and it moves by a few hundredths meanwhile.
 constexpr Milliseconds headroomPeriod{100};
 /// Fillers go where they take the least headroom; idle processor time decides among workers that are nearly alike.
@@ -86,13 +88,13 @@
     rank.objective += sizeHandicap(job, m_fleetMilliCores);
     const Duration allowance = job.objective - job.acceptedAt;
     if (step.spec->longRunning) {
-        rank.group = 0;
-    } else if (now <= job.objective) {
         rank.group = 1;
+    } else if (now <= job.objective) {
+        rank.group = job.policy.priority == 0 ? 0 : 2;
     } else if (now <= job.acceptedAt + uselessAfterObjectives * allowance) {
-        rank.group = 2;
-    } else {
         rank.group = 3;
+    } else {
+        rank.group = 4;
     }
     return rank;
 }
@@ -288,7 +290,7 @@
 
 bool DispatchSystem::harmless(const Worker &worker, const StepSpec &filler) const
 {
-    return headroomBeside(worker, filler) >= leastHeadroomLeft;
+    return headroomBeside(worker, filler) >= leastHeadroomLeft + marginForTaken * headroomTaken(worker, filler);
 }
 
 double DispatchSystem::servingCost(const Worker &worker, const StepSpec &spec) const
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -26,7 +26,7 @@
     /// How urgent a step is; smaller goes first.
     struct Rank
     {
-        int group = 0; ///< 0 long-running, 1 can meet its objective, 2 late, 3 too late to be of use.
+        int group = 0; ///< 0 urgent and in time, 1 long-running, 2 other in time, 3 late, 4 too late to be of use.
         int priority = 0;
         TimePoint objective;
 
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -13,10 +13,11 @@
 namespace {
 
 /// Between two questions to the coordinator.
-constexpr Milliseconds pingInterval{200};
-constexpr Milliseconds pingTimeout{350};
-/// Without an answer for so long the coordinator is suspected; four questions are lost by then.
-constexpr Milliseconds suspicion{800};
+constexpr Milliseconds pingInterval{150};
+constexpr Milliseconds pingTimeout{300};
+/// Without an answer for so long the coordinator is suspected; four questions are lost by then. Suspicion may be wrong:
+/// a takeover costs a tenth of a second.
+constexpr Milliseconds suspicion{600};
 /// Nodes less fit to coordinate leave the others this much time each.
 constexpr Milliseconds rankStep{60};
 /// A coordinator whose calls to the store failed so often in a row says so, and another may take over.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -17,6 +17,8 @@
 constexpr Milliseconds unacknowledgedPause{400};
 /// A silent worker is tried again after this many times the retry delay at most.
 constexpr int maxRetryFactor = 5;
+/// Adoptions that are tried again at once.
+constexpr int quickAdoptions = 3;
 
 } // namespace
 
@@ -86,12 +88,15 @@
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::noteLease(worker, order.leaseUntil);
     }
+    const Milliseconds timeout = worker->contact == WorkerContact::Unadopted
+        ? context.settings.adoptTimeout
+        : order.wait + context.settings.observeTimeout;
     worker->observing = true;
     worker->endsAcknowledged = std::max(worker->endsAcknowledged, order.acknowledged);
     const WorkerId id = worker->id;
     const bool leased = order.leaseUntil.count() > 0;
     const std::shared_ptr<Context> shared = m_context;
-    context.gateway->observe(WorkerRef{id, worker->entry.address}, order, order.wait + context.settings.observeTimeout,
+    context.gateway->observe(WorkerRef{id, worker->entry.address}, order, timeout,
                              [this, shared, id, now, leased](const Observation &answer) {
                                  if (!shared->ended) {
                                      onAnswer(id, now, leased, answer);
@@ -158,7 +163,11 @@
                                .with("runs", static_cast<std::int64_t>(worker->tasks.size())));
         worker->contact = WorkerContact::Silent;
     }
-    worker->nextObserve = now + std::min(worker->callsUnanswered, maxRetryFactor) * context.settings.orderRetry;
+    // An order may be lost on its way to a sound worker: the first retries of an adoption come at once.
+    const int delays = worker->contact == WorkerContact::Unadopted ? worker->callsUnanswered - quickAdoptions
+                                                                   : worker->callsUnanswered;
+    worker->nextObserve = now + std::clamp(delays, 0, maxRetryFactor) * context.settings.orderRetry;
+    observe(worker);
 }
 
 void ObservationSystem::adopt(Worker *worker, const Observation &answer)
--- a/src/libworkflow/workflownode_test.cpp
+++ b/src/libworkflow/workflownode_test.cpp
@@ -582,6 +582,34 @@
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
+TEST_CASE("some orders are lost while a coordinator takes over: jobs that wait start half a second later, not seconds")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 40, 4);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(100), false);
+    };
+    for (int i = 0; i < 3; ++i) {
+        world->dropObservations(i, 9);
+    }
+    const int killed = world->coordinator();
+    world->kill(killed);
+    world->run(Milliseconds(100));
+    world->submitLater(otherThan(killed, 3), jobA, workflowOf({simpleStep(8)}), [](const FrontAnswer &) {});
+    REQUIRE(world->runUntil(
+        [&] {
+            return world->coordinator() >= 0;
+        },
+        std::chrono::seconds(3)));
+    const TimePoint tookOverAt = world->world.now();
+    REQUIRE(world->runUntil(
+        [&] {
+            return world->workers.runsOf(jobA).size() == 8;
+        },
+        std::chrono::seconds(5)));
+    CHECK(world->world.now() - tookOverAt < Milliseconds(500));
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
 TEST_CASE("takeovers while the store is slow: what runs keeps its lease")
 {
     const std::unique_ptr<WorkflowWorld> world = readyWorld(4, 4, 8);
@@ -637,6 +665,30 @@
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
+TEST_CASE("long-running tasks wait for room: short urgent jobs pass them, and they get what is left")
+{
+    // All room is taken by four tasks of a second; then come, in this order, long-running tasks and short urgent jobs.
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 2);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job == jobA ? 600000 : key.job == jobB ? 1000 : 200), false);
+    };
+    world->submit(0, jobB, workflowOf({simpleStep(4)}));
+    world->run(Milliseconds(50));
+    StepSpec longRunning = simpleStep(4);
+    longRunning.longRunning = true;
+    world->submit(0, jobA, workflowOf({longRunning}), "urgent");
+    StepSpec shortStep = simpleStep(4);
+    shortStep.estimate = Milliseconds(3000); // In time for long enough.
+    for (int i = 0; i < 2; ++i) {
+        world->submit(0, "000000000000000" + std::to_string(i), workflowOf({shortStep}), "urgent");
+    }
+    world->run(Milliseconds(1600));
+    for (int i = 0; i < 2; ++i) {
+        CHECK(world->state(0, "000000000000000" + std::to_string(i)) == "complete");
+    }
+    CHECK(world->workers.runsOf(jobA).size() == 4);
+}
+
 TEST_CASE("a burst of wide jobs: starts are sent in portions, and an urgent job that comes meanwhile passes the rest")
 {
     const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 40, 16);
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -57,7 +57,8 @@
     void observe(const WorkerRef &worker, const ObserveOrder &order, Milliseconds timeout,
                  ObserveHandler handler) override
     {
-        if (!reaches(worker.id)) {
+        ++m_observations;
+        if (!reaches(worker.id) || (dropEvery > 0 && m_observations % dropEvery == 0)) {
             m_loop->postAfter(timeout, [handler] {
                 handler(Observation{});
             });
@@ -69,6 +70,7 @@
     }
 
     Duration lateStarts{0};
+    int dropEvery = 0; ///< Each so many-th observation gets no answer; 0 for none.
 
 private:
     bool reaches(const WorkerId &id) const
@@ -125,6 +127,7 @@
     Loop *m_loop;
     SimWorkers *m_workers;
     NodeId m_self;
+    int m_observations = 0;
 };
 
 /// The list of simulated workers, for one process.
@@ -351,6 +354,11 @@
     return m_processes[static_cast<std::size_t>(index)]->table.faults;
 }
 
+void WorkflowWorld::dropObservations(int index, int every)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.dropEvery = every;
+}
+
 void WorkflowWorld::delayStarts(int index, Duration delay)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.lateStarts = delay;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -56,6 +56,8 @@
     /// The index of the node that coordinates; -1 if there is none.
     int coordinator() const;
     FakeTableService::Faults &storeFaults(int index);
+    /// Leaves each @p every-th observation of node @p index without an answer; 0 for none.
+    void dropObservations(int index, int every);
     /// Makes each following start order of node @p index be carried out after @p delay and its answer be lost.
     void delayStarts(int index, Duration delay);
 
