Size portions of starts by what they take, and send the rest at once

Change: the portion starts at 48, doubles after full runs of less than 8 ms and halves after runs of more than 20 ms; the next run comes after as long as the last one took. The check for 48 starts at one instant was wrong for fast processors; in its place: 48 in the first, bounds that follow the time taken (test of DispatchPortion), and all the room of 200 workers taken within half a second, which the code before does not reach.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -17,9 +17,8 @@
 constexpr Milliseconds cleanInterval{2000};
 /// What becomes startable within this time is placed together.
 constexpr Milliseconds dispatchDelay{5};
-/// Between two runs passes this many times what the last one took: a backlog leaves the processor to all else.
-constexpr int dispatchPause = 3;
-constexpr Milliseconds longestDispatchDelay{100};
+/// As long as a run took, the loop then turns to all else, but not for longer than this.
+constexpr Milliseconds longestDispatchDelay{50};
 /// Job changes are gathered for so long before the next are asked for.
 constexpr Milliseconds jobPause{30};
 constexpr const char *cancelSuffix = ".cancel";
@@ -405,16 +404,25 @@
     }
     m_dispatchScheduled = true;
     const std::shared_ptr<Context> shared = m_context;
-    m_context->loop->postAfter(
-        std::clamp<Duration>(dispatchPause * m_dispatchTook, dispatchDelay, longestDispatchDelay), [this, shared] {
-            if (!shared->ended) {
-                m_dispatchScheduled = false;
-                m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
-                const TimePoint begun = m_context->now();
-                m_dispatch.run();
-                m_dispatchTook = m_context->now() - begun;
-            }
-        });
+    m_context->loop->postAfter(std::clamp<Duration>(m_dispatchTook, dispatchDelay, longestDispatchDelay),
+                               [this, shared] {
+                                   if (!shared->ended) {
+                                       m_dispatchScheduled = false;
+                                       dispatch();
+                                   }
+                               });
+}
+
+void Coordinator::dispatch()
+{
+    m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
+    const TimePoint begun = m_context->now();
+    const bool more = m_dispatch.run(m_portion.size());
+    m_dispatchTook = m_context->now() - begun;
+    m_portion.note(m_dispatchTook, more);
+    if (more) {
+        scheduleDispatch();
+    }
 }
 
 void Coordinator::noteStore(bool reachable)
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "dispatchportion_pvt.h"
 #include "dispatchsystem_pvt.h"
 #include "fescueledge/watchabletable.h"
 #include "fescueledge/workflow/collectionfollower.h"
@@ -72,6 +73,7 @@
     void forgetOldJobs();
     void forgetGoneWorkers();
     void scheduleDispatch();
+    void dispatch();
 
     std::shared_ptr<Context> m_context;
     WatchableTable *m_table;
@@ -95,6 +97,7 @@
     bool m_earlierRunsKnown = false; ///< Earlier coordinators can start nothing any more, and what they did is known.
     bool m_fleetLoaded = false;
     bool m_dispatchScheduled = false;
+    DispatchPortion m_portion;
     Duration m_dispatchTook{0}; ///< The last run, waiting for the processor included.
     TimePoint m_cleanedAt{};
 };
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -17,9 +17,6 @@
 /// Among jobs of one urgency, a job goes behind others by the time that this share of the fleet takes for what is left
 /// of it: small jobs pass large ones in a burst, and large ones still get their turn.
 constexpr double handicapShare = 0.003;
-/// Starts in one run; the next run ranks anew. So in a burst the loop turns to answers, callers and new configurations
-/// in between, and what is more urgent and comes meanwhile goes first.
-constexpr std::uint64_t startsPerRun = 48;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
@@ -105,7 +102,7 @@
     return !job.ended() && (earlierRunsKnown || !job.beforeTerm);
 }
 
-bool DispatchSystem::run()
+bool DispatchSystem::run(std::uint64_t portion)
 {
     Context &context = *m_context;
     if (!context.mayOrder()) {
@@ -129,7 +126,7 @@
     });
     m_noPlace.clear();
     refreshHeadroom();
-    const std::uint64_t limit = m_orders->startsSent + startsPerRun;
+    const std::uint64_t limit = m_orders->startsSent + portion;
     for (const std::pair<Rank, Step *> &entry : ranked) {
         if (m_orders->startsSent >= limit) {
             return true;
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -17,8 +17,9 @@
 public:
     DispatchSystem(std::shared_ptr<Context> context, OrderSystem *orders, const ObservationSystem *observations);
 
-    /// Starts what can be started now; returns true if there may be more, which the next run starts.
-    bool run();
+    /// Starts what can be started now, @p portion tasks at most; returns true if there may be more. The next run ranks
+    /// anew, so what is more urgent and came meanwhile goes first.
+    bool run(std::uint64_t portion);
     /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
     bool hasPlaceElsewhere(const Task &task);
 
