Start new jobs at once after a takeover, also while a worker is silent

After the takeover of 33.1 s one recorded worker did not answer, and until its lease had passed the new coordinator held back all jobs, as an earlier one might have been told of them.

Change: a job is told to one coordinator. One that was accepted after the term began and told to this node is known to no earlier one, and starts at once; all others wait as before.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -33,7 +33,6 @@
 Coordinator::Coordinator(std::shared_ptr<Context> context, WatchableTable *table, FleetSource *fleet,
                          const TermStart &start, std::uint64_t seed)
     : m_context(std::move(context))
-    , m_table(table)
     , m_fleetSource(fleet)
     , m_orders(m_context)
     , m_observations(m_context, &m_orders)
@@ -45,6 +44,7 @@
     , m_leaseKeeper(m_context)
 {
     m_context->term = start.term;
+    m_termBegan = start.chainVersion;
     m_context->tookOverAt = m_context->now();
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
@@ -195,9 +195,9 @@
         const TimePoint now = m_context->now();
         Job *job = m_context->jobs.add(name, accepted.spec, policy == nullptr ? accepted.policy : *policy,
                                        accepted.acceptedAt, now, m_context->wallClock());
-        // An earlier coordinator that does not know of this term may have been told of the job as well.
         job->rowVersion = row.version;
-        job->beforeTerm = !m_earlierRunsKnown;
+        // An earlier coordinator that does not know of this term may have been told of the job.
+        job->beforeTerm = m_newToAll.erase(name) == 0 && !m_earlierRunsKnown;
         const auto it = m_state.progress.find(name);
         if (it != m_state.progress.end()) {
             m_context->jobs.applyProgress(job, it->second, now, m_context->wallClock());
@@ -229,8 +229,20 @@
 
 void Coordinator::takeAccepted(const JobId &id, const std::string &value, RowVersion version)
 {
-    // A version that the watch has passed is of a job that is known, or was removed since.
-    if (!m_jobsLoaded || version <= m_jobFollower.seenUpTo() || m_context->jobs.find(id) != nullptr) {
+    // Each job is told to one coordinator. One that was accepted in this term and told to this node is known to no
+    // earlier coordinator: their watches tell of this term first.
+    const bool newToAll = version > m_termBegan;
+    Job *known = m_context->jobs.find(id);
+    if (known != nullptr) {
+        known->beforeTerm = known->beforeTerm && !newToAll;
+        scheduleDispatch();
+        return;
+    }
+    if (newToAll && !m_earlierRunsKnown) {
+        m_newToAll.insert(id);
+    }
+    // A version that the watch has passed is of a job that was removed since.
+    if (!m_jobsLoaded || version <= m_jobFollower.seenUpTo()) {
         return;
     }
     Row row;
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -76,7 +76,6 @@
     void dispatch();
 
     std::shared_ptr<Context> m_context;
-    WatchableTable *m_table;
     FleetSource *m_fleetSource;
     OrderSystem m_orders;
     ObservationSystem m_observations;
@@ -91,6 +90,8 @@
     bool m_jobsRead = false;
     std::vector<Row> m_earlyRows; ///< Jobs that were read before the state.
     std::vector<FleetNews> m_earlyNews; ///< News of workers from before all jobs were known.
+    RowVersion m_termBegan = 0; ///< Of the write that began the term.
+    std::set<JobId> m_newToAll; ///< Jobs that no earlier coordinator knows, told of before their rows were read.
     std::set<JobId> m_cancelledEarly; ///< Cancellations seen before their jobs.
     std::function<void(bool)> m_storeContact;
     bool m_jobsLoaded = false;
--- /dev/null
+++ b/src/libworkflow/dispatch_test.cpp
@@ -0,0 +1,175 @@
+// Load patterns: who goes first, where to, and how much at once, in virtual time.
+#include "dispatchportion_pvt.h"
+#include "readyworld_pvt.h"
+#include "workflowworld_pvt.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+using namespace fescueledge::workflow;
+
+TEST_CASE("a draining worker and an evacuated data centre get nothing new")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 4);
+    world->workers.setDraining("w0");
+    Catalog catalog = world->catalog;
+    catalog.version = 2;
+    catalog.evacuated = {"dc-b"};
+    world->setCatalog(catalog);
+    world->run(Milliseconds(100));
+    world->submit(0, jobA, workflowOf({simpleStep(8)}));
+    CHECK(reaches(*world, 0, jobA, "complete", std::chrono::seconds(10)));
+    for (const SimWorkers::RunRecord &run : world->workers.runs()) {
+        CHECK(run.worker == "w2");
+    }
+}
+
+TEST_CASE("labels, limits for each worker and capacity hold for every start")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 4, 3);
+    StepSpec labelled = simpleStep(3);
+    labelled.requiredLabel = "r1";
+    StepSpec apart = simpleStep(4);
+    apart.maxPerWorker = 1;
+    world->submit(0, jobA, workflowOf({labelled, apart}));
+    CHECK(reaches(*world, 0, jobA, "complete", std::chrono::seconds(10)));
+    for (const SimWorkers::RunRecord &run : world->workers.runs()) {
+        if (run.task.step == 0) {
+            CHECK((run.worker == "w2" || run.worker == "w3"));
+        }
+        int beside = 0;
+        int ofStep = 0;
+        for (const SimWorkers::RunRecord &other : world->workers.runs()) {
+            const bool together = other.worker == run.worker && other.began <= run.began && other.ended > run.began;
+            beside += together ? 1 : 0;
+            ofStep += together && other.task.step == 1 ? 1 : 0;
+        }
+        CHECK(beside <= 3);
+        CHECK(ofStep <= 1);
+    }
+}
+
+TEST_CASE("a worker that fails all it starts is left alone, and a job that always fails does not blame workers")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 3, 1);
+    world->workers.find("w1")->failsAll = true;
+    Catalog catalog = world->catalog;
+    catalog.version = 2;
+    for (QueuePolicy &queue : catalog.queues) {
+        queue.maxAttempts = 10;
+    }
+    world->setCatalog(catalog);
+    world->run(Milliseconds(100));
+    for (int i = 0; i < 10; ++i) {
+        world->submit(0, "00000000000000c" + std::to_string(i), workflowOf({simpleStep(4)}));
+    }
+    world->run(std::chrono::seconds(8));
+    const std::vector<SimWorkers::RunRecord> &runs = world->workers.runs();
+    const auto onFaulty = std::count_if(runs.begin(), runs.end(), [](const SimWorkers::RunRecord &run) {
+        return run.worker == "w1";
+    });
+    CHECK(onFaulty <= 10);
+    CHECK(world->log(0).count("worker_quarantined") >= 1);
+}
+
+TEST_CASE("burst of jobs of all sizes: small jobs pass large ones, and large ones still get their turn")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 8);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(400), false);
+    };
+    const JobId large = "00000000000000f0";
+    StepSpec many = simpleStep(64);
+    many.estimate = Milliseconds(400);
+    world->submit(0, large, workflowOf({many}));
+    std::vector<JobId> small;
+    for (int i = 0; i < 40; ++i) {
+        small.push_back("00000000000001" + std::to_string(10 + i));
+        StepSpec few = simpleStep(4);
+        few.estimate = Milliseconds(400);
+        world->submit(0, small.back(), workflowOf({few}));
+        world->run(Milliseconds(60));
+    }
+    // At this load the fleet is full: the large job alone would hold up the small ones for 1.6 s each time.
+    int inObjective = 0;
+    CHECK(reaches(*world, 0, large, "complete", std::chrono::seconds(15)));
+    for (const JobId &id : small) {
+        const std::vector<SimWorkers::RunRecord> runs = world->workers.runsOf(id);
+        TimePoint first = TimePoint::max();
+        TimePoint last{};
+        for (const SimWorkers::RunRecord &run : runs) {
+            first = std::min(first, run.began);
+            last = std::max(last, run.ended);
+        }
+        inObjective += runs.size() == 4 && last - first < Milliseconds(1800) ? 1 : 0;
+    }
+    CHECK(inObjective >= 36);
+}
+
+TEST_CASE("long-running tasks wait for room: short urgent jobs pass them, and they get what is left")
+{
+    // All room is taken by four tasks of a second; then come, in this order, long-running tasks and short urgent jobs.
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 2);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job == jobA ? 600000 : key.job == jobB ? 1000 : 200), false);
+    };
+    world->submit(0, jobB, workflowOf({simpleStep(4)}));
+    world->run(Milliseconds(50));
+    StepSpec longRunning = simpleStep(4);
+    longRunning.longRunning = true;
+    world->submit(0, jobA, workflowOf({longRunning}), "urgent");
+    StepSpec shortStep = simpleStep(4);
+    shortStep.estimate = Milliseconds(3000); // In time for long enough.
+    for (int i = 0; i < 2; ++i) {
+        world->submit(0, "000000000000000" + std::to_string(i), workflowOf({shortStep}), "urgent");
+    }
+    world->run(Milliseconds(1600));
+    for (int i = 0; i < 2; ++i) {
+        CHECK(world->state(0, "000000000000000" + std::to_string(i)) == "complete");
+    }
+    CHECK(world->workers.runsOf(jobA).size() == 4);
+}
+
+TEST_CASE("portions of starts follow the speed of the processor")
+{
+    DispatchPortion portion;
+    const std::uint64_t first = portion.size();
+    portion.note(Milliseconds(3), false);
+    CHECK(portion.size() == first); // Nothing more was to be sent.
+    for (int i = 0; i < 10; ++i) {
+        portion.note(Milliseconds(5), true);
+    }
+    CHECK(portion.size() == 512);
+    portion.note(Milliseconds(15), true);
+    CHECK(portion.size() == 512);
+    for (int i = 0; i < 10; ++i) {
+        portion.note(Milliseconds(50), i % 2 == 0);
+    }
+    CHECK(portion.size() == 16); // A run that takes 50 ms holds the loop for too long, however little it sends.
+}
+
+TEST_CASE("a burst of wide jobs: starts are sent in portions, and an urgent job that comes meanwhile passes the rest")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 200, 16);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(30000), false);
+    };
+    for (int i = 0; i < 12; ++i) {
+        world->submitLater(0, "00000000000000" + std::to_string(10 + i), workflowOf({simpleStep(300)}),
+                           [](const FrontAnswer &) {});
+    }
+    world->run(Milliseconds(20)); // Accepted; the first portions are under way.
+    CHECK(world->submit(0, jobA, workflowOf({simpleStep(20)}), "urgent") == FrontOutcome::Ok);
+    world->run(Milliseconds(500));
+    CHECK(world->workers.runsOf(jobA).size() == 20);
+    std::map<std::int64_t, int> startsAt;
+    for (const SimWorkers::RunRecord &run : world->workers.runs()) {
+        ++startsAt[std::chrono::duration_cast<Milliseconds>(run.began.time_since_epoch()).count()];
+    }
+    CHECK(startsAt.begin()->second <= 48);
+    for (const auto &[at, starts] : startsAt) {
+        CHECK(starts <= 512);
+    }
+    CHECK(world->workers.runs().size() == 3200); // All the room there is.
+}
--- /dev/null
+++ b/src/libworkflow/frontanswers.cpp
@@ -0,0 +1,83 @@
+#include "frontanswers_pvt.h"
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Callers who came while the store was away come back after this time: outages last seconds.
+constexpr std::chrono::seconds storeRetryAfter{1};
+
+} // namespace
+
+const char *phaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Queued:
+        return "queued";
+    case JobPhase::InProgress:
+        return "in_progress";
+    case JobPhase::Complete:
+        return "complete";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "queued";
+}
+
+const char *commitName(CommitStatus status)
+{
+    switch (status) {
+    case CommitStatus::Committed:
+        return "accepted";
+    case CommitStatus::Conflict:
+        return "known";
+    case CommitStatus::Unavailable:
+        return "refused";
+    case CommitStatus::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+FrontAnswer unavailable(const std::string &detail)
+{
+    FrontAnswer answer;
+    answer.outcome = FrontOutcome::Unavailable;
+    answer.detail = detail;
+    answer.retryAfter = storeRetryAfter;
+    return answer;
+}
+
+FrontAnswer stateAnswer(const std::string &state)
+{
+    FrontAnswer answer;
+    answer.outcome = FrontOutcome::Ok;
+    answer.state = state;
+    return answer;
+}
+
+FrontAnswer outcomeAnswer(FrontOutcome outcome, const std::string &detail)
+{
+    FrontAnswer answer;
+    answer.outcome = outcome;
+    answer.detail = detail;
+    return answer;
+}
+
+FrontAnswer commitAnswer(CommitStatus status)
+{
+    switch (status) {
+    case CommitStatus::Committed:
+    case CommitStatus::Conflict: // Somebody wrote it before: the same caller's earlier try, or another who asked so.
+        return outcomeAnswer(FrontOutcome::Ok);
+    case CommitStatus::Unavailable:
+        return unavailable("the store refused the write");
+    case CommitStatus::Unknown:
+        break;
+    }
+    return outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write");
+}
+
+} // namespace fescueledge::workflow
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -140,6 +140,12 @@
         return a.first > b.first;
     });
     worker->pacedAt = m_context->now();
+    m_context->log->write(LogLine("headroom_short")
+                              .with("worker", worker->id)
+                              .with("image", victim.image)
+                              .with("expected_percent", static_cast<std::int64_t>(victim.left() * fullPace))
+                              .with("over_target", overTarget ? 1 : 0)
+                              .with("culprits", static_cast<std::int64_t>(culprits.size())));
     for (const std::pair<double, Task *> &entry : culprits) {
         if (missing <= 0) {
             break;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -5,6 +5,7 @@
 #include "fescueledge/eventlog.h"
 #include "fescueledge/peertransport.h"
 #include "fescueledge/workflow/catalogsource.h"
+#include "frontanswers_pvt.h"
 #include "jobrow_pvt.h"
 #include "rows_pvt.h"
 
@@ -23,86 +24,11 @@
 constexpr Milliseconds fatePatience{1500};
 /// A write that was not answered for so long, while no other was, puts the store in doubt.
 constexpr Milliseconds doubtAfter{700};
-/// Callers who came while the store was away come back after this time: outages last seconds.
-constexpr std::chrono::seconds storeRetryAfter{1};
 /// After a refused or unanswered write new ones are refused without a try for so long.
 constexpr Milliseconds storePause{150};
 /// For a question to the coordinator; then the store is asked.
 constexpr Milliseconds peerTimeout{300};
 
-const char *phaseName(JobPhase phase)
-{
-    switch (phase) {
-    case JobPhase::Queued:
-        return "queued";
-    case JobPhase::InProgress:
-        return "in_progress";
-    case JobPhase::Complete:
-        return "complete";
-    case JobPhase::Failed:
-        return "failed";
-    case JobPhase::Cancelled:
-        return "cancelled";
-    }
-    return "queued";
-}
-
-/// What became of a caller's write, for logs.
-const char *commitName(CommitStatus status)
-{
-    switch (status) {
-    case CommitStatus::Committed:
-        return "accepted";
-    case CommitStatus::Conflict:
-        return "known";
-    case CommitStatus::Unavailable:
-        return "refused";
-    case CommitStatus::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
-FrontAnswer unavailable(const std::string &detail)
-{
-    FrontAnswer answer;
-    answer.outcome = FrontOutcome::Unavailable;
-    answer.detail = detail;
-    answer.retryAfter = storeRetryAfter;
-    return answer;
-}
-
-FrontAnswer stateAnswer(const std::string &state)
-{
-    FrontAnswer answer;
-    answer.outcome = FrontOutcome::Ok;
-    answer.state = state;
-    return answer;
-}
-
-FrontAnswer outcomeAnswer(FrontOutcome outcome, const std::string &detail = {})
-{
-    FrontAnswer answer;
-    answer.outcome = outcome;
-    answer.detail = detail;
-    return answer;
-}
-
-/// The answer to a caller whose write ended so.
-FrontAnswer commitAnswer(CommitStatus status)
-{
-    switch (status) {
-    case CommitStatus::Committed:
-    case CommitStatus::Conflict: // Somebody wrote it before: the same caller's earlier try, or another who asked so.
-        return outcomeAnswer(FrontOutcome::Ok);
-    case CommitStatus::Unavailable:
-        return unavailable("the store refused the write");
-    case CommitStatus::Unknown:
-        break;
-    }
-    return outcomeAnswer(FrontOutcome::Unknown, "the store did not answer the write");
-}
-
 Milliseconds patienceFor(Milliseconds callerPatience)
 {
     if (callerPatience.count() <= 0) {
