Read the rows without a partition again when a scan meets newer ones

Cause: found on reading. A coordinator that lost its history reads all jobs anew, partition by partition. If another term begins meanwhile, it may read the marker of terms before that, and a job that was accepted after it: it would start the job, and so would its successor, which was told of it.

Change: a scan hands over rows without a partition that are as new as any other row; it reads them again if it has to. Ruled out: reading them last always (one more call in each takeover of a slow store).

--- a/src/include/fescueledge/watchabletable.h
+++ b/src/include/fescueledge/watchabletable.h
@@ -24,7 +24,8 @@
 ///
 /// The part of a key before its first `/` names a collection; a watch covers one collection. The part between the first
 /// and the second `/`, if there is one, names a partition: the keys of a transaction share one, and a partition takes
-/// one transaction after the other. A scan of several partitions is no snapshot, but `asOf` is the oldest of them.
+/// one transaction after the other. A scan of several partitions is no snapshot, but `asOf` is the oldest of them, and
+/// the rows without a partition are as new as any other: what stands there tells of all that is read beside it.
 class WatchableTable : public TableService
 {
 public:
