--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -36,7 +36,9 @@
     , m_fleetSource(fleet)
     , m_orders(m_context)
     , m_observations(m_context, &m_orders)
-    , m_dispatch(m_context, &m_orders, &m_observations)
+    , m_placement(m_context)
+    , m_dispatch(m_context, &m_orders, &m_placement, &m_observations)
+    , m_waitReport(m_context, &m_placement, &m_observations)
     , m_pacing(m_context, &m_orders)
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
     , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchWait)
@@ -53,7 +55,7 @@
         m_pacing.observe(worker);
     };
     m_pacing.hasBetterPlace = [this](const Task &task) {
-        return m_dispatch.hasPlaceElsewhere(task);
+        return m_placement.hasPlaceElsewhere(task);
     };
     m_context->wakeDispatch = [this] {
         scheduleDispatch();
@@ -369,6 +371,7 @@
         forgetGoneWorkers();
     }
     if (!context.jobs.openSteps().empty()) {
+        m_waitReport.run();
         scheduleDispatch();
     }
     const std::shared_ptr<Context> shared = m_context;
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -10,8 +10,10 @@
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
 #include "pacingsystem_pvt.h"
+#include "placement_pvt.h"
 #include "progresswriter_pvt.h"
 #include "termloader_pvt.h"
+#include "waitreport_pvt.h"
 
 #include <optional>
 
@@ -79,7 +81,9 @@
     FleetSource *m_fleetSource;
     OrderSystem m_orders;
     ObservationSystem m_observations;
+    Placement m_placement;
     DispatchSystem m_dispatch;
+    WaitReport m_waitReport;
     PacingSystem m_pacing;
     ProgressWriter m_writer;
     CollectionFollower m_jobFollower;
--- a/src/libworkflow/dispatch_test.cpp
+++ b/src/libworkflow/dispatch_test.cpp
@@ -173,3 +173,22 @@
     }
     CHECK(world->workers.runs().size() == 3200); // All the room there is.
 }
+
+// Guards against waits that logs do not explain.
+TEST_CASE("a step that finds no worker is logged with what rules workers out, and at ever longer intervals")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 4);
+    StepSpec labelled = simpleStep(3);
+    labelled.requiredLabel = "elsewhere";
+    world->submit(0, jobA, workflowOf({labelled}));
+    world->run(std::chrono::seconds(20));
+    const std::vector<std::string> &lines = world->log(0).lines;
+    const auto first = std::find_if(lines.begin(), lines.end(), [](const std::string &line) {
+        return line.find("event=step_waits") == 0;
+    });
+    REQUIRE(first != lines.end());
+    CHECK(first->find("idle=3 of=3") != std::string::npos);
+    CHECK(first->find("outcome=label label=4") != std::string::npos);
+    CHECK(world->log(0).count("step_waits") >= 4);
+    CHECK(world->log(0).count("step_waits") <= 6);
+}
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -63,6 +63,8 @@
     std::uint32_t idle = 0; ///< Tasks in phase Idle.
     bool open = false; ///< Its dependencies are done and its time has come.
     bool listed = false; ///< It stands in JobTable::openSteps().
+    TimePoint waitsSince{}; ///< Since when it has had idle tasks and started none; the epoch if it has not.
+    TimePoint reportedAt{}; ///< When it was last logged that it waits; the epoch if it was not.
     ServingTrend trend; ///< Of its own load, if its tasks serve.
 };
 
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -241,6 +241,7 @@
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->preempted = false;
+    task->step->waitsSince = TimePoint{};
     list(task->step);
 }
 
--- /dev/null
+++ b/src/libworkflow/placement.cpp
@@ -0,0 +1,218 @@
+#include "placement_pvt.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// Added to the cost of a worker away from a step's data: more than any difference in load.
+constexpr double remoteDataCost = 2;
+/// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
+constexpr double otherRackCost = 1;
+/// Added to the cost of a worker for each other image that serves there: the fewer images share a worker, the more
+/// fillers fit beside them.
+constexpr double otherImageCost = 2;
+/// A filler is placed only where each serving task would keep this headroom (1 is just enough) for so long.
+constexpr double leastHeadroomLeft = 1.1;
+constexpr Milliseconds placementOutlook{700};
+/// A filler that takes much has to leave more: what it takes shows half a second later, and so does a misjudgement.
+constexpr double marginForTaken = 0.4;
+/// Headroom is worked out anew after so long: gauges come less often, and it moves by a few hundredths meanwhile.
+constexpr Milliseconds headroomPeriod{100};
+/// Fillers go where they take the least headroom; idle processor time decides among workers that are nearly alike.
+constexpr double idleWeight = 0.3;
+
+/// Processor time that fillers could get on @p worker, in thousandths of a core.
+double leftover(const Worker &worker)
+{
+    return static_cast<double>(worker.entry.capacity.milliCores) - worker.busyMilliCores;
+}
+
+bool onOtherRack(const Worker &worker, const Step &step)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(), [&worker](const Task &task) {
+        return task.worker != nullptr && task.worker->entry.rack != worker.entry.rack;
+    });
+}
+
+} // namespace
+
+const char *placeVerdictName(PlaceVerdict verdict)
+{
+    static constexpr std::array<const char *, placeVerdictCount> names{
+        "fits",      "unlisted", "draining", "not_ready",        "blocked",   "other_service",
+        "evacuated", "label",    "room",     "per_worker_limit", "processor", "headroom"};
+    return names.at(static_cast<std::size_t>(verdict));
+}
+
+Placement::Placement(std::shared_ptr<Context> context)
+    : m_context(std::move(context))
+{
+}
+
+void Placement::refresh()
+{
+    const TimePoint now = m_context->now();
+    if (now >= m_headroomAt + headroomPeriod) {
+        m_headroom.clear();
+        m_headroomAt = now;
+    }
+}
+
+void Placement::changed(const Worker *worker)
+{
+    m_headroom.erase(worker);
+}
+
+PlaceVerdict Placement::basicVerdict(const Worker &worker, const Step &step) const
+{
+    const StepSpec &spec = *step.spec;
+    if (!worker.listed) {
+        return PlaceVerdict::Unlisted;
+    }
+    if (worker.entry.draining) {
+        return PlaceVerdict::Draining;
+    }
+    if (worker.contact != WorkerContact::Adopted || !worker.recorded || worker.runsRecorded) {
+        return PlaceVerdict::NotReady;
+    }
+    if (worker.blockedUntil > m_context->now()) {
+        return PlaceVerdict::Blocked;
+    }
+    if (worker.entry.service != step.occurrence->job->policy.service) {
+        return PlaceVerdict::OtherService;
+    }
+    if (m_context->catalog->evacuated.count(worker.entry.dataCentre) > 0) {
+        return PlaceVerdict::Evacuated;
+    }
+    if (!spec.requiredLabel.empty() && worker.entry.labels.count(spec.requiredLabel) == 0) {
+        return PlaceVerdict::Label;
+    }
+    if (!FleetTable::hasRoom(worker, spec)) {
+        return PlaceVerdict::Room;
+    }
+    if (spec.maxPerWorker > 0 && FleetTable::countOf(worker, step) >= spec.maxPerWorker) {
+        return PlaceVerdict::PerWorkerLimit;
+    }
+    return PlaceVerdict::Fits;
+}
+
+PlaceVerdict Placement::verdict(const Worker &worker, const Step &step) const
+{
+    const PlaceVerdict basic = basicVerdict(worker, step);
+    return basic == PlaceVerdict::Fits ? fillerVerdict(worker, step) : basic;
+}
+
+PlaceVerdict Placement::fillerVerdict(const Worker &worker, const Step &step) const
+{
+    if (!step.spec->filler) {
+        return PlaceVerdict::Fits;
+    }
+    if (leftover(worker) < static_cast<double>(step.spec->perTask.milliCores)) {
+        return PlaceVerdict::Processor;
+    }
+    return harmless(worker, *step.spec) ? PlaceVerdict::Fits : PlaceVerdict::Headroom;
+}
+
+const std::vector<StepHeadroom> &Placement::headroomOn(const Worker &worker) const
+{
+    const auto it = m_headroom.find(&worker);
+    if (it != m_headroom.end()) {
+        return it->second;
+    }
+    return m_headroom
+        .emplace(&worker,
+                 headroomOf(worker, m_context->interference, worker.fillerLoad, m_context->now(), placementOutlook))
+        .first->second;
+}
+
+double Placement::headroomBeside(const Worker &worker, const StepSpec &filler) const
+{
+    const InterferenceModel &model = m_context->interference;
+    const double share = shareOf(worker, filler.perTask.milliCores);
+    double least = std::numeric_limits<double>::max();
+    for (const StepHeadroom &serving : headroomOn(worker)) {
+        least = std::min(least, serving.leastBeside(model.taken(serving.image, filler.image, share)));
+    }
+    return least;
+}
+
+double Placement::headroomTaken(const Worker &worker, const StepSpec &filler) const
+{
+    const InterferenceModel &model = m_context->interference;
+    const double share = shareOf(worker, filler.perTask.milliCores);
+    double most = 0;
+    for (const auto &[image, tasks] : worker.servingImages) {
+        most = std::max(most, model.taken(image, filler.image, share).expected);
+    }
+    return most;
+}
+
+bool Placement::harmless(const Worker &worker, const StepSpec &filler) const
+{
+    return headroomBeside(worker, filler) >= leastHeadroomLeft + marginForTaken * headroomTaken(worker, filler);
+}
+
+double Placement::servingCost(const Worker &worker, const StepSpec &spec) const
+{
+    const bool same = worker.servingImages.count(spec.image) > 0;
+    const std::size_t others = worker.servingImages.size() - (same ? 1 : 0);
+    // Serving tasks of one image share workers, and fill them: the other workers stay free for fillers.
+    return otherImageCost * static_cast<double>(others) - (same ? otherImageCost : 0)
+        - shareOf(worker, worker.used.milliCores)
+        + std::min(1.0, m_context->interference.taken(spec.image, worker.fillerLoad).expected);
+}
+
+bool Placement::hasPlaceElsewhere(const Task &task)
+{
+    refresh();
+    const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
+        return entry.second.get() != task.worker && verdict(*entry.second, *task.step) == PlaceVerdict::Fits;
+    });
+}
+
+double Placement::cost(const Worker &worker, const Step &step) const
+{
+    const StepSpec &spec = *step.spec;
+    double cost = 0;
+    if (spec.tailTarget.count() > 0) {
+        cost = servingCost(worker, spec);
+    } else if (spec.filler) {
+        cost = headroomTaken(worker, spec)
+            + idleWeight
+                * (1 - leftover(worker) / std::max(1.0, static_cast<double>(worker.entry.capacity.milliCores)));
+    } else {
+        cost = shareOf(worker, worker.used.milliCores);
+    }
+    if (!spec.dataRack.empty() && worker.entry.rack != spec.dataRack) {
+        cost += remoteDataCost;
+    }
+    if ((spec.rackSensitive || spec.gang) && onOtherRack(worker, step)) {
+        cost += otherRackCost;
+    }
+    return cost;
+}
+
+Worker *Placement::choose(const Step &step) const
+{
+    Worker *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
+            continue;
+        }
+        const double c = cost(*worker, step);
+        if (c >= bestCost || fillerVerdict(*worker, step) != PlaceVerdict::Fits) {
+            continue; // What takes longest to tell comes last.
+        }
+        bestCost = c;
+        best = worker.get();
+    }
+    return best;
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/placement_pvt.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "context_pvt.h"
+#include "headroom_pvt.h"
+
+#include <unordered_map>
+
+namespace fescueledge::workflow {
+
+/// What a worker is ruled out by, for tasks of a step.
+enum class PlaceVerdict {
+    Fits,
+    Unlisted, ///< It left the list of workers.
+    Draining,
+    NotReady, ///< It has not answered in this term, or does not stand in the durable list yet.
+    Blocked, ///< It gets no starts for a moment: it failed, refused or did not answer.
+    OtherService,
+    Evacuated,
+    Label,
+    Room,
+    PerWorkerLimit,
+    Processor, ///< Too little idle processor time for a filler.
+    Headroom, ///< A serving task there would get too slow beside a filler.
+};
+constexpr std::size_t placeVerdictCount = 12;
+
+/// The name of @p verdict in logs.
+const char *placeVerdictName(PlaceVerdict verdict);
+
+/// Finds workers for tasks.
+class Placement
+{
+public:
+    explicit Placement(std::shared_ptr<Context> context);
+
+    /// Forgets headroom that was worked out too long ago; call before a series of questions.
+    void refresh();
+    /// Forgets the headroom of @p worker: what is on it has changed.
+    void changed(const Worker *worker);
+    /// The best worker for a task of @p step; nullptr if there is none.
+    Worker *choose(const Step &step) const;
+    /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
+    bool hasPlaceElsewhere(const Task &task);
+    /// Whether @p worker could take a task of @p step, and what rules it out.
+    PlaceVerdict verdict(const Worker &worker, const Step &step) const;
+
+private:
+    /// The verdict on all but how fillers and serving tasks get along.
+    PlaceVerdict basicVerdict(const Worker &worker, const Step &step) const;
+    /// The verdict on how fillers and serving tasks get along.
+    PlaceVerdict fillerVerdict(const Worker &worker, const Step &step) const;
+    double cost(const Worker &worker, const Step &step) const;
+    double servingCost(const Worker &worker, const StepSpec &spec) const;
+    /// Headroom of the serving steps on @p worker beside the fillers there, at full pace.
+    const std::vector<StepHeadroom> &headroomOn(const Worker &worker) const;
+    /// The least headroom that serving tasks on @p worker would keep beside one more task of @p filler.
+    double headroomBeside(const Worker &worker, const StepSpec &filler) const;
+    /// The most headroom that one more task of @p filler would take from a serving task on @p worker.
+    double headroomTaken(const Worker &worker, const StepSpec &filler) const;
+    bool harmless(const Worker &worker, const StepSpec &filler) const;
+
+    std::shared_ptr<Context> m_context;
+    /// Headroom on the workers looked at lately, as long as nothing was placed there.
+    mutable std::unordered_map<const Worker *, std::vector<StepHeadroom>> m_headroom;
+    TimePoint m_headroomAt{}; ///< When the oldest of it was worked out.
+};
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/waitreport.cpp
@@ -0,0 +1,81 @@
+#include "waitreport_pvt.h"
+
+#include "dispatchsystem_pvt.h"
+#include "observationsystem_pvt.h"
+#include "placement_pvt.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fescueledge::workflow {
+
+namespace {
+
+/// A step that has waited for so long is logged; then again each time its wait has doubled.
+constexpr Milliseconds firstReport{1000};
+/// Waiting steps are looked for this often, and so many of them are logged at a time: each costs a look at all workers.
+constexpr Milliseconds reportPeriod{1000};
+constexpr int reportsPerPeriod = 4;
+
+} // namespace
+
+WaitReport::WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations)
+    : m_context(std::move(context))
+    , m_placement(placement)
+    , m_observations(observations)
+{
+}
+
+void WaitReport::run()
+{
+    const TimePoint now = m_context->now();
+    if (now < m_ranAt + reportPeriod || m_context->catalog == nullptr) {
+        return;
+    }
+    m_ranAt = now;
+    m_placement->refresh();
+    int left = reportsPerPeriod;
+    for (Step *step : m_context->jobs.openSteps()) {
+        if (step->idle == 0 || step->waitsSince == TimePoint{} || step->occurrence->job->ended()) {
+            continue;
+        }
+        const TimePoint since = std::max(step->waitsSince, step->reportedAt);
+        const Duration waitedBefore = std::max(Duration::zero(), step->reportedAt - step->waitsSince);
+        if (now - since < std::max<Duration>(firstReport, waitedBefore)) {
+            continue;
+        }
+        if (left-- == 0) {
+            return;
+        }
+        report(step);
+    }
+}
+
+void WaitReport::report(Step *step)
+{
+    const TimePoint now = m_context->now();
+    step->reportedAt = now;
+    const Job &job = *step->occurrence->job;
+    std::array<std::int64_t, placeVerdictCount> workers{};
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        ++workers.at(static_cast<std::size_t>(m_placement->verdict(*worker, *step)));
+    }
+    const bool held = !DispatchSystem::mayStart(*step, m_observations->knowsEarlierRuns());
+    const auto most = std::max_element(workers.begin(), workers.end());
+    const PlaceVerdict reason = static_cast<PlaceVerdict>(most - workers.begin());
+    LogLine line("step_waits");
+    line.with("job", job.id)
+        .with("task", toString(keyOf(step->tasks.front())))
+        .with("idle", static_cast<std::int64_t>(step->idle))
+        .with("of", static_cast<std::int64_t>(step->spec->count))
+        .with("waited_ms", std::chrono::duration_cast<Milliseconds>(now - step->waitsSince))
+        .with("outcome", held ? "earlier_runs_unknown" : placeVerdictName(reason));
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+        if (workers.at(i) > 0) {
+            line.with(placeVerdictName(static_cast<PlaceVerdict>(i)), workers.at(i));
+        }
+    }
+    m_context->log->write(line);
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/waitreport_pvt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "context_pvt.h"
+
+namespace fescueledge::workflow {
+
+class ObservationSystem;
+class Placement;
+
+/// Logs why steps wait for a worker: how many workers each reason rules out.
+class WaitReport
+{
+public:
+    WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations);
+
+    /// Logs steps that have waited for long, a few at a time.
+    void run();
+
+private:
+    void report(Step *step);
+
+    std::shared_ptr<Context> m_context;
+    Placement *m_placement;
+    const ObservationSystem *m_observations;
+    TimePoint m_ranAt{};
+};
+
+} // namespace fescueledge::workflow
