--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -6,6 +6,12 @@
 
 namespace fescueledge::workflow {
 
+namespace {
+
+constexpr int fullPace = 100;
+
+} // namespace
+
 SimWorkers::SimWorkers(SimWorld *world)
     : m_world(world)
 {
@@ -215,6 +221,16 @@
     return result;
 }
 
+void SimWorkers::changePace(RunRecord *record, int percent)
+{
+    const TimePoint now = m_world->now();
+    if (record->pace > 0) {
+        record->workLeft = (record->endsAt - now) * record->pace / fullPace;
+    }
+    record->pace = percent;
+    record->endsAt = percent > 0 ? now + record->workLeft * fullPace / percent : TimePoint::max();
+}
+
 OrderResult SimWorkers::pace(const WorkerId &id, const TaskKey &task, RunNumber run, int percent, Term term)
 {
     SimWorker &worker = m_workers.at(id);
@@ -228,7 +244,7 @@
     result.outcome = OrderOutcome::Rejected;
     const auto it = worker.active.find(toString(task));
     if (it != worker.active.end() && m_runs[it->second].run == run) {
-        m_runs[it->second].pace = percent;
+        changePace(&m_runs[it->second], percent);
         result.outcome = OrderOutcome::Done;
     }
     return result;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -28,7 +28,8 @@
         RunNumber run = 0;
         WorkerId worker;
         TimePoint began{};
-        TimePoint endsAt{}; ///< When it will be done or fail by itself.
+        TimePoint endsAt{}; ///< When it will be done or fail by itself, at its present pace.
+        Duration workLeft{0}; ///< Work that is left while its pace is 0, as time at full pace.
         TimePoint ended{}; ///< The epoch while it runs.
         RunEnd how = RunEnd::Done;
         bool acknowledged = false; ///< Somebody has taken note of its end.
@@ -94,6 +95,7 @@
     void acknowledge(SimWorker *worker, std::uint64_t number);
     void end(SimWorker *worker, std::size_t index, RunEnd how);
     void announce(const WorkerEntry &entry);
+    void changePace(RunRecord *record, int percent);
 
     SimWorld *m_world;
     std::map<WorkerId, SimWorker> m_workers;
