--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -29,6 +29,9 @@
     Done,
 };
 
+/// Pace of a run whose last order was not answered, or that an earlier coordinator ordered.
+constexpr int unknownPace = -1;
+
 /// One task of a step.
 struct Task
 {
@@ -45,7 +48,7 @@
     int percent = 0; ///< As the worker reports it.
     TimePoint progressAt{}; ///< When the percentage last changed.
     std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
-    int pace = 100; ///< Speed last ordered, in percent; -1 if that order was not answered.
+    int pace = 100; ///< Speed last ordered, in percent, or unknownPace.
     TimePoint pacedAt{}; ///< When that order was sent.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
--- a/src/libworkflow/headroom.cpp
+++ b/src/libworkflow/headroom.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-constexpr double fullPace = 100;
+constexpr int fullPace = 100;
 
 } // namespace
 
+int expectedPace(const Task &task)
+{
+    return task.pace == unknownPace ? fullPace : task.pace;
+}
+
 double shareOf(const Worker &worker, std::int64_t milliCores)
 {
     return static_cast<double>(milliCores)
@@ -23,9 +28,7 @@
 
 double pacedShare(const Worker &worker, const Task &task)
 {
-    // A pace that was not confirmed may be any.
-    const double pace = task.pace < 0 ? fullPace : task.pace;
-    return shareOf(worker, task.step->spec->perTask.milliCores) * pace / fullPace;
+    return shareOf(worker, task.step->spec->perTask.milliCores) * expectedPace(task) / fullPace;
 }
 
 FillerLoad gaugedLoad(const Worker &worker)
--- a/src/libworkflow/headroom_pvt.h
+++ b/src/libworkflow/headroom_pvt.h
@@ -39,6 +39,8 @@
 
 /// The part of @p worker that @p milliCores are.
 double shareOf(const Worker &worker, std::int64_t milliCores);
+/// The pace of @p task, in percent; an unknown one may be any, so it counts as full.
+int expectedPace(const Task &task);
 /// The part of @p worker that filler @p task will use at its present pace.
 double pacedShare(const Worker &worker, const Task &task);
 
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -215,6 +215,7 @@
         context.jobs.setPhase(task, TaskPhase::Running, now);
         task->progressAt = now;
         task->stopConfirmed = false;
+        task->pace = unknownPace; // An earlier coordinator may have slowed it down.
     } else if (task->worker != worker || task->run != run.run) {
         m_orders->stopUnknown(worker, run.task, run.run);
         return;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -252,7 +252,7 @@
                                  Task *paced = current(ref);
                                  if (paced != nullptr && result.outcome != OrderOutcome::Done
                                      && paced->pace == percent) {
-                                     paced->pace = -1; // Unknown: the next decision sends it again.
+                                     paced->pace = unknownPace; // The next decision sends it again.
                                  }
                              });
 }
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -43,8 +43,7 @@
 /// The pace at which @p task takes @p less headroom than the @p takes that it does now.
 int slowerPace(const Task &task, double takes, double less)
 {
-    const double now = task.pace < 0 ? fullPace : task.pace;
-    const int pace = static_cast<int>(now * (1 - less / takes)) / paceStep * paceStep;
+    const int pace = static_cast<int>(expectedPace(task) * (1 - less / takes)) / paceStep * paceStep;
     return pace < leastPace ? 0 : pace;
 }
 
@@ -132,7 +131,7 @@
         const double takes = model.taken(victim.image, task->step->spec->image, pacedShare(*worker, *task)).expected;
         if (takes >= negligible) {
             culprits.emplace_back(takes, task);
-        } else if (overTarget && task->pace > slowPace) {
+        } else if (overTarget && expectedPace(*task) > slowPace) {
             m_orders->pace(task, slowPace); // Until the model knows the culprit.
         }
     }
@@ -175,8 +174,9 @@
         }
         const double more = shareOf(*worker, task->step->spec->perTask.milliCores) - pacedShare(*worker, *task);
         const std::string &image = task->step->spec->image;
+        const double needed = task->pace == unknownPace ? leastHeadroom : comfortableHeadroom;
         const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
-            return entry.left() - model.taken(entry.image, image, more).expected >= comfortableHeadroom;
+            return entry.left() - model.taken(entry.image, image, more).expected >= needed;
         });
         if (!enough) {
             continue;
@@ -193,7 +193,7 @@
 {
     const TimePoint now = m_context->now();
     for (Task *task : worker->tasks) {
-        if (!isRunningFiller(*task) || task->pace >= slowPace) {
+        if (!isRunningFiller(*task) || expectedPace(*task) >= slowPace) {
             task->slowSince = TimePoint{};
         } else if (task->slowSince == TimePoint{}) {
             task->slowSince = now;
