--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -290,6 +290,7 @@
             Task *task = context.jobs.findTask(key);
             if (task != nullptr && task->phase == TaskPhase::Idle) {
                 task->run = std::max(task->run, run);
+                task->pace = unknownPace;
                 FleetTable::place(task, worker);
                 context.jobs.setPhase(task, TaskPhase::Uncertain, now);
             }
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -91,6 +91,12 @@
         if (step->waitsSince == TimePoint{}) {
             step->waitsSince = now;
         }
+        Job *job = step->occurrence->job;
+        if (job->placedTasks > 0 || !mayStart(*step, earlierRunsKnown)) {
+            job->idleSince = TimePoint{};
+        } else if (job->idleSince == TimePoint{}) {
+            job->idleSince = now;
+        }
         if (mayStart(*step, earlierRunsKnown)) {
             ranked.emplace_back(rankOf(*step, now), step);
         }
@@ -133,7 +139,7 @@
 
 void DispatchSystem::startStep(Step *step, std::uint64_t limit)
 {
-    if (knownNotToFit(*step)) {
+    if (knownNotToFit(*step) && !m_placement->overdue(*step->occurrence->job)) {
         return;
     }
     for (Task &task : step->tasks) {
@@ -143,15 +149,15 @@
         if (m_orders->startsSent >= limit) {
             return;
         }
-        Worker *worker = m_placement->choose(*step);
-        if (worker == nullptr) {
+        const Place place = m_placement->choose(*step);
+        if (place.worker == nullptr) {
             if (step->spec->maxPerWorker == 0) {
                 m_noPlace[shapeOf(*step)].push_back(step->spec->perTask);
             }
             return;
         }
-        m_orders->start(&task, worker);
-        m_placement->changed(worker);
+        m_orders->start(&task, place.worker, place.pace);
+        m_placement->changed(place.worker);
         step->waitsSince = m_context->now();
     }
 }
@@ -162,7 +168,7 @@
     if (step->idle != step->left) {
         return;
     }
-    std::vector<std::pair<Task *, Worker *>> places;
+    std::vector<std::pair<Task *, Place>> places;
     RunNumber run = 0;
     std::string checkpoint;
     for (Task &task : step->tasks) {
@@ -173,25 +179,25 @@
         if (task.phase != TaskPhase::Idle) {
             continue;
         }
-        Worker *worker = m_placement->choose(*step);
-        if (worker == nullptr) {
+        const Place place = m_placement->choose(*step);
+        if (place.worker == nullptr) {
             break;
         }
-        FleetTable::place(&task, worker);
-        m_placement->changed(worker);
-        places.emplace_back(&task, worker);
+        FleetTable::place(&task, place.worker);
+        m_placement->changed(place.worker);
+        places.emplace_back(&task, place);
     }
-    for (const std::pair<Task *, Worker *> &place : places) {
+    for (const std::pair<Task *, Place> &place : places) {
         FleetTable::release(place.first);
-        m_placement->changed(place.second);
+        m_placement->changed(place.second.worker);
     }
     if (places.size() < step->left) {
         return;
     }
-    for (const std::pair<Task *, Worker *> &place : places) {
+    for (const std::pair<Task *, Place> &place : places) {
         place.first->run = run;
         place.first->checkpoint = checkpoint;
-        m_orders->start(place.first, place.second);
+        m_orders->start(place.first, place.second.worker, place.second.pace);
         step->waitsSince = m_context->now();
     }
 }
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -29,6 +29,9 @@
     Done,
 };
 
+constexpr int fullPace = 100; ///< Percent.
+/// Below this a filler is better stopped from working.
+constexpr int leastPace = 30;
 /// Pace of a run whose last order was not answered, or that an earlier coordinator ordered.
 constexpr int unknownPace = -1;
 
@@ -48,7 +51,7 @@
     int percent = 0; ///< As the worker reports it.
     TimePoint progressAt{}; ///< When the percentage last changed.
     std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
-    int pace = 100; ///< Speed last ordered, in percent, or unknownPace.
+    int pace = fullPace; ///< Speed last ordered, in percent, or unknownPace.
     TimePoint pacedAt{}; ///< When that order was sent.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
@@ -98,6 +101,8 @@
     TimePoint acceptedAt{};
     TimePoint objective{}; ///< Done later than this counts as late.
     TimePoint endedAt{};
+    int placedTasks = 0; ///< Its tasks that are on a worker.
+    TimePoint idleSince{}; ///< Since when it could run something and has nothing on any worker; else the epoch.
     std::uint32_t nextOccurrence = 0; ///< First one not yet opened.
     std::uint32_t occurrencesDone = 0;
     std::set<std::uint32_t> doneAhead; ///< Occurrences done of those that were open when the row was written.
@@ -131,8 +136,9 @@
     WorkerTime leaseSent{0}; ///< Latest lease in any order, on its clock.
     TimePoint leaseOver{}; ///< By then that lease has passed for certain.
     Resources used; ///< By tasks that are not fillers, whatever their phase; memory includes fillers.
-    double busyMilliCores = 0; ///< What its tasks are expected to use of the processors, fillers included.
-    std::map<std::string, double> fillerLoad; ///< Share of its processors that the fillers on it declare, by image.
+    double busyMilliCores = 0; ///< What its tasks are expected to use of the processors, fillers at their pace.
+    std::map<std::string, double>
+        fillerLoad; ///< Share of its processors that fillers declare, at their pace, by image.
     std::map<std::string, int> servingImages; ///< Serving tasks on it, by image.
     std::map<Step *, int> servingSteps; ///< The same by step.
     std::set<Task *> tasks; ///< On it, in any phase but Idle and Done.
@@ -153,6 +159,12 @@
     TimePoint learntAt{}; ///< When the interference model last took in its gauges.
 };
 
+/// The pace of @p task, in percent; an unknown one may be any, so it counts as full.
+inline int expectedPace(const Task &task)
+{
+    return task.pace == unknownPace ? fullPace : task.pace;
+}
+
 /// The key of @p task.
 inline TaskKey keyOf(const Task &task)
 {
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -34,17 +34,17 @@
     }
 }
 
-/// Adds a task of @p owner to the worker's sums (@p sign 1), or takes it off (-1).
-void account(Worker *worker, Step *owner, int sign)
+/// Adds @p task to the worker's sums (@p sign 1), or takes it off (-1).
+void account(Worker *worker, const Task &task, int sign)
 {
-    const StepSpec &step = *owner->spec;
+    const StepSpec &step = *task.step->spec;
     if (sign > 0) {
         worker->used += charge(step);
     } else {
         worker->used -= charge(step);
     }
     const bool serves = step.tailTarget.count() > 0;
-    const double milliCores = static_cast<double>(step.perTask.milliCores);
+    const double milliCores = static_cast<double>(step.perTask.milliCores) * expectedPace(task) / fullPace;
     worker->busyMilliCores += sign * milliCores * (serves ? servingLoad : step.filler ? fillerUse : 1);
     if (step.filler) {
         const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker->entry.capacity.milliCores));
@@ -55,7 +55,7 @@
     }
     if (serves) {
         addTo(&worker->servingImages, step.image, sign);
-        addTo(&worker->servingSteps, owner, sign);
+        addTo(&worker->servingSteps, task.step, sign);
     }
 }
 
@@ -94,7 +94,8 @@
 {
     task->worker = worker;
     if (worker->tasks.insert(task).second) {
-        account(worker, task->step, 1);
+        account(worker, *task, 1);
+        ++task->step->occurrence->job->placedTasks;
     }
 }
 
@@ -102,11 +103,23 @@
 {
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
-        account(worker, task->step, -1);
+        account(worker, *task, -1);
+        --task->step->occurrence->job->placedTasks;
     }
     task->worker = nullptr;
 }
 
+void FleetTable::setPace(Task *task, int pace)
+{
+    if (task->worker != nullptr) {
+        account(task->worker, *task, -1);
+    }
+    task->pace = pace;
+    if (task->worker != nullptr) {
+        account(task->worker, *task, 1);
+    }
+}
+
 bool FleetTable::hasRoom(const Worker &worker, const StepSpec &step)
 {
     return (worker.used + charge(step)).fitsIn(worker.entry.capacity);
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -21,6 +21,8 @@
     /// Counts @p task as on @p worker, whatever its phase; release() undoes it.
     static void place(Task *task, Worker *worker);
     static void release(Task *task);
+    /// Notes the pace of @p task, and what it then uses of its worker.
+    static void setPace(Task *task, int pace);
 
     /// Whether @p step's tasks fit on @p worker beside what is there.
     static bool hasRoom(const Worker &worker, const StepSpec &step);
--- a/src/libworkflow/headroom.cpp
+++ b/src/libworkflow/headroom.cpp
@@ -4,17 +4,6 @@
 
 namespace fescueledge::workflow {
 
-namespace {
-
-constexpr int fullPace = 100;
-
-} // namespace
-
-int expectedPace(const Task &task)
-{
-    return task.pace == unknownPace ? fullPace : task.pace;
-}
-
 double shareOf(const Worker &worker, std::int64_t milliCores)
 {
     return static_cast<double>(milliCores)
@@ -42,17 +31,6 @@
     return load;
 }
 
-FillerLoad pacedLoad(const Worker &worker)
-{
-    FillerLoad load;
-    for (const Task *task : worker.tasks) {
-        if (task->step->spec->filler) {
-            load[task->step->spec->image] += pacedShare(worker, *task);
-        }
-    }
-    return load;
-}
-
 std::vector<StepHeadroom> headroomOf(const Worker &worker, const InterferenceModel &model, const FillerLoad &load,
                                      TimePoint now, Duration ahead)
 {
--- a/src/libworkflow/headroom_pvt.h
+++ b/src/libworkflow/headroom_pvt.h
@@ -34,13 +34,9 @@
 
 /// What the fillers on @p worker use of it, by image, as gauged.
 FillerLoad gaugedLoad(const Worker &worker);
-/// What they will use at their present pace.
-FillerLoad pacedLoad(const Worker &worker);
 
 /// The part of @p worker that @p milliCores are.
 double shareOf(const Worker &worker, std::int64_t milliCores);
-/// The pace of @p task, in percent; an unknown one may be any, so it counts as full.
-int expectedPace(const Task &task);
 /// The part of @p worker that filler @p task will use at its present pace.
 double pacedShare(const Worker &worker, const Task &task);
 
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -237,7 +237,7 @@
     task->worker = nullptr;
     task->percent = 0;
     task->gauge = 0;
-    task->pace = 100;
+    task->pace = fullPace;
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->preempted = false;
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -211,19 +211,18 @@
             m_orders->stopUnknown(worker, run.task, run.run);
             return;
         }
+        task->pace = unknownPace; // An earlier coordinator may have slowed it down.
         FleetTable::place(task, worker);
         context.jobs.setPhase(task, TaskPhase::Running, now);
         task->progressAt = now;
         task->stopConfirmed = false;
-        task->pace = unknownPace; // An earlier coordinator may have slowed it down.
     } else if (task->worker != worker || task->run != run.run) {
         m_orders->stopUnknown(worker, run.task, run.run);
         return;
     }
     task->seen = true;
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
-        context.jobs.setPhase(task, TaskPhase::Running, now);
-        task->progressAt = now;
+        m_orders->noteRunning(task);
     }
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -30,15 +30,15 @@
     return std::max(task.run, (m_context->term - 1) * runsPerTerm) + 1;
 }
 
-void OrderSystem::start(Task *task, Worker *worker)
+void OrderSystem::start(Task *task, Worker *worker, int pace)
 {
     Context &context = *m_context;
     const TimePoint now = context.now();
     task->run = nextRun(*task);
+    task->pace = pace;
     FleetTable::place(task, worker);
     context.jobs.setPhase(task, TaskPhase::Starting, now);
     task->percent = 0;
-    task->pace = 100;
     task->progressAt = now;
     task->seen = false;
     task->stopConfirmed = false;
@@ -95,9 +95,7 @@
         return;
     }
     if (result.outcome == OrderOutcome::Done) {
-        context.jobs.setPhase(task, TaskPhase::Running, now);
-        task->progressAt = now;
-        task->seen = true;
+        noteRunning(task);
         if (task->step->occurrence->job->ended()) {
             stop(task);
         }
@@ -111,6 +109,16 @@
     wakeObservation(worker);
 }
 
+void OrderSystem::noteRunning(Task *task)
+{
+    m_context->jobs.setPhase(task, TaskPhase::Running, m_context->now());
+    task->progressAt = m_context->now();
+    task->seen = true;
+    if (task->pace != fullPace && task->pace != unknownPace) {
+        sendPace(task); // A start can't carry it.
+    }
+}
+
 void OrderSystem::onRefused(Task *task, Worker *worker, OrderOutcome outcome)
 {
     Context &context = *m_context;
@@ -231,7 +239,13 @@
     if (task->worker == nullptr || task->pace == percent || !m_context->mayOrder()) {
         return;
     }
-    task->pace = percent;
+    FleetTable::setPace(task, percent);
+    sendPace(task);
+}
+
+void OrderSystem::sendPace(Task *task)
+{
+    const int percent = task->pace;
     task->pacedAt = m_context->now();
     const RunRef ref{keyOf(*task), task->run, task->worker->id};
     m_context->log->write(LogLine("run_pace")
@@ -252,7 +266,7 @@
                                  Task *paced = current(ref);
                                  if (paced != nullptr && result.outcome != OrderOutcome::Done
                                      && paced->pace == percent) {
-                                     paced->pace = unknownPace; // The next decision sends it again.
+                                     FleetTable::setPace(paced, unknownPace); // The next decision sends it again.
                                  }
                              });
 }
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -10,8 +10,10 @@
 public:
     explicit OrderSystem(std::shared_ptr<Context> context);
 
-    /// Starts @p task, which must be idle, on @p worker.
-    void start(Task *task, Worker *worker);
+    /// Starts @p task, which must be idle, on @p worker; it is slowed down to @p pace percent as soon as it runs.
+    void start(Task *task, Worker *worker, int pace);
+    /// Takes note that a start has been carried out.
+    void noteRunning(Task *task);
     /// Stops the run of @p task, if it has one.
     void stop(Task *task);
     /// Stops a run that no task in the tables stands for.
@@ -42,6 +44,8 @@
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
     void onRefused(Task *task, Worker *worker, OrderOutcome outcome);
     void sendStop(const RunRef &ref);
+    /// Orders the pace that @p task has in the tables.
+    void sendPace(Task *task);
     void onStopped(const RunRef &ref, const OrderResult &result);
     RunNumber nextRun(const Task &task) const;
 
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -24,10 +24,10 @@
 /// A filler that has been held at a low pace for so long is moved.
 constexpr Milliseconds stuckTime{150};
 constexpr int slowPace = 50;
-/// Paces are whole multiples of this; below the least one a filler is better stopped from working.
+/// Paces are whole multiples of this.
 constexpr int paceStep = 10;
-constexpr int leastPace = 30;
-constexpr int fullPace = 100;
+/// A filler is sped up by this at least, or to the full pace: each order is a call.
+constexpr int leastSpeedUp = 20;
 
 /// Target / tail of a serving task, as gauged.
 double gaugedHeadroom(const Task &task)
@@ -92,7 +92,7 @@
 
 std::vector<StepHeadroom> PacingSystem::expected(const Worker &worker) const
 {
-    return headroomOf(worker, m_context->interference, pacedLoad(worker), m_context->now(), lookAhead);
+    return headroomOf(worker, m_context->interference, worker.fillerLoad, m_context->now(), lookAhead);
 }
 
 void PacingSystem::observe(Worker *worker)
@@ -164,6 +164,25 @@
     worker->pacedAt = m_context->now();
 }
 
+int PacingSystem::affordablePace(const Worker &worker, const Task &task, const std::vector<StepHeadroom> &steps) const
+{
+    const InterferenceModel &model = m_context->interference;
+    const std::string &image = task.step->spec->image;
+    const double full = shareOf(worker, task.step->spec->perTask.milliCores);
+    const double needed = task.pace == unknownPace ? leastHeadroom : comfortableHeadroom;
+    const int present = expectedPace(task);
+    for (int pace = fullPace; pace >= leastPace && pace >= present; pace -= paceStep) {
+        const double more = full * (pace - present) / fullPace;
+        const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
+            return entry.left() - model.taken(entry.image, image, more).expected >= needed;
+        });
+        if (enough) {
+            return pace;
+        }
+    }
+    return present;
+}
+
 void PacingSystem::speedUp(Worker *worker)
 {
     const InterferenceModel &model = m_context->interference;
@@ -172,19 +191,16 @@
         if (!isRunningFiller(*task) || task->pace == fullPace) {
             continue;
         }
-        const double more = shareOf(*worker, task->step->spec->perTask.milliCores) - pacedShare(*worker, *task);
-        const std::string &image = task->step->spec->image;
-        const double needed = task->pace == unknownPace ? leastHeadroom : comfortableHeadroom;
-        const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
-            return entry.left() - model.taken(entry.image, image, more).expected >= needed;
-        });
-        if (!enough) {
+        const int pace = affordablePace(*worker, *task, steps);
+        const int present = expectedPace(*task);
+        if (pace < fullPace && pace < present + leastSpeedUp) {
             continue;
         }
+        const double more = shareOf(*worker, task->step->spec->perTask.milliCores) * (pace - present) / fullPace;
         for (StepHeadroom &entry : steps) {
-            entry.taken += model.taken(entry.image, image, more);
+            entry.taken += model.taken(entry.image, task->step->spec->image, more);
         }
-        m_orders->pace(task, fullPace);
+        m_orders->pace(task, pace);
         worker->pacedAt = m_context->now();
     }
 }
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -25,6 +25,12 @@
 /// Fillers go where they take the least headroom; idle processor time decides among workers that are nearly alike.
 constexpr double idleWeight = 0.3;
 
+/// A job with nothing on any worker for so long gets a place for one filler at a slower pace, and even if none counts
+/// as harmless: half of what users bear. PacingSystem then keeps it from doing harm.
+constexpr Milliseconds longestFillerWait{1500};
+/// Paces tried in turn for it.
+constexpr std::array<int, 3> slowPaces{70, 50, leastPace};
+
 /// Processor time that fillers could get on @p worker, in thousandths of a core.
 double leftover(const Worker &worker)
 {
@@ -103,18 +109,18 @@
 PlaceVerdict Placement::verdict(const Worker &worker, const Step &step) const
 {
     const PlaceVerdict basic = basicVerdict(worker, step);
-    return basic == PlaceVerdict::Fits ? fillerVerdict(worker, step) : basic;
+    return basic == PlaceVerdict::Fits ? fillerVerdict(worker, step, fullPace) : basic;
 }
 
-PlaceVerdict Placement::fillerVerdict(const Worker &worker, const Step &step) const
+PlaceVerdict Placement::fillerVerdict(const Worker &worker, const Step &step, int pace) const
 {
     if (!step.spec->filler) {
         return PlaceVerdict::Fits;
     }
-    if (leftover(worker) < static_cast<double>(step.spec->perTask.milliCores)) {
+    if (leftover(worker) < static_cast<double>(step.spec->perTask.milliCores) * pace / fullPace) {
         return PlaceVerdict::Processor;
     }
-    return harmless(worker, *step.spec) ? PlaceVerdict::Fits : PlaceVerdict::Headroom;
+    return harmless(worker, *step.spec, pace) ? PlaceVerdict::Fits : PlaceVerdict::Headroom;
 }
 
 const std::vector<StepHeadroom> &Placement::headroomOn(const Worker &worker) const
@@ -129,10 +135,10 @@
         .first->second;
 }
 
-double Placement::headroomBeside(const Worker &worker, const StepSpec &filler) const
+double Placement::headroomBeside(const Worker &worker, const StepSpec &filler, int pace) const
 {
     const InterferenceModel &model = m_context->interference;
-    const double share = shareOf(worker, filler.perTask.milliCores);
+    const double share = shareOf(worker, filler.perTask.milliCores) * pace / fullPace;
     double least = std::numeric_limits<double>::max();
     for (const StepHeadroom &serving : headroomOn(worker)) {
         least = std::min(least, serving.leastBeside(model.taken(serving.image, filler.image, share)));
@@ -140,10 +146,10 @@
     return least;
 }
 
-double Placement::headroomTaken(const Worker &worker, const StepSpec &filler) const
+double Placement::headroomTaken(const Worker &worker, const StepSpec &filler, int pace) const
 {
     const InterferenceModel &model = m_context->interference;
-    const double share = shareOf(worker, filler.perTask.milliCores);
+    const double share = shareOf(worker, filler.perTask.milliCores) * pace / fullPace;
     double most = 0;
     for (const auto &[image, tasks] : worker.servingImages) {
         most = std::max(most, model.taken(image, filler.image, share).expected);
@@ -151,9 +157,10 @@
     return most;
 }
 
-bool Placement::harmless(const Worker &worker, const StepSpec &filler) const
+bool Placement::harmless(const Worker &worker, const StepSpec &filler, int pace) const
 {
-    return headroomBeside(worker, filler) >= leastHeadroomLeft + marginForTaken * headroomTaken(worker, filler);
+    return headroomBeside(worker, filler, pace)
+        >= leastHeadroomLeft + marginForTaken * headroomTaken(worker, filler, pace);
 }
 
 double Placement::servingCost(const Worker &worker, const StepSpec &spec) const
@@ -182,7 +189,7 @@
     if (spec.tailTarget.count() > 0) {
         cost = servingCost(worker, spec);
     } else if (spec.filler) {
-        cost = headroomTaken(worker, spec)
+        cost = headroomTaken(worker, spec, fullPace)
             + idleWeight
                 * (1 - leftover(worker) / std::max(1.0, static_cast<double>(worker.entry.capacity.milliCores)));
     } else {
@@ -197,7 +204,7 @@
     return cost;
 }
 
-Worker *Placement::choose(const Step &step) const
+Worker *Placement::cheapest(const Step &step, int pace) const
 {
     Worker *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
@@ -206,7 +213,7 @@
             continue;
         }
         const double c = cost(*worker, step);
-        if (c >= bestCost || fillerVerdict(*worker, step) != PlaceVerdict::Fits) {
+        if (c >= bestCost || fillerVerdict(*worker, step, pace) != PlaceVerdict::Fits) {
             continue; // What takes longest to tell comes last.
         }
         bestCost = c;
@@ -215,4 +222,45 @@
     return best;
 }
 
+Worker *Placement::leastHarmful(const Step &step) const
+{
+    Worker *best = nullptr;
+    double most = std::numeric_limits<double>::lowest();
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
+            continue;
+        }
+        const double left = headroomBeside(*worker, *step.spec, leastPace);
+        if (left > most) {
+            most = left;
+            best = worker.get();
+        }
+    }
+    return best;
+}
+
+bool Placement::overdue(const Job &job) const
+{
+    return job.placedTasks == 0 && job.idleSince != TimePoint{}
+    && m_context->now() - job.idleSince >= longestFillerWait;
+}
+
+Place Placement::choose(const Step &step) const
+{
+    Worker *worker = cheapest(step, fullPace);
+    if (worker != nullptr || !step.spec->filler) {
+        return Place{worker, fullPace};
+    }
+    if (!overdue(*step.occurrence->job)) {
+        return Place{};
+    }
+    for (const int pace : slowPaces) {
+        worker = cheapest(step, pace);
+        if (worker != nullptr) {
+            return Place{worker, pace};
+        }
+    }
+    return Place{leastHarmful(step), leastPace};
+}
+
 } // namespace fescueledge::workflow
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -27,6 +27,13 @@
 /// The name of @p verdict in logs.
 const char *placeVerdictName(PlaceVerdict verdict);
 
+/// Where a task may start.
+struct Place
+{
+    Worker *worker = nullptr; ///< nullptr if there is none.
+    int pace = fullPace; ///< Percent; only fillers are slowed down.
+};
+
 /// Finds workers for tasks.
 class Placement
 {
@@ -37,8 +44,11 @@
     void refresh();
     /// Forgets the headroom of @p worker: what is on it has changed.
     void changed(const Worker *worker);
-    /// The best worker for a task of @p step; nullptr if there is none.
-    Worker *choose(const Step &step) const;
+    /// The best place for a task of @p step. A job that has had nothing on any worker for too long gets a place for a
+    /// filler at a slower pace, where it does least harm if there is no harmless one.
+    Place choose(const Step &step) const;
+    /// Whether @p job has had nothing on any worker for too long.
+    bool overdue(const Job &job) const;
     /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
     bool hasPlaceElsewhere(const Task &task);
     /// Whether @p worker could take a task of @p step, and what rules it out.
@@ -48,16 +58,21 @@
     /// The verdict on all but how fillers and serving tasks get along.
     PlaceVerdict basicVerdict(const Worker &worker, const Step &step) const;
     /// The verdict on how fillers and serving tasks get along.
-    PlaceVerdict fillerVerdict(const Worker &worker, const Step &step) const;
+    PlaceVerdict fillerVerdict(const Worker &worker, const Step &step, int pace) const;
+    /// The best worker for a task of @p step at @p pace; nullptr if there is none.
+    Worker *cheapest(const Step &step, int pace) const;
+    /// The worker whose serving tasks keep most headroom beside a slow task of @p step.
+    Worker *leastHarmful(const Step &step) const;
     double cost(const Worker &worker, const Step &step) const;
     double servingCost(const Worker &worker, const StepSpec &spec) const;
-    /// Headroom of the serving steps on @p worker beside the fillers there, at full pace.
+    /// Headroom of the serving steps on @p worker beside the fillers there, at their pace.
     const std::vector<StepHeadroom> &headroomOn(const Worker &worker) const;
-    /// The least headroom that serving tasks on @p worker would keep beside one more task of @p filler.
-    double headroomBeside(const Worker &worker, const StepSpec &filler) const;
-    /// The most headroom that one more task of @p filler would take from a serving task on @p worker.
-    double headroomTaken(const Worker &worker, const StepSpec &filler) const;
-    bool harmless(const Worker &worker, const StepSpec &filler) const;
+    /// The least headroom that serving tasks on @p worker would keep beside one more task of @p filler
+    /// at @p pace.
+    double headroomBeside(const Worker &worker, const StepSpec &filler, int pace) const;
+    /// The most headroom that one more task of @p filler at @p pace would take from a serving task on @p worker.
+    double headroomTaken(const Worker &worker, const StepSpec &filler, int pace) const;
+    bool harmless(const Worker &worker, const StepSpec &filler, int pace) const;
 
     std::shared_ptr<Context> m_context;
     /// Headroom on the workers looked at lately, as long as nothing was placed there.
