--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -17,6 +17,13 @@
 constexpr Milliseconds reportPeriod{1000};
 constexpr int reportsPerPeriod = 4;
 
+/// How long nothing of @p job has been on any worker.
+Milliseconds idleFor(const Job &job, TimePoint now)
+{
+    return job.idleSince == TimePoint{} ? Milliseconds{0}
+                                        : std::chrono::duration_cast<Milliseconds>(now - job.idleSince);
+}
+
 } // namespace
 
 WaitReport::WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations)
@@ -68,6 +75,7 @@
         .with("task", toString(keyOf(step->tasks.front())))
         .with("idle", static_cast<std::int64_t>(step->idle))
         .with("of", static_cast<std::int64_t>(step->spec->count))
+        .with("job_idle_ms", idleFor(job, now))
         .with("waited_ms", std::chrono::duration_cast<Milliseconds>(now - step->waitsSince))
         .with("outcome", held ? "earlier_runs_unknown" : placeVerdictName(reason));
     for (std::size_t i = 0; i < workers.size(); ++i) {
