--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -285,6 +285,7 @@
             worker->unlistedAt = now;
         }
         worker->recorded = true;
+        worker->ofEarlierTerm = true;
         worker->runsRecorded = recorded.namesRuns;
         for (const auto &[key, run] : recorded.runs) {
             Task *task = context.jobs.findTask(key);
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -148,6 +148,7 @@
     bool observing = false; ///< An observation is on its way.
     TimePoint observedAt{}; ///< When the last one was answered or given up.
     bool recorded = false; ///< It stands in the durable list of workers that may run something.
+    bool ofEarlierTerm = false; ///< It stood in that list when this term began: earlier ones start nothing elsewhere.
     bool runsRecorded = false; ///< That list names all that it may run: it got no starts since.
     TimePoint nextObserve{}; ///< No observation before this time.
     TimePoint blockedUntil{}; ///< No starts before this time.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -62,7 +62,8 @@
 {
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     return std::none_of(workers.begin(), workers.end(), [](const auto &entry) {
-        return entry.second->contact == WorkerContact::Unadopted && !entry.second->runsRecorded;
+        const Worker &worker = *entry.second;
+        return worker.ofEarlierTerm && worker.contact == WorkerContact::Unadopted && !worker.runsRecorded;
     });
 }
 
