--- a/src/libworkflow/fillerwait_test.cpp
+++ b/src/libworkflow/fillerwait_test.cpp
@@ -1,6 +1,7 @@
 // Load pattern: serving tasks on all workers, and fillers that disturb them more than they can ever bear at full pace.
 #include "sharedfleet_pvt.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace fescueledge;
@@ -12,6 +13,10 @@
 constexpr Milliseconds longestWait{3000};
 /// Users call a serving task harmed that is over its target for so long on end by what works beside it.
 constexpr Milliseconds longestHarm{4000};
+/// A job with nothing running waits for a harmless place for about so long before it gets another one.
+constexpr Milliseconds patience{1400};
+/// An order to change the pace takes effect so long after its answer.
+constexpr Milliseconds paceDelay{300};
 /// Fillers take five times their share of a worker from the serving tasks there.
 constexpr double heavyPressure = 5;
 
@@ -34,3 +39,22 @@
     }
     CHECK(fleet.longestOverTarget().count() < longestHarm.count());
 }
+
+// Guards against a wait that is counted from before the job last ran: its next step got a harmful place at once.
+TEST_CASE("the next step of a job of fillers waits for a harmless place as long as the first")
+{
+    SharedFleet fleet(1, 6, heavyPressure);
+    fleet.learnAndPress();
+    StepSpec second = SharedFleet::fillerStep(1);
+    second.dependsOn = {0};
+    const TimePoint submitted = fleet.world->world.now();
+    const JobId job = fleet.submit({SharedFleet::fillerStep(1), second}, Milliseconds(500));
+    fleet.run(std::chrono::seconds(20));
+    const std::vector<SimWorkers::RunRecord> runs = fleet.world->workers.runsOf(job);
+    const auto next = std::find_if(runs.begin(), runs.end(), [](const SimWorkers::RunRecord &run) {
+        return run.task.step == 1;
+    });
+    REQUIRE(next != runs.end());
+    CHECK((runs.front().began - submitted >= patience));
+    CHECK((next->began - runs.front().ended >= patience));
+}
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -223,6 +223,7 @@
     task->phase = phase;
     task->phaseSince = now;
     Job *job = task->step->occurrence->job;
+    job->idleSince = TimePoint{};
     if (phase == TaskPhase::Running && job->phase == JobPhase::Queued) {
         job->phase = JobPhase::InProgress;
     }
--- a/src/libworkflow/sharedfleet.cpp
+++ b/src/libworkflow/sharedfleet.cpp
@@ -10,6 +10,7 @@
 constexpr std::int64_t workerMilliCores = 32000;
 constexpr std::int64_t fillerMilliCores = 4000;
 constexpr std::int64_t memoryMb = 1000;
+constexpr std::int64_t fillerMemoryMb = 20;
 constexpr double serviceMs = 4;
 constexpr Milliseconds tailTarget{18};
 constexpr Milliseconds longestTail{400};
@@ -18,6 +19,8 @@
 constexpr Milliseconds forever{600000};
 constexpr Milliseconds settle{1500};
 constexpr Milliseconds watchPeriod{50};
+/// Until the effect of fillers is known.
+constexpr std::chrono::seconds learning{40};
 /// Until the serving tasks have been gauged a few times.
 constexpr Milliseconds firstGauges{3000};
 const JobId servingJob = "5000000000000000";
@@ -53,21 +56,41 @@
     world->run(firstGauges);
 }
 
-JobId SharedFleet::submitFillers(std::uint32_t tasks, Milliseconds work)
+StepSpec SharedFleet::fillerStep(std::uint32_t tasks)
 {
-    const JobId job = "f00000000000000" + std::to_string(m_jobs.size());
     StepSpec step = simpleStep(tasks);
     step.perTask.milliCores = fillerMilliCores;
+    step.perTask.memoryMb = fillerMemoryMb;
     step.filler = true;
     step.checkpoints = true;
     step.image = "grind";
-    step.estimate = work;
+    return step;
+}
+
+JobId SharedFleet::submit(const std::vector<StepSpec> &steps, Milliseconds work)
+{
+    const std::string number = std::to_string(m_jobs.size());
+    const JobId job = "f" + std::string(15 - number.size(), '0') + number;
     m_work[job] = work;
     m_jobs[job];
-    world->submit(0, job, workflowOf({step}));
+    world->submit(0, job, workflowOf(steps));
     return job;
 }
 
+JobId SharedFleet::submitFillers(std::uint32_t tasks, Milliseconds work)
+{
+    return submit({fillerStep(tasks)}, work);
+}
+
+void SharedFleet::learnAndPress()
+{
+    submitFillers(8, Milliseconds(1700));
+    run(learning);
+    servingLoad = 0.55;
+    swing = 0.2;
+    run(std::chrono::seconds(10));
+}
+
 void SharedFleet::run(Duration span)
 {
     const TimePoint until = world->world.now() + span;
--- a/src/libworkflow/sharedfleet_pvt.h
+++ b/src/libworkflow/sharedfleet_pvt.h
@@ -17,8 +17,15 @@
     /// the worker that they declare.
     SharedFleet(int nodes, int workers, double pressure);
 
-    /// Submits @p tasks fillers of four cores, which take @p work at full pace.
+    /// A step of @p tasks fillers of four cores.
+    static StepSpec fillerStep(std::uint32_t tasks);
+    /// Submits a job of these steps, whose tasks take @p work at full pace.
+    JobId submit(const std::vector<StepSpec> &steps, Milliseconds work);
+    /// Submits a job of one step of @p tasks fillers.
     JobId submitFillers(std::uint32_t tasks, Milliseconds work);
+    /// Lets the coordinator learn how much fillers disturb; then serving tasks bear none at full pace, but at a slow
+    /// one.
+    void learnAndPress();
     /// Runs for @p span and keeps what the checks below tell.
     void run(Duration span);
 
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -244,7 +244,13 @@
     result.outcome = OrderOutcome::Rejected;
     const auto it = worker.active.find(toString(task));
     if (it != worker.active.end() && m_runs[it->second].run == run) {
-        changePace(&m_runs[it->second], percent);
+        const std::size_t index = it->second;
+        m_world->after(paceDelay, [this, id, index, percent] {
+            settle(&m_workers.at(id));
+            if (m_runs[index].ended == TimePoint{}) {
+                changePace(&m_runs[index], percent);
+            }
+        });
         result.outcome = OrderOutcome::Done;
     }
     return result;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -84,6 +84,7 @@
 
     /// How long a run works; fails if the second is true. By default 100 ms, never failing.
     std::function<std::pair<Milliseconds, bool>(const TaskKey &)> workOf;
+    Duration paceDelay{0}; ///< An order to change the pace takes effect so long after its answer.
     /// What the gauge of a run shows.
     std::function<std::int64_t(const SimWorker &, const RunRecord &)> gaugeOf;
     /// Called when the list of workers has changed.
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -49,6 +49,15 @@
     void pace(const WorkerRef &worker, const TaskKey &task, RunNumber run, int percent, Term term, Milliseconds timeout,
               OrderHandler handler) override
     {
+        if (latePaces > Duration::zero()) {
+            m_world->after(latePaces, [this, worker, task, run, percent, term] {
+                if (reaches(worker.id)) {
+                    m_workers->pace(worker.id, task, run, percent, term);
+                }
+            });
+            answerNothing(timeout, handler);
+            return;
+        }
         carry(worker, timeout, handler, [this, worker, task, run, percent, term] {
             return m_workers->pace(worker.id, task, run, percent, term);
         });
@@ -70,6 +79,7 @@
     }
 
     Duration lateStarts{0};
+    Duration latePaces{0};
     int dropEvery = 0; ///< Each so many-th observation gets no answer; 0 for none.
 
 private:
@@ -369,6 +379,11 @@
     return m_processes[static_cast<std::size_t>(index)]->log;
 }
 
+void WorkflowWorld::delayPaces(int index, Duration delay)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.latePaces = delay;
+}
+
 void WorkflowWorld::run(Duration span)
 {
     world.runFor(span);
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -61,6 +61,9 @@
     /// Makes each following start order of node @p index be carried out after @p delay and its answer be lost.
     void delayStarts(int index, Duration delay);
 
+    /// The same for orders to change the pace of a run.
+    void delayPaces(int index, Duration delay);
+
     /// Submits through node @p index and waits for the answer.
     FrontOutcome submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue = "batch");
     /// Submits without waiting for the answer.
