--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -156,12 +156,20 @@
             }
             return;
         }
-        m_orders->start(&task, place.worker, place.pace);
-        m_placement->changed(place.worker);
+        startAt(&task, place);
         step->waitsSince = m_context->now();
     }
 }
 
+void DispatchSystem::startAt(Task *task, const Place &place)
+{
+    if (place.forced) {
+        place.worker->forcedAt = m_context->now();
+    }
+    m_orders->start(task, place.worker, place.pace);
+    m_placement->changed(place.worker);
+}
+
 void DispatchSystem::startGang(Step *step)
 {
     // Members wait for each other only for a moment: all start now, under one run number, or none.
@@ -197,7 +205,7 @@
     for (const std::pair<Task *, Place> &place : places) {
         place.first->run = run;
         place.first->checkpoint = checkpoint;
-        m_orders->start(place.first, place.second.worker, place.second.pace);
+        startAt(place.first, place.second);
         step->waitsSince = m_context->now();
     }
 }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -10,6 +10,7 @@
 class ObservationSystem;
 class OrderSystem;
 class Placement;
+struct Place;
 
 /// Decides which idle task starts next, and on which worker.
 class DispatchSystem
@@ -45,6 +46,7 @@
     /// Starts tasks of @p step until the run has started @p limit in all.
     void startStep(Step *step, std::uint64_t limit);
     void startGang(Step *step);
+    void startAt(Task *task, const Place &place);
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -157,6 +157,7 @@
     std::set<JobId> failedJobs; ///< Jobs of those runs.
     double slowness = 1; ///< How much longer runs take than elsewhere, learnt.
     TimePoint pacedAt{}; ///< When fillers on it were last slowed down or sped up.
+    TimePoint forcedAt{}; ///< When it last got a filler that counts as harmful there.
     TimePoint learntAt{}; ///< When the interference model last took in its gauges.
 };
 
--- a/src/libworkflow/fillerwait_test.cpp
+++ b/src/libworkflow/fillerwait_test.cpp
@@ -58,3 +58,19 @@
     CHECK((runs.front().began - submitted >= patience));
     CHECK((next->began - runs.front().ended >= patience));
 }
+
+// Guards against harm by many jobs that have waited too long and get a place on the same worker one after the other.
+TEST_CASE("a stream of fillers that disturb everywhere does not keep serving tasks over their target")
+{
+    for (const Milliseconds gap : {Milliseconds(100), Milliseconds(200), Milliseconds(300)}) {
+        SharedFleet fleet(1, 6, heavyPressure);
+        fleet.world->workers.paceDelay = paceDelay;
+        fleet.learnAndPress();
+        for (Milliseconds sent{0}; sent < std::chrono::seconds(12); sent += gap) {
+            fleet.submitFillers(1, Milliseconds(1700));
+            fleet.run(gap);
+        }
+        fleet.run(std::chrono::seconds(15));
+        CHECK(fleet.longestOverTarget().count() < longestHarm.count());
+    }
+}
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -28,6 +28,8 @@
 /// A job with nothing on any worker for so long gets a place for one filler at a slower pace, and even if none counts
 /// as harmless: half of what users bear. PacingSystem then keeps it from doing harm.
 constexpr Milliseconds longestFillerWait{1500};
+/// A worker that got such a filler gets no other for so long: what the first one does there shows only then.
+constexpr Milliseconds forcedPause{1000};
 /// Paces tried in turn for it.
 constexpr std::array<int, 3> slowPaces{70, 50, leastPace};
 
@@ -230,6 +232,9 @@
         if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
             continue;
         }
+        if (m_context->now() < worker->forcedAt + forcedPause) {
+            continue;
+        }
         const double left = headroomBeside(*worker, *step.spec, leastPace);
         if (left > most) {
             most = left;
@@ -260,7 +265,7 @@
             return Place{worker, pace};
         }
     }
-    return Place{leastHarmful(step), leastPace};
+    return Place{leastHarmful(step), leastPace, true};
 }
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -32,6 +32,7 @@
 {
     Worker *worker = nullptr; ///< nullptr if there is none.
     int pace = fullPace; ///< Percent; only fillers are slowed down.
+    bool forced = false; ///< The task counts as harmful there.
 };
 
 /// Finds workers for tasks.
