--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -149,7 +149,7 @@
         if (m_orders->startsSent >= limit) {
             return;
         }
-        const Place place = m_placement->choose(*step);
+        const Place place = m_placement->choose(*step, m_placement->overdue(*step->occurrence->job));
         if (place.worker == nullptr) {
             if (step->spec->maxPerWorker == 0) {
                 m_noPlace[shapeOf(*step)].push_back(step->spec->perTask);
@@ -177,6 +177,7 @@
         return;
     }
     std::vector<std::pair<Task *, Place>> places;
+    const bool overdue = m_placement->overdue(*step->occurrence->job); // Before the first of them has a place.
     RunNumber run = 0;
     std::string checkpoint;
     for (Task &task : step->tasks) {
@@ -187,7 +188,7 @@
         if (task.phase != TaskPhase::Idle) {
             continue;
         }
-        const Place place = m_placement->choose(*step);
+        const Place place = m_placement->choose(*step, overdue);
         if (place.worker == nullptr) {
             break;
         }
--- a/src/libworkflow/fillerwait_test.cpp
+++ b/src/libworkflow/fillerwait_test.cpp
@@ -74,3 +74,15 @@
         CHECK(fleet.longestOverTarget().count() < longestHarm.count());
     }
 }
+
+// Guards against gangs of fillers that never start: only their first task counted as waiting too long.
+TEST_CASE("a gang of fillers that disturbs serving tasks everywhere is started within three seconds")
+{
+    SharedFleet fleet(1, 6, heavyPressure);
+    fleet.learnAndPress();
+    StepSpec gang = SharedFleet::fillerStep(2);
+    gang.gang = true;
+    const JobId job = fleet.submit({gang}, Milliseconds(1700));
+    fleet.run(longestWait);
+    CHECK(fleet.runsOf(job) == 2);
+}
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -250,13 +250,13 @@
     && m_context->now() - job.idleSince >= longestFillerWait;
 }
 
-Place Placement::choose(const Step &step) const
+Place Placement::choose(const Step &step, bool overdue) const
 {
     Worker *worker = cheapest(step, fullPace);
     if (worker != nullptr || !step.spec->filler) {
         return Place{worker, fullPace};
     }
-    if (!overdue(*step.occurrence->job)) {
+    if (!overdue) {
         return Place{};
     }
     for (const int pace : slowPaces) {
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -45,9 +45,9 @@
     void refresh();
     /// Forgets the headroom of @p worker: what is on it has changed.
     void changed(const Worker *worker);
-    /// The best place for a task of @p step. A job that has had nothing on any worker for too long gets a place for a
-    /// filler at a slower pace, where it does least harm if there is no harmless one.
-    Place choose(const Step &step) const;
+    /// The best place for a task of @p step. If its job is @p overdue, a filler gets a place at a slower pace, where it
+    /// does least harm if there is no harmless one.
+    Place choose(const Step &step, bool overdue) const;
     /// Whether @p job has had nothing on any worker for too long.
     bool overdue(const Job &job) const;
     /// Whether a worker other than its own could take @p task, a filler, at once and without harm.
