--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -105,6 +105,7 @@
         return a.first < b.first;
     });
     m_noPlace.clear();
+    m_noPlaceOverdue.clear();
     m_placement->refresh();
     const std::uint64_t limit = m_orders->startsSent + portion;
     for (const std::pair<Rank, Step *> &entry : ranked) {
@@ -125,10 +126,11 @@
     return Shape{step.occurrence->job->policy.service, step.spec->requiredLabel, step.spec->image, step.spec->filler};
 }
 
-bool DispatchSystem::knownNotToFit(const Step &step) const
+bool DispatchSystem::knownNotToFit(const Step &step, bool overdue) const
 {
-    const auto it = m_noPlace.find(shapeOf(step));
-    if (it == m_noPlace.end()) {
+    const SizesByShape &noPlace = overdue ? m_noPlaceOverdue : m_noPlace;
+    const auto it = noPlace.find(shapeOf(step));
+    if (it == noPlace.end()) {
         return false;
     }
     const Resources &need = step.spec->perTask;
@@ -139,7 +141,7 @@
 
 void DispatchSystem::startStep(Step *step, std::uint64_t limit)
 {
-    if (knownNotToFit(*step) && !m_placement->overdue(*step->occurrence->job)) {
+    if (knownNotToFit(*step, m_placement->overdue(*step->occurrence->job))) {
         return;
     }
     for (Task &task : step->tasks) {
@@ -149,11 +151,15 @@
         if (m_orders->startsSent >= limit) {
             return;
         }
-        const Place place = m_placement->choose(*step, m_placement->overdue(*step->occurrence->job));
+        const bool overdue = m_placement->overdue(*step->occurrence->job);
+        const Place place = m_placement->choose(*step, overdue);
         if (place.worker == nullptr) {
             if (step->spec->maxPerWorker == 0) {
                 m_noPlace[shapeOf(*step)].push_back(step->spec->perTask);
             }
+            if (step->spec->maxPerWorker == 0 && overdue) {
+                m_noPlaceOverdue[shapeOf(*step)].push_back(step->spec->perTask);
+            }
             return;
         }
         startAt(&task, place);
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -39,9 +39,12 @@
     /// What decides, besides the size, which workers could take a task: service, label, image, whether it is a filler.
     using Shape = std::tuple<std::string, std::string, std::string, bool>;
 
+    using SizesByShape = std::map<Shape, std::vector<Resources>>;
+
     static Shape shapeOf(const Step &step);
-    /// Whether a task of the same shape and at most this size found no worker in this run.
-    bool knownNotToFit(const Step &step) const;
+    /// Whether a task of the same shape and at most this size found no worker in this run, of an overdue job if @p
+    /// step's is overdue.
+    bool knownNotToFit(const Step &step, bool overdue) const;
     Rank rankOf(const Step &step, TimePoint now) const;
     /// Starts tasks of @p step until the run has started @p limit in all.
     void startStep(Step *step, std::uint64_t limit);
@@ -53,7 +56,8 @@
     Placement *m_placement;
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
-    std::map<Shape, std::vector<Resources>> m_noPlace; ///< Sizes that found no worker in the present run.
+    SizesByShape m_noPlace; ///< Sizes that found no worker in the present run.
+    SizesByShape m_noPlaceOverdue; ///< The same, although their jobs were overdue.
 };
 
 } // namespace fescueledge::workflow
