--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -55,6 +55,7 @@
     TimePoint pacedAt{}; ///< When that order was sent.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
+    double headroomError = 0; ///< By how much a serving task's headroom differs from what is expected, on average.
     bool preempted = false; ///< Its stop makes room for a more urgent task.
 };
 
@@ -158,6 +159,7 @@
     double slowness = 1; ///< How much longer runs take than elsewhere, learnt.
     TimePoint pacedAt{}; ///< When fillers on it were last slowed down or sped up.
     TimePoint forcedAt{}; ///< When it last got a filler that counts as harmful there.
+    TimePoint overTargetSince{}; ///< Since when a serving task on it has been over its target; the epoch if none is.
     TimePoint learntAt{}; ///< When the interference model last took in its gauges.
 };
 
--- a/src/libworkflow/fillerwait_test.cpp
+++ b/src/libworkflow/fillerwait_test.cpp
@@ -86,3 +86,17 @@
     fleet.run(longestWait);
     CHECK(fleet.runsOf(job) == 2);
 }
+
+// Guards against fillers that begin one after the other beside a serving task that is over its target: it was taken to
+// be like the others of its step, on other workers.
+TEST_CASE("a serving task that is slower than the others of its step is kept from harm, and gets no further fillers")
+{
+    SharedFleet fleet(1, 8, 2.5);
+    fleet.slowdown["w3"] = 2.0;
+    for (int i = 0; i < 80; ++i) {
+        fleet.submitFillers(6, Milliseconds(1200));
+        fleet.run(Milliseconds(500));
+    }
+    CHECK(fleet.longestOverTarget().count() < longestHarm.count());
+    CHECK(fleet.startsBesideOverTarget() == 0);
+}
--- a/src/libworkflow/headroom.cpp
+++ b/src/libworkflow/headroom.cpp
@@ -4,6 +4,13 @@
 
 namespace fescueledge::workflow {
 
+namespace {
+
+/// Headroom by which gauges of a sound task differ from the model, averaged: they are rough, and so is the model.
+constexpr double usualError = 0.4;
+
+} // namespace
+
 double shareOf(const Worker &worker, std::int64_t milliCores)
 {
     return static_cast<double>(milliCores)
@@ -34,12 +41,20 @@
 std::vector<StepHeadroom> headroomOf(const Worker &worker, const InterferenceModel &model, const FillerLoad &load,
                                      TimePoint now, Duration ahead)
 {
+    // Tasks of a step are alike, but one may have less headroom than the others for a cause that the model lacks.
+    std::map<const Step *, double> errors;
+    for (const Task *task : worker.tasks) {
+        if (task->headroomError < -usualError) {
+            errors[task->step] = std::min(errors[task->step], task->headroomError + usualError);
+        }
+    }
     std::vector<StepHeadroom> out;
     out.reserve(worker.servingSteps.size());
     for (const auto &[step, tasks] : worker.servingSteps) {
         const std::string &image = step->spec->image;
         const double own = step->trend.known() ? step->trend.leastWithin(now, ahead) : model.usualHeadroom(image);
-        out.push_back({image, own, model.taken(image, load)});
+        const auto error = errors.find(step);
+        out.push_back({image, own + (error == errors.end() ? 0 : error->second), model.taken(image, load)});
     }
     return out;
 }
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -241,6 +241,7 @@
     task->pace = fullPace;
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
+    task->headroomError = 0;
     task->preempted = false;
     task->step->waitsSince = TimePoint{};
     list(task->step);
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds overTargetLimit{1500};
 /// Gauges cover half a second; the same ones are learnt from once.
 constexpr Milliseconds gaugePeriod{450};
+/// Share of each gauge in the average of what a task differs from the model: an average over some two seconds.
+constexpr double errorRate = 0.25;
 /// A filler that has been held at a low pace for so long is moved.
 constexpr Milliseconds stuckTime{150};
 constexpr int slowPace = 50;
@@ -63,15 +65,22 @@
     }
     worker->learntAt = now;
     const FillerLoad load = gaugedLoad(*worker);
-    for (const Task *task : worker->tasks) {
-        if (isServing(*task) && task->percent == fullPace) {
-            m_context->interference.learn(task->step->spec->image, &task->step->trend, gaugedHeadroom(*task), load,
-                                          now);
+    InterferenceModel &model = m_context->interference;
+    for (Task *task : worker->tasks) {
+        if (!isServing(*task) || task->percent != fullPace) {
+            continue;
+        }
+        const std::string &image = task->step->spec->image;
+        ServingTrend *trend = &task->step->trend;
+        if (trend->known()) {
+            const double error = gaugedHeadroom(*task) - (trend->at(now) - model.taken(image, load).expected);
+            task->headroomError += errorRate * (error - task->headroomError);
         }
+        model.learn(image, trend, gaugedHeadroom(*task), load, now);
     }
 }
 
-TimePoint PacingSystem::noteTails(Worker *worker) const
+void PacingSystem::noteTails(Worker *worker) const
 {
     TimePoint since{};
     for (Task *task : worker->tasks) {
@@ -87,7 +96,7 @@
             since = task->overTargetSince;
         }
     }
-    return since;
+    worker->overTargetSince = since;
 }
 
 std::vector<StepHeadroom> PacingSystem::expected(const Worker &worker) const
@@ -98,18 +107,18 @@
 void PacingSystem::observe(Worker *worker)
 {
     learn(worker);
-    const TimePoint overSince = noteTails(worker);
+    noteTails(worker);
     if (std::none_of(worker->tasks.begin(), worker->tasks.end(), [](const Task *task) {
             return isRunningFiller(*task);
         })) {
         return;
     }
-    const bool overTarget = overSince != TimePoint{};
+    const bool overTarget = worker->overTargetSince != TimePoint{};
     const std::vector<StepHeadroom> steps = expected(*worker);
     const auto worst = std::min_element(steps.begin(), steps.end(), [](const auto &a, const auto &b) {
         return a.left() < b.left();
     });
-    if (overTarget && m_context->now() - overSince > overTargetLimit) {
+    if (overTarget && m_context->now() - worker->overTargetSince > overTargetLimit) {
         slowAll(worker);
     } else if (worst != steps.end() && worst->left() < leastHeadroom) {
         slowCulprits(worker, *worst, overTarget);
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -23,8 +23,8 @@
 
 private:
     void learn(Worker *worker);
-    /// Notes which serving tasks are over their target; returns since when the first of them is, the epoch for none.
-    TimePoint noteTails(Worker *worker) const;
+    /// Notes which serving tasks on @p worker are over their target, and since when.
+    void noteTails(Worker *worker) const;
     std::vector<StepHeadroom> expected(const Worker &worker) const;
     void slowCulprits(Worker *worker, const StepHeadroom &victim, bool overTarget);
     void slowAll(Worker *worker);
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -122,6 +122,9 @@
     if (leftover(worker) < static_cast<double>(step.spec->perTask.milliCores) * pace / fullPace) {
         return PlaceVerdict::Processor;
     }
+    if (worker.overTargetSince != TimePoint{}) {
+        return PlaceVerdict::Headroom; // Whatever the model says.
+    }
     return harmless(worker, *step.spec, pace) ? PlaceVerdict::Fits : PlaceVerdict::Headroom;
 }
 
@@ -227,7 +230,7 @@
 Worker *Placement::leastHarmful(const Step &step) const
 {
     Worker *best = nullptr;
-    double most = std::numeric_limits<double>::lowest();
+    std::pair<bool, double> most{false, std::numeric_limits<double>::lowest()};
     for (const auto &[id, worker] : m_context->fleet.all()) {
         if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
             continue;
@@ -235,7 +238,8 @@
         if (m_context->now() < worker->forcedAt + forcedPause) {
             continue;
         }
-        const double left = headroomBeside(*worker, *step.spec, leastPace);
+        const std::pair<bool, double> left{worker->overTargetSince == TimePoint{},
+                                           headroomBeside(*worker, *step.spec, leastPace)};
         if (left > most) {
             most = left;
             best = worker.get();
--- a/src/libworkflow/sharedfleet.cpp
+++ b/src/libworkflow/sharedfleet.cpp
@@ -14,13 +14,16 @@
 constexpr double serviceMs = 4;
 constexpr Milliseconds tailTarget{18};
 constexpr Milliseconds longestTail{400};
-constexpr double fullPace = 100;
+constexpr double gaugeError = 0.1;
+constexpr int fullSpeed = 100; ///< Percent.
 constexpr double swingSeconds = 10;
 constexpr Milliseconds forever{600000};
 constexpr Milliseconds settle{1500};
 constexpr Milliseconds watchPeriod{50};
 /// Until the effect of fillers is known.
 constexpr std::chrono::seconds learning{40};
+/// A serving task that is over its target in every gauge for so long has been reported to be so.
+constexpr Milliseconds longSlow{1000};
 /// Until the serving tasks have been gauged a few times.
 constexpr Milliseconds firstGauges{3000};
 const JobId servingJob = "5000000000000000";
@@ -30,6 +33,7 @@
 SharedFleet::SharedFleet(int nodes, int workers, double pressure)
     : world(std::make_unique<WorkflowWorld>(nodes))
     , m_pressure(pressure)
+    , m_random(1)
 {
     SimWorkers &fleet = world->workers;
     for (int i = 0; i < workers; ++i) {
@@ -43,7 +47,7 @@
         return std::make_pair(it == m_work.end() ? forever : it->second, false);
     };
     fleet.gaugeOf = [this](const SimWorkers::SimWorker &worker, const SimWorkers::RunRecord &record) {
-        return record.task.job == servingJob ? tailOf(worker) : fillerMilliCores * record.pace / std::int64_t{100};
+        return record.task.job == servingJob ? gaugeOf(worker) : fillerMilliCores * record.pace / fullSpeed;
     };
     world->run(settle);
     StepSpec serving = simpleStep(static_cast<std::uint32_t>(workers));
@@ -111,8 +115,12 @@
         watched.idle = atWork || world->state(0, job) == "complete" ? Duration::zero() : watched.idle + span;
         watched.longestIdle = std::max(watched.longestIdle, watched.idle);
     }
+    countStarts();
     for (const WorkerEntry &entry : world->workers.listed()) {
         const SimWorkers::SimWorker &worker = *world->workers.find(entry.id);
+        Duration &slow = m_slow[entry.id];
+        const double surelyOver = static_cast<double>(tailTarget.count()) / (1 - gaugeError);
+        slow = static_cast<double>(tailOf(worker)) > surelyOver ? slow + span : Duration::zero();
         const bool over = fillerLoad(worker) > 0 && tailOf(worker) > tailTarget.count();
         Duration &lasted = m_overTarget[entry.id];
         lasted = over ? lasted + span : Duration::zero();
@@ -120,6 +128,15 @@
     }
 }
 
+void SharedFleet::countStarts()
+{
+    const std::vector<SimWorkers::RunRecord> &runs = world->workers.runs();
+    for (; m_runsSeen < runs.size(); ++m_runsSeen) {
+        const SimWorkers::RunRecord &run = runs[m_runsSeen];
+        m_startsBesideOverTarget += run.task.job != servingJob && m_slow[run.worker] >= longSlow ? 1 : 0;
+    }
+}
+
 double SharedFleet::ownLoad() const
 {
     const double seconds = std::chrono::duration<double>(world->world.now().time_since_epoch()).count();
@@ -132,7 +149,7 @@
     for (const auto &[name, index] : worker.active) {
         const SimWorkers::RunRecord &run = world->workers.runs()[index];
         if (run.task.job != servingJob) {
-            load += run.pace / fullPace * fillerMilliCores / workerMilliCores;
+            load += static_cast<double>(run.pace) / fullSpeed * fillerMilliCores / workerMilliCores;
         }
     }
     return load;
@@ -140,9 +157,16 @@
 
 std::int64_t SharedFleet::tailOf(const SimWorkers::SimWorker &worker) const
 {
+    const auto slower = slowdown.find(worker.entry.id);
+    const double service = serviceMs * (slower == slowdown.end() ? 1 : slower->second);
     const double idle = 1 - ownLoad() - m_pressure * fillerLoad(worker);
-    return idle <= 0 ? longestTail.count()
-                     : std::min<std::int64_t>(longestTail.count(), std::llround(serviceMs / idle));
+    return idle <= 0 ? longestTail.count() : std::min<std::int64_t>(longestTail.count(), std::llround(service / idle));
+}
+
+std::int64_t SharedFleet::gaugeOf(const SimWorkers::SimWorker &worker)
+{
+    const double error = 1 - gaugeError + 2 * gaugeError * m_random.unit();
+    return std::llround(static_cast<double>(tailOf(worker)) * error);
 }
 
 std::size_t SharedFleet::runsOf(const JobId &job) const
--- a/src/libworkflow/sharedfleet_pvt.h
+++ b/src/libworkflow/sharedfleet_pvt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescueledge/random.h"
 #include "workflowworld_pvt.h"
 
 #include <memory>
@@ -39,6 +40,12 @@
     std::unique_ptr<WorkflowWorld> world;
     double servingLoad = 0.42; ///< Mean of the serving tasks' own load.
     double swing = 0.5; ///< By this share it rises and falls.
+    std::map<WorkerId, double> slowdown; ///< How many times longer tails are on a worker than elsewhere.
+    /// Fillers that began beside a serving task whose gauges had shown it over its target for a second.
+    int startsBesideOverTarget() const
+    {
+        return m_startsBesideOverTarget;
+    }
 
 private:
     struct Watch
@@ -50,13 +57,20 @@
     double ownLoad() const;
     double fillerLoad(const SimWorkers::SimWorker &worker) const;
     std::int64_t tailOf(const SimWorkers::SimWorker &worker) const;
+    /// What a worker reports as the tail: rough.
+    std::int64_t gaugeOf(const SimWorkers::SimWorker &worker);
     void watch(Duration span);
+    void countStarts();
 
     double m_pressure;
+    Random m_random;
     std::map<JobId, Watch> m_jobs;
     std::map<JobId, Milliseconds> m_work;
     std::map<WorkerId, Duration> m_overTarget;
     Duration m_longestOverTarget{0};
+    std::map<WorkerId, Duration> m_slow; ///< For how long the serving task of a worker has been over its target.
+    std::size_t m_runsSeen = 0;
+    int m_startsBesideOverTarget = 0;
 };
 
 } // namespace fescueledge::workflow
