--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -53,6 +53,7 @@
     std::int64_t gauge = 0; ///< As the worker reports it, see ActiveRun.
     int pace = fullPace; ///< Speed last ordered, in percent, or unknownPace.
     TimePoint pacedAt{}; ///< When that order was sent.
+    TimePoint latePacesUntil{}; ///< Until when an earlier order that was not answered may still be carried out.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
     double headroomError = 0; ///< By how much a serving task's headroom differs from what is expected, on average.
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -239,6 +239,7 @@
     task->percent = 0;
     task->gauge = 0;
     task->pace = fullPace;
+    task->latePacesUntil = TimePoint{};
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->headroomError = 0;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -10,6 +10,8 @@
 constexpr RunNumber runsPerTerm = 1000;
 /// After a refusal for want of room: the next observation shows what is there.
 constexpr Milliseconds noRoomPause{150};
+/// An order that was not answered may be carried out for so long, after newer ones.
+constexpr std::chrono::seconds lateOrderSpan{10};
 /// After a worker said that it takes nothing.
 constexpr Milliseconds unhealthyPause{500};
 
@@ -114,8 +116,8 @@
     m_context->jobs.setPhase(task, TaskPhase::Running, m_context->now());
     task->progressAt = m_context->now();
     task->seen = true;
-    if (task->pace != fullPace && task->pace != unknownPace) {
-        sendPace(task); // A start can't carry it.
+    if (task->pace != fullPace) {
+        repeatPace(task); // A start can't carry it.
     }
 }
 
@@ -263,14 +265,30 @@
                                      shared->superseded();
                                      return;
                                  }
-                                 Task *paced = current(ref);
-                                 if (paced != nullptr && result.outcome != OrderOutcome::Done
-                                     && paced->pace == percent) {
-                                     FleetTable::setPace(paced, unknownPace); // The next decision sends it again.
-                                 }
+                                 onPaced(current(ref), percent, result.outcome);
                              });
 }
 
+void OrderSystem::onPaced(Task *task, int percent, OrderOutcome outcome) const
+{
+    if (task == nullptr || outcome == OrderOutcome::Done) {
+        return;
+    }
+    if (outcome == OrderOutcome::NoAnswer) {
+        task->latePacesUntil = m_context->now() + lateOrderSpan;
+    }
+    if (task->pace == percent) {
+        FleetTable::setPace(task, unknownPace); // The next decision sends it again.
+    }
+}
+
+void OrderSystem::repeatPace(Task *task)
+{
+    if (task->pace != unknownPace && m_context->mayOrder()) {
+        sendPace(task);
+    }
+}
+
 void OrderSystem::loseTasks(Worker *worker, const char *reason)
 {
     const std::set<Task *> tasks = worker->tasks;
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -22,6 +22,8 @@
     void stopJob(Job *job);
     /// Slows a run down, or lets it work at full speed again.
     void pace(Task *task, int percent);
+    /// Orders the pace that a run has in the tables once more.
+    void repeatPace(Task *task);
     /// Makes all tasks on @p worker idle: nothing runs there any more.
     void loseTasks(Worker *worker, const char *reason);
 
@@ -44,8 +46,8 @@
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
     void onRefused(Task *task, Worker *worker, OrderOutcome outcome);
     void sendStop(const RunRef &ref);
-    /// Orders the pace that @p task has in the tables.
     void sendPace(Task *task);
+    void onPaced(Task *task, int percent, OrderOutcome outcome) const;
     void onStopped(const RunRef &ref, const OrderResult &result);
     RunNumber nextRun(const Task &task) const;
 
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -25,6 +25,8 @@
 constexpr double errorRate = 0.25;
 /// A filler that has been held at a low pace for so long is moved.
 constexpr Milliseconds stuckTime{150};
+/// An order to change the pace is repeated this often while an earlier one may still undo it.
+constexpr std::chrono::seconds repeatPeriod{2};
 constexpr int slowPace = 50;
 /// Paces are whole multiples of this.
 constexpr int paceStep = 10;
@@ -125,9 +127,20 @@
     } else if (!overTarget) {
         speedUp(worker);
     }
+    repeatPaces(worker);
     moveStuck(worker);
 }
 
+void PacingSystem::repeatPaces(Worker *worker)
+{
+    const TimePoint now = m_context->now();
+    for (Task *task : worker->tasks) {
+        if (isRunningFiller(*task) && task->pacedAt < task->latePacesUntil && now - task->pacedAt >= repeatPeriod) {
+            m_orders->repeatPace(task);
+        }
+    }
+}
+
 void PacingSystem::slowCulprits(Worker *worker, const StepHeadroom &victim, bool overTarget)
 {
     const InterferenceModel &model = m_context->interference;
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -29,6 +29,7 @@
     void slowCulprits(Worker *worker, const StepHeadroom &victim, bool overTarget);
     void slowAll(Worker *worker);
     void speedUp(Worker *worker);
+    void repeatPaces(Worker *worker);
     /// The highest pace at which @p task would leave @p steps, which share its worker, enough headroom.
     int affordablePace(const Worker &worker, const Task &task, const std::vector<StepHeadroom> &steps) const;
     void moveStuck(Worker *worker);
--- a/src/libworkflow/takeoverpace_test.cpp
+++ b/src/libworkflow/takeoverpace_test.cpp
@@ -25,3 +25,20 @@
         },
         Milliseconds(500)));
 }
+
+// Guards against runs that stay slow for good: an order that was carried out late undid a newer one, unnoticed.
+TEST_CASE("an order to slow a run down that is carried out late does not hold it for good")
+{
+    SharedFleet fleet(1, 2, 1);
+    const JobId job = fleet.submitFillers(2, Milliseconds(10000));
+    fleet.run(Milliseconds(300));
+    REQUIRE(fleet.runsOf(job) == 2);
+    fleet.servingLoad = 0.9; // Too much to bear any filler.
+    fleet.swing = 0;
+    fleet.world->delayPaces(0, std::chrono::seconds(6));
+    fleet.run(Milliseconds(2000));
+    fleet.world->delayPaces(0, Duration::zero());
+    fleet.servingLoad = 0.2;
+    fleet.run(std::chrono::seconds(40));
+    CHECK(fleet.world->state(0, job) == "complete");
+}
