--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -229,20 +229,27 @@
 
 Worker *Placement::leastHarmful(const Step &step) const
 {
-    Worker *best = nullptr;
-    std::pair<bool, double> most{false, std::numeric_limits<double>::lowest()};
+    std::vector<Worker *> usable;
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
-            continue;
+        if (basicVerdict(*worker, step) == PlaceVerdict::Fits) {
+            usable.push_back(worker.get());
         }
-        if (m_context->now() < worker->forcedAt + forcedPause) {
+    }
+    // Beside a serving task over its target only if there is one on every worker.
+    const bool allOver = std::none_of(usable.begin(), usable.end(), [](const Worker *worker) {
+        return worker->overTargetSince == TimePoint{};
+    });
+    Worker *best = nullptr;
+    std::pair<double, double> most{std::numeric_limits<double>::lowest(), 0};
+    for (Worker *worker : usable) {
+        const bool paused = m_context->now() < worker->forcedAt + forcedPause;
+        if (paused || (!allOver && worker->overTargetSince != TimePoint{})) {
             continue;
         }
-        const std::pair<bool, double> left{worker->overTargetSince == TimePoint{},
-                                           headroomBeside(*worker, *step.spec, leastPace)};
+        const std::pair<double, double> left{headroomBeside(*worker, *step.spec, leastPace), leftover(*worker)};
         if (left > most) {
             most = left;
-            best = worker.get();
+            best = worker;
         }
     }
     return best;
