--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -15,10 +15,20 @@
 namespace fescueledge::workflow {
 
 struct Worker;
+struct Task;
 struct Step;
 struct Occurrence;
 struct Job;
 
+/// Orders steps and tasks by when they were opened, so that equal runs take equal decisions.
+struct OpenedOrder
+{
+    bool operator()(const Step *a, const Step *b) const;
+    bool operator()(const Task *a, const Task *b) const;
+};
+
+using TaskSet = std::set<Task *, OpenedOrder>;
+
 /// Where a task stands.
 enum class TaskPhase {
     Idle, ///< Not on any worker.
@@ -64,6 +74,7 @@
 struct Step
 {
     Occurrence *occurrence = nullptr;
+    std::uint64_t opened = 0; ///< How many steps had been made before.
     std::uint32_t number = 0;
     const StepSpec *spec = nullptr;
     std::vector<Task> tasks;
@@ -142,8 +153,8 @@
     std::map<std::string, double>
         fillerLoad; ///< Share of its processors that fillers declare, at their pace, by image.
     std::map<std::string, int> servingImages; ///< Serving tasks on it, by image.
-    std::map<Step *, int> servingSteps; ///< The same by step.
-    std::set<Task *> tasks; ///< On it, in any phase but Idle and Done.
+    std::map<Step *, int, OpenedOrder> servingSteps; ///< The same by step.
+    TaskSet tasks; ///< On it, in any phase but Idle and Done.
     std::uint64_t endsApplied = 0; ///< Number of the last end taken into the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last end that is durable.
     std::uint64_t endsAcknowledged = 0; ///< Number last sent to the worker.
@@ -164,6 +175,16 @@
     TimePoint learntAt{}; ///< When the interference model last took in its gauges.
 };
 
+inline bool OpenedOrder::operator()(const Step *a, const Step *b) const
+{
+    return a->opened < b->opened;
+}
+
+inline bool OpenedOrder::operator()(const Task *a, const Task *b) const
+{
+    return a->step == b->step ? a->index < b->index : a->step->opened < b->step->opened;
+}
+
 /// The pace of @p task, in percent; an unknown one may be any, so it counts as full.
 inline int expectedPace(const Task &task)
 {
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -24,8 +24,8 @@
 }
 
 /// Adds @p n to the count of @p key, which goes when nothing is left.
-template<typename Key>
-void addTo(std::map<Key, int> *counts, const Key &key, int n)
+template<typename Key, typename Order>
+void addTo(std::map<Key, int, Order> *counts, const Key &key, int n)
 {
     int &count = (*counts)[key];
     count += n;
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -173,6 +173,7 @@
     for (std::size_t i = 0; i < slot->steps.size(); ++i) {
         Step &step = slot->steps[i];
         step.occurrence = slot.get();
+        step.opened = m_stepsMade++;
         step.number = static_cast<std::uint32_t>(i);
         step.spec = &job->spec.steps[i];
         step.left = step.spec->count;
--- a/src/libworkflow/jobtable_pvt.h
+++ b/src/libworkflow/jobtable_pvt.h
@@ -72,6 +72,7 @@
     void finishOccurrence(Occurrence *occurrence, TimePoint now, WallTime wall);
 
     std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
+    std::uint64_t m_stepsMade = 0;
     std::vector<Step *> m_openSteps;
     std::vector<Job *> m_dirty;
     std::set<Job *> m_timed; ///< Jobs with occurrences still to be opened.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -337,7 +337,7 @@
             return run.run == task.run && run.task == key;
         });
     };
-    const std::set<Task *> tasks = worker->tasks;
+    const TaskSet tasks = worker->tasks;
     for (Task *task : tasks) {
         // Only an answer to a question asked after the last order can show that a run is not there.
         if (task->phase == TaskPhase::Starting || sentAt <= task->phaseSince || isActive(*task)) {
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -291,7 +291,7 @@
 
 void OrderSystem::loseTasks(Worker *worker, const char *reason)
 {
-    const std::set<Task *> tasks = worker->tasks;
+    const TaskSet tasks = worker->tasks;
     for (Task *task : tasks) {
         m_context->log->write(LogLine("run_lost")
                                   .with("job", task->step->occurrence->job->id)
