--- a/src/libworkflow/dispatch_test.cpp
+++ b/src/libworkflow/dispatch_test.cpp
@@ -192,3 +192,24 @@
     CHECK(world->log(0).count("step_waits") >= 4);
     CHECK(world->log(0).count("step_waits") <= 6);
 }
+
+// Guards against quarantines that each failed run begins anew: on a small fleet sound jobs waited for five seconds.
+TEST_CASE("jobs that fail by their own fault do not keep sound ones waiting for three seconds")
+{
+    for (Milliseconds at{100}; at < Milliseconds(2600); at += Milliseconds(100)) {
+        const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 8);
+        const JobId slow = "00000000000000c2";
+        world->workers.workOf = [&slow](const TaskKey &key) {
+            return std::make_pair(Milliseconds(key.job == slow ? 2000 : 100), key.job != jobA);
+        };
+        world->submit(0, slow, workflowOf({simpleStep(2)}));
+        world->submit(0, "00000000000000c0", workflowOf({simpleStep(4)}));
+        world->submit(0, "00000000000000c1", workflowOf({simpleStep(4)}));
+        world->run(at);
+        world->submit(0, jobA, workflowOf({simpleStep(1)}));
+        const TimePoint submitted = world->world.now();
+        world->run(std::chrono::seconds(8));
+        REQUIRE_FALSE(world->workers.runsOf(jobA).empty());
+        CHECK((world->workers.runsOf(jobA).front().began - submitted < Milliseconds(3000)));
+    }
+}
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -11,8 +11,9 @@
 
 /// Failed runs of different jobs in a row after which a worker is left alone.
 constexpr int failuresToQuarantine = 3;
-/// How long a worker that fails what it starts is left alone before one more run is tried.
-constexpr Milliseconds quarantine{3000};
+/// How long a worker that fails what it starts is left alone before one more run is tried: less than users bear to see
+/// nothing of a job running.
+constexpr Milliseconds quarantine{2000};
 /// While ends wait to become durable a worker is observed this often, to renew its lease.
 constexpr Milliseconds unacknowledgedPause{400};
 /// A silent worker is tried again after this many times the retry delay at most.
@@ -319,7 +320,8 @@
     ++worker->failuresInRow;
     worker->failedJobs.insert(task.step->occurrence->job->id);
     // One job that always fails says nothing of the worker.
-    if (worker->failuresInRow >= failuresToQuarantine && worker->failedJobs.size() > 1) {
+    const bool suspect = worker->failuresInRow >= failuresToQuarantine && worker->failedJobs.size() > 1;
+    if (suspect && worker->blockedUntil <= m_context->now()) {
         worker->blockedUntil = m_context->now() + quarantine;
         m_context->log->write(LogLine("worker_quarantined")
                                   .with("worker", worker->id)
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -104,7 +104,7 @@
     } else if (result.outcome == OrderOutcome::NoAnswer) {
         context.jobs.setPhase(task, TaskPhase::Uncertain, now);
         ++worker->callsUnanswered;
-        worker->blockedUntil = now + context.settings.orderRetry;
+        block(worker, context.settings.orderRetry);
     } else {
         onRefused(task, worker, result.outcome);
     }
@@ -121,6 +121,11 @@
     }
 }
 
+void OrderSystem::block(Worker *worker, Milliseconds pause) const
+{
+    worker->blockedUntil = std::max(worker->blockedUntil, m_context->now() + Duration(pause));
+}
+
 void OrderSystem::onRefused(Task *task, Worker *worker, OrderOutcome outcome)
 {
     Context &context = *m_context;
@@ -130,7 +135,7 @@
     context.jobs.setIdle(task);
     switch (outcome) {
     case OrderOutcome::NoRoom:
-        worker->blockedUntil = now + noRoomPause;
+        block(worker, noRoomPause);
         break;
     case OrderOutcome::Rejected:
         context.jobs.countFailure(task, task->run, now);
@@ -139,18 +144,18 @@
         }
         break;
     case OrderOutcome::Unhealthy:
-        worker->blockedUntil = now + unhealthyPause;
+        block(worker, unhealthyPause);
         break;
     case OrderOutcome::NotSent:
         ++worker->callsUnanswered;
-        worker->blockedUntil = now + unhealthyPause;
+        block(worker, unhealthyPause);
         break;
     case OrderOutcome::OtherLife:
         loseTasks(worker, "other-life");
         worker->contact = WorkerContact::Lost;
         break;
     default:
-        worker->blockedUntil = now + context.settings.orderRetry;
+        block(worker, context.settings.orderRetry);
         break;
     }
     context.wakeDispatch();
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -45,6 +45,8 @@
     Task *current(const RunRef &ref) const;
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
     void onRefused(Task *task, Worker *worker, OrderOutcome outcome);
+    /// Sends no starts to @p worker for @p pause at least.
+    void block(Worker *worker, Milliseconds pause) const;
     void sendStop(const RunRef &ref);
     void sendPace(Task *task);
     void onPaced(Task *task, int percent, OrderOutcome outcome) const;
