--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -41,7 +41,7 @@
 
 constexpr int fullPace = 100; ///< Percent.
 /// Below this a filler is better stopped from working.
-constexpr int leastPace = 30;
+constexpr int leastPace = 10;
 /// Pace of a run whose last order was not answered, or that an earlier coordinator ordered.
 constexpr int unknownPace = -1;
 
@@ -64,6 +64,7 @@
     int pace = fullPace; ///< Speed last ordered, in percent, or unknownPace.
     TimePoint pacedAt{}; ///< When that order was sent.
     TimePoint latePacesUntil{}; ///< Until when an earlier order that was not answered may still be carried out.
+    TimePoint heldSince{}; ///< Since when a filler has been kept from working; the epoch if it is not.
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
     double headroomError = 0; ///< By how much a serving task's headroom differs from what is expected, on average.
--- a/src/libworkflow/fillerwait_test.cpp
+++ b/src/libworkflow/fillerwait_test.cpp
@@ -100,3 +100,18 @@
     CHECK(fleet.longestOverTarget().count() < longestHarm.count());
     CHECK(fleet.startsBesideOverTarget() == 0);
 }
+
+// Guards against fillers that are kept from working for good beside serving tasks that could bear their least pace.
+TEST_CASE("a filler beside a steady serving load that leaves little room ends at last")
+{
+    for (const double load : {0.70, 0.72, 0.735, 0.75}) {
+        SharedFleet fleet(1, 2, 1);
+        fleet.swing = 0;
+        fleet.servingLoad = load;
+        fleet.run(std::chrono::seconds(5));
+        const JobId job = fleet.submitFillers(1, Milliseconds(1700));
+        fleet.run(std::chrono::seconds(60));
+        CHECK(fleet.world->state(0, job) == "complete");
+        CHECK(fleet.longestOverTarget().count() < longestHarm.count());
+    }
+}
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -241,6 +241,7 @@
     task->gauge = 0;
     task->pace = fullPace;
     task->latePacesUntil = TimePoint{};
+    task->heldSince = TimePoint{};
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->headroomError = 0;
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -11,6 +11,9 @@
 
 /// Headroom 1 is just enough. Below this fillers are slowed down: gauges are rough and a quarter of a second old.
 constexpr double leastHeadroom = 1.1;
+/// A filler that has been kept from working for so long works at the least pace for a moment if that is just enough.
+constexpr std::chrono::seconds longestHold{3};
+constexpr double enoughHeadroom = 1;
 /// Slowed fillers are sped up only while this would be left.
 constexpr double comfortableHeadroom = 1.25;
 /// Headroom is looked at so far ahead: the next gauges, and an order to change the pace, take about that long.
@@ -110,6 +113,7 @@
 {
     learn(worker);
     noteTails(worker);
+    noteHeld(worker);
     if (std::none_of(worker->tasks.begin(), worker->tasks.end(), [](const Task *task) {
             return isRunningFiller(*task);
         })) {
@@ -131,6 +135,17 @@
     moveStuck(worker);
 }
 
+void PacingSystem::noteHeld(Worker *worker) const
+{
+    for (Task *task : worker->tasks) {
+        if (!isRunningFiller(*task) || task->pace != 0) {
+            task->heldSince = TimePoint{};
+        } else if (task->heldSince == TimePoint{}) {
+            task->heldSince = m_context->now();
+        }
+    }
+}
+
 void PacingSystem::repeatPaces(Worker *worker)
 {
     const TimePoint now = m_context->now();
@@ -191,9 +206,10 @@
     const InterferenceModel &model = m_context->interference;
     const std::string &image = task.step->spec->image;
     const double full = shareOf(worker, task.step->spec->perTask.milliCores);
-    const double needed = task.pace == unknownPace ? leastHeadroom : comfortableHeadroom;
+    const bool heldTooLong = task.heldSince != TimePoint{} && m_context->now() - task.heldSince > longestHold;
+    const double needed = heldTooLong ? enoughHeadroom : task.pace == unknownPace ? leastHeadroom : comfortableHeadroom;
     const int present = expectedPace(task);
-    for (int pace = fullPace; pace >= leastPace && pace >= present; pace -= paceStep) {
+    for (int pace = heldTooLong ? leastPace : fullPace; pace >= leastPace && pace >= present; pace -= paceStep) {
         const double more = full * (pace - present) / fullPace;
         const bool enough = std::all_of(steps.begin(), steps.end(), [&](const StepHeadroom &entry) {
             return entry.left() - model.taken(entry.image, image, more).expected >= needed;
@@ -215,7 +231,7 @@
         }
         const int pace = affordablePace(*worker, *task, steps);
         const int present = expectedPace(*task);
-        if (pace < fullPace && pace < present + leastSpeedUp) {
+        if (pace < fullPace && pace < present + leastSpeedUp && (present > 0 || pace == 0)) {
             continue;
         }
         const double more = shareOf(*worker, task->step->spec->perTask.milliCores) * (pace - present) / fullPace;
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -30,6 +30,8 @@
     void slowAll(Worker *worker);
     void speedUp(Worker *worker);
     void repeatPaces(Worker *worker);
+    /// Notes since when fillers on @p worker have been kept from working.
+    void noteHeld(Worker *worker) const;
     /// The highest pace at which @p task would leave @p steps, which share its worker, enough headroom.
     int affordablePace(const Worker &worker, const Task &task, const std::vector<StepHeadroom> &steps) const;
     void moveStuck(Worker *worker);
