--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -68,7 +68,6 @@
     TimePoint slowSince{}; ///< Since when a filler has been held at a low pace; the epoch if it is not.
     TimePoint overTargetSince{}; ///< Since when a serving task's tail is over its target; the epoch if it is not.
     double headroomError = 0; ///< By how much a serving task's headroom differs from what is expected, on average.
-    bool preempted = false; ///< Its stop makes room for a more urgent task.
 };
 
 /// One step of one occurrence.
@@ -169,8 +168,6 @@
     int failuresInRow = 0; ///< Failed runs since the last that was done.
     int callsUnanswered = 0;
     std::set<JobId> failedJobs; ///< Jobs of those runs.
-    double slowness = 1; ///< How much longer runs take than elsewhere, learnt.
-    TimePoint pacedAt{}; ///< When fillers on it were last slowed down or sped up.
     TimePoint forcedAt{}; ///< When it last got a filler that counts as harmful there.
     TimePoint overTargetSince{}; ///< Since when a serving task on it has been over its target; the epoch if none is.
     TimePoint learntAt{}; ///< When the interference model last took in its gauges.
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -245,7 +245,6 @@
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->headroomError = 0;
-    task->preempted = false;
     task->step->waitsSince = TimePoint{};
     list(task->step);
 }
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -175,7 +175,6 @@
     std::sort(culprits.begin(), culprits.end(), [](const auto &a, const auto &b) {
         return a.first > b.first;
     });
-    worker->pacedAt = m_context->now();
     m_context->log->write(LogLine("headroom_short")
                               .with("worker", worker->id)
                               .with("image", victim.image)
@@ -198,7 +197,6 @@
             m_orders->pace(task, 0);
         }
     }
-    worker->pacedAt = m_context->now();
 }
 
 int PacingSystem::affordablePace(const Worker &worker, const Task &task, const std::vector<StepHeadroom> &steps) const
@@ -239,8 +237,7 @@
             entry.taken += model.taken(entry.image, task->step->spec->image, more);
         }
         m_orders->pace(task, pace);
-        worker->pacedAt = m_context->now();
-    }
+        }
 }
 
 void PacingSystem::moveStuck(Worker *worker)
