--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -118,6 +118,7 @@
     ended.task = record.task;
     ended.run = record.run;
     ended.how = how;
+    ended.checkpoint = checkpointOf ? checkpointOf(*worker, record) : std::string();
     worker->ends.push_back(ended);
     RunNumber &last = worker->lastRun[toString(record.task)];
     last = std::max(last, record.run);
@@ -128,6 +129,9 @@
 {
     const std::map<std::string, std::size_t> active = worker->active;
     const bool lapsed = worker->leaseUntil.count() > 0 && clockOf(*worker) > worker->leaseUntil;
+    if (lapsed) {
+        worker->lapsedAt = worker->startedAt + worker->leaseUntil;
+    }
     for (const auto &[name, index] : active) {
         const RunRecord &record = m_runs[index];
         const TimePoint leaseEnd = worker->startedAt + worker->leaseUntil;
@@ -147,6 +151,7 @@
         for (RunRecord &record : m_runs) {
             if (record.run == ended.run && record.worker == worker->entry.id && record.task == ended.task) {
                 record.acknowledged = true;
+                record.lapsedUnseen = record.ended < worker->lapsedAt;
             }
         }
         worker->ends.erase(worker->ends.begin());
@@ -180,12 +185,17 @@
         result.outcome = OrderOutcome::StaleRun;
         return result;
     }
+    if (lacksRoom && lacksRoom(worker, order)) {
+        result.outcome = OrderOutcome::NoRoom;
+        return result;
+    }
     RunRecord record;
     record.task = order.task;
     record.run = order.run;
+    record.term = order.term;
     record.worker = id;
     record.began = m_world->now();
-    record.endsAt = m_world->now() + workOf(order.task).first;
+    record.endsAt = m_world->now() + (workLeft ? workLeft(order) : workOf(order.task).first);
     record.checkpoint = order.checkpoint;
     record.payload = order.payload;
     worker.active[name] = m_runs.size();
@@ -257,6 +267,7 @@
         run.run = record.run;
         run.percentAtWork = 100;
         run.gauge = gaugeOf(worker, record);
+        run.checkpoint = checkpointOf ? checkpointOf(worker, record) : std::string();
         result.active.push_back(run);
     }
     return result;
@@ -273,11 +284,16 @@
     return out;
 }
 
-std::vector<std::string> SimWorkers::tasksRunTwice()
+void SimWorkers::settleAll()
 {
     for (auto &[id, worker] : m_workers) {
         settle(&worker);
     }
+}
+
+std::vector<std::string> SimWorkers::tasksRunTwice()
+{
+    settleAll();
     std::map<std::string, std::vector<const RunRecord *>> byTask;
     for (const RunRecord &record : m_runs) {
         byTask[toString(record.task)].push_back(&record);
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -26,12 +26,14 @@
     {
         TaskKey task;
         RunNumber run = 0;
+        Term term = 0; ///< Of the coordinator that started it.
         WorkerId worker;
         TimePoint began{};
         TimePoint endsAt{}; ///< When it will be done or fail by itself.
         TimePoint ended{}; ///< The epoch while it runs.
         RunEnd how = RunEnd::Done;
         bool acknowledged = false; ///< Somebody has taken note of its end.
+        bool lapsedUnseen = false; ///< The worker's lease passed between its end and its acknowledgement.
         int pace = 100;
         std::string checkpoint; ///< Given with the start.
         std::string payload;
@@ -46,6 +48,7 @@
         TimePoint startedAt{};
         Term highestTerm = 0;
         WorkerTime leaseUntil{0};
+        TimePoint lapsedAt{}; ///< When its lease passed last; the epoch if it never did.
         std::map<std::string, std::size_t> active; ///< Task name to its record.
         std::map<std::string, RunNumber> lastRun; ///< Runs up to this number are refused.
         std::vector<EndedRun> ends;
@@ -79,12 +82,20 @@
     /// Tasks of which two runs overlapped, or one began although another was done and somebody has taken note of it.
     /// A run that was done unseen behind a cut, and whose lease has passed, may be repeated.
     std::vector<std::string> tasksRunTwice();
+    /// Ends the runs whose time has come, so that the records are as of now.
+    void settleAll();
     std::vector<WorkerEntry> listed() const;
 
     /// How long a run works; fails if the second is true. By default 100 ms, never failing.
     std::function<std::pair<Milliseconds, bool>(const TaskKey &)> workOf;
     /// What the gauge of a run shows.
     std::function<std::int64_t(const SimWorker &, const RunRecord &)> gaugeOf;
+    /// How long a run works that begins by an order; as workOf says if it is not set.
+    std::function<Milliseconds(const StartOrder &)> workLeft;
+    /// Whether a worker guards its capacity and has no room for an order; it always has room if it is not set.
+    std::function<bool(const SimWorker &, const StartOrder &)> lacksRoom;
+    /// The progress that a run has saved; none if it is not set.
+    std::function<std::string(const SimWorker &, const RunRecord &)> checkpointOf;
     /// Called when the list of workers has changed.
     std::vector<std::function<void(const FleetNews &)>> listeners;
 
