--- a/src/libworkflow/headroom.cpp
+++ b/src/libworkflow/headroom.cpp
@@ -4,12 +4,6 @@
 
 namespace fescueledge::workflow {
 
-namespace {
-
-constexpr double fullPace = 100;
-
-} // namespace
-
 double shareOf(const Worker &worker, std::int64_t milliCores)
 {
     return static_cast<double>(milliCores)
@@ -23,9 +17,7 @@
 
 double pacedShare(const Worker &worker, const Task &task)
 {
-    // A pace that was not confirmed may be any.
-    const double pace = task.pace < 0 ? fullPace : task.pace;
-    return shareOf(worker, task.step->spec->perTask.milliCores) * pace / fullPace;
+    return shareOf(worker, task.step->spec->perTask.milliCores) * expectedPace(task) / fullPace;
 }
 
 FillerLoad gaugedLoad(const Worker &worker)
@@ -39,17 +31,6 @@
     return load;
 }
 
-FillerLoad pacedLoad(const Worker &worker)
-{
-    FillerLoad load;
-    for (const Task *task : worker.tasks) {
-        if (task->step->spec->filler) {
-            load[task->step->spec->image] += pacedShare(worker, *task);
-        }
-    }
-    return load;
-}
-
 std::vector<StepHeadroom> headroomOf(const Worker &worker, const InterferenceModel &model, const FillerLoad &load,
                                      TimePoint now, Duration ahead)
 {
--- a/src/libworkflow/headroom_pvt.h
+++ b/src/libworkflow/headroom_pvt.h
@@ -34,8 +34,6 @@
 
 /// What the fillers on @p worker use of it, by image, as gauged.
 FillerLoad gaugedLoad(const Worker &worker);
-/// What they will use at their present pace.
-FillerLoad pacedLoad(const Worker &worker);
 
 /// The part of @p worker that @p milliCores are.
 double shareOf(const Worker &worker, std::int64_t milliCores);
