--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -155,7 +155,8 @@
     while (!worker->ends.empty() && worker->ends.front().number <= number) {
         const EndedRun &ended = worker->ends.front();
         for (RunRecord &record : m_runs) {
-            if (record.run == ended.run && record.worker == worker->entry.id && record.task == ended.task) {
+            const bool isOfThisLife = record.worker == worker->entry.id && record.began >= worker->startedAt;
+            if (record.run == ended.run && isOfThisLife && record.task == ended.task) {
                 record.acknowledged = true;
                 record.lapsedUnseen = record.ended < worker->lapsedAt;
             }
