--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -124,6 +124,7 @@
     ended.task = record.task;
     ended.run = record.run;
     ended.how = how;
+    ended.checkpoint = checkpointOf ? checkpointOf(*worker, record) : std::string();
     worker->ends.push_back(ended);
     RunNumber &last = worker->lastRun[toString(record.task)];
     last = std::max(last, record.run);
@@ -134,6 +135,9 @@
 {
     const std::map<std::string, std::size_t> active = worker->active;
     const bool lapsed = worker->leaseUntil.count() > 0 && clockOf(*worker) > worker->leaseUntil;
+    if (lapsed) {
+        worker->lapsedAt = worker->startedAt + worker->leaseUntil;
+    }
     for (const auto &[name, index] : active) {
         const RunRecord &record = m_runs[index];
         const TimePoint leaseEnd = worker->startedAt + worker->leaseUntil;
@@ -151,8 +155,10 @@
     while (!worker->ends.empty() && worker->ends.front().number <= number) {
         const EndedRun &ended = worker->ends.front();
         for (RunRecord &record : m_runs) {
-            if (record.run == ended.run && record.worker == worker->entry.id && record.task == ended.task) {
+            const bool isOfThisLife = record.worker == worker->entry.id && record.began >= worker->startedAt;
+            if (record.run == ended.run && isOfThisLife && record.task == ended.task) {
                 record.acknowledged = true;
+                record.lapsedUnseen = record.ended < worker->lapsedAt;
             }
         }
         worker->ends.erase(worker->ends.begin());
@@ -186,12 +192,17 @@
         result.outcome = OrderOutcome::StaleRun;
         return result;
     }
+    if (lacksRoom && lacksRoom(worker, order)) {
+        result.outcome = OrderOutcome::NoRoom;
+        return result;
+    }
     RunRecord record;
     record.task = order.task;
     record.run = order.run;
+    record.term = order.term;
     record.worker = id;
     record.began = m_world->now();
-    record.endsAt = m_world->now() + workOf(order.task).first;
+    record.endsAt = m_world->now() + (workLeft ? workLeft(order) : workOf(order.task).first);
     record.checkpoint = order.checkpoint;
     record.payload = order.payload;
     worker.active[name] = m_runs.size();
@@ -279,6 +290,7 @@
         run.run = record.run;
         run.percentAtWork = 100;
         run.gauge = gaugeOf(worker, record);
+        run.checkpoint = checkpointOf ? checkpointOf(worker, record) : std::string();
         result.active.push_back(run);
     }
     return result;
@@ -295,11 +307,16 @@
     return out;
 }
 
-std::vector<std::string> SimWorkers::tasksRunTwice()
+void SimWorkers::settleAll()
 {
     for (auto &[id, worker] : m_workers) {
         settle(&worker);
     }
+}
+
+std::vector<std::string> SimWorkers::tasksRunTwice()
+{
+    settleAll();
     std::map<std::string, std::vector<const RunRecord *>> byTask;
     for (const RunRecord &record : m_runs) {
         byTask[toString(record.task)].push_back(&record);
