--- /dev/null
+++ b/src/bench/faultsoak/history_pvt.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "fescueledge/types.h"
+#include "fescueledge/workflow/taskkey.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fescueledge::faultsoak {
+
+/// What the soak has seen. All times are milliseconds on the steady clock of the stand-in.
+
+/// One step of a submitted job.
+struct StepShape
+{
+    std::uint32_t count = 1;
+    std::vector<std::uint32_t> dependsOn;
+    bool longRunning = false;
+};
+
+/// A job as its client saw it.
+struct JobSeen
+{
+    std::string payload;
+    std::string queue;
+    std::vector<StepShape> steps;
+    unsigned maxAttempts = 0;
+    int attempts = 0; ///< Times that it was sent.
+    int refusals = 0; ///< Of these, answered that it does not run.
+    std::optional<Milliseconds> acceptedAt; ///< First success.
+    std::optional<Milliseconds> cancelSentAt; ///< First attempt.
+    std::optional<Milliseconds> cancelledAt; ///< First success of a cancellation.
+    std::string lastState; ///< Newest state that was told; empty before.
+};
+
+/// An answer to a client.
+struct AnswerSeen
+{
+    enum class Kind {
+        Submit,
+        Status,
+    };
+    Kind kind = Kind::Submit;
+    JobId job;
+    std::string queue;
+    int node = 0;
+    Milliseconds sentAt{0};
+    Milliseconds answeredAt{0};
+    int status = 0;
+    std::string state; ///< Of a status.
+};
+
+/// A run of a task on a worker.
+struct RunSeen
+{
+    workflow::TaskKey task;
+    std::uint64_t run = 0;
+    std::string worker;
+    DataCentreId dataCentre;
+    std::uint64_t term = 0;
+    std::string payload;
+    Milliseconds beganAt{0};
+    std::optional<Milliseconds> endedAt;
+    std::string how; ///< How it ended, as the workers call it.
+    bool acknowledged = false; ///< Whether the coordinator has taken note of its end.
+};
+
+/// A change by the operators, acknowledged by the store.
+struct ChangeSeen
+{
+    std::string subject; ///< Route or data centre.
+    bool present = false; ///< Route in the configuration, or data centre evacuated.
+    Milliseconds acknowledgedAt{0};
+};
+
+/// A span in which something was disturbed.
+struct Disturbance
+{
+    enum class Where {
+        Node,
+        Store,
+        Worker,
+    };
+    Where where = Where::Node;
+    int target = 0; ///< Of a node; -1 for all nodes.
+    Milliseconds from{0};
+    Milliseconds to{0};
+};
+
+/// A process that became coordinator, as it says itself.
+struct TermSeen
+{
+    std::uint64_t term = 0;
+    std::string process; ///< Node and number of its start.
+};
+
+/// All of it.
+struct History
+{
+    std::map<JobId, JobSeen> jobs;
+    std::vector<AnswerSeen> answers;
+    std::vector<RunSeen> runs;
+    std::vector<ChangeSeen> routes;
+    std::vector<ChangeSeen> evacuations;
+    std::vector<Disturbance> disturbances;
+    std::vector<TermSeen> terms;
+    std::vector<std::string> ownEnds; ///< Processes that ended by themselves.
+    std::vector<std::string> standInViolations;
+    Milliseconds settledAt{0}; ///< When every job should have ended.
+};
+
+} // namespace fescueledge::faultsoak
--- /dev/null
+++ b/src/bench/faultsoak/tcpproxy.cpp
@@ -0,0 +1,269 @@
+#include "tcpproxy_pvt.h"
+
+#include "fescueledge/asioloop.h"
+#include "fescueledge/error.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+
+namespace fescueledge::faultsoak {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t chunkBytes = 65536;
+
+tcp::endpoint endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    return {asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+/// One connection on each side.
+struct Relay
+{
+    explicit Relay(asio::io_context &io)
+        : client(io)
+        , target(io)
+    {
+    }
+
+    void close(bool reset)
+    {
+        for (tcp::socket *it : {&client, &target}) {
+            boost::system::error_code ec;
+            if (reset) {
+                it->set_option(asio::socket_base::linger(true, 0), ec);
+            }
+            it->close(ec);
+        }
+    }
+
+    tcp::socket client;
+    tcp::socket target;
+    bool silent = false;
+};
+
+/// What is on its way in one direction of a relay.
+struct Pump
+{
+    Pump(std::shared_ptr<Relay> of, TcpProxy::Direction way, asio::io_context &io)
+        : relay(std::move(of))
+        , direction(way)
+        , timer(io)
+    {
+    }
+
+    tcp::socket &from()
+    {
+        return direction == TcpProxy::Direction::ToTarget ? relay->client : relay->target;
+    }
+    tcp::socket &to()
+    {
+        return direction == TcpProxy::Direction::ToTarget ? relay->target : relay->client;
+    }
+
+    std::shared_ptr<Relay> relay;
+    TcpProxy::Direction direction;
+    asio::steady_timer timer;
+    std::array<char, chunkBytes> buffer{};
+    std::string chunk;
+    boost::system::error_code end; ///< Set once the sender has closed or reset.
+};
+
+} // namespace
+
+class TcpProxy::Impl : public std::enable_shared_from_this<TcpProxy::Impl>
+{
+public:
+    Impl(AsioLoop *loop, const std::string &listenAddress, const std::string &targetAddress)
+        : m_io(loop->context())
+        , m_acceptor(m_io)
+        , m_target(endpointOf(targetAddress))
+    {
+        const tcp::endpoint own = endpointOf(listenAddress);
+        boost::system::error_code ec;
+        m_acceptor.open(own.protocol(), ec);
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        m_acceptor.bind(own, ec);
+        if (!ec) {
+            m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        }
+        if (ec) {
+            throw Error(ErrorKind::InvalidSettings, "cannot listen on " + listenAddress + ": " + ec.message());
+        }
+    }
+
+    void accept()
+    {
+        const std::shared_ptr<Relay> relay = std::make_shared<Relay>(m_io);
+        m_acceptor.async_accept(relay->client, [self = shared_from_this(), relay](const boost::system::error_code &ec) {
+            if (self->m_closed) {
+                return;
+            }
+            if (!ec) {
+                self->connect(relay);
+            }
+            self->accept();
+        });
+    }
+
+    void close()
+    {
+        m_closed = true;
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        resetAll();
+    }
+
+    void resetAll()
+    {
+        for (const std::weak_ptr<Relay> &it : m_relays) {
+            if (const std::shared_ptr<Relay> relay = it.lock()) {
+                relay->close(true);
+            }
+        }
+        m_relays.clear();
+    }
+
+    void silenceAll()
+    {
+        for (const std::weak_ptr<Relay> &it : m_relays) {
+            if (const std::shared_ptr<Relay> relay = it.lock()) {
+                relay->silent = true;
+            }
+        }
+    }
+
+    std::array<int, 2> cuts{};
+    Milliseconds delay{0};
+    std::function<void(std::string *)> rewrite;
+
+private:
+    void connect(const std::shared_ptr<Relay> &relay)
+    {
+        m_relays.remove_if([](const std::weak_ptr<Relay> &it) {
+            return it.expired();
+        });
+        m_relays.push_back(relay);
+        relay->target.async_connect(m_target, [self = shared_from_this(), relay](const boost::system::error_code &ec) {
+            if (ec) {
+                relay->close(true);
+                return;
+            }
+            boost::system::error_code ignored;
+            relay->client.set_option(tcp::no_delay(true), ignored);
+            relay->target.set_option(tcp::no_delay(true), ignored);
+            for (const Direction it : {Direction::ToTarget, Direction::FromTarget}) {
+                self->read(std::make_shared<Pump>(relay, it, self->m_io));
+            }
+        });
+    }
+
+    void read(const std::shared_ptr<Pump> &pump)
+    {
+        pump->from().async_read_some(
+            asio::buffer(pump->buffer),
+            [self = shared_from_this(), pump](const boost::system::error_code &ec, std::size_t n) {
+                if (ec == asio::error::operation_aborted) {
+                    return;
+                }
+                pump->end = ec;
+                pump->chunk.assign(pump->buffer.data(), n);
+                if (pump->direction == Direction::ToTarget && self->rewrite) {
+                    self->rewrite(&pump->chunk);
+                }
+                self->hold(pump, self->delay);
+            });
+    }
+
+    /// Waits for @p delay, then for as long as the direction is cut, then passes the chunk on.
+    void hold(const std::shared_ptr<Pump> &pump, Milliseconds delay)
+    {
+        constexpr Milliseconds cutPoll{20};
+        const bool isCut = cuts.at(static_cast<std::size_t>(pump->direction)) > 0;
+        if (delay <= Milliseconds(0) && !isCut) {
+            pass(pump);
+            return;
+        }
+        pump->timer.expires_after(std::max(delay, cutPoll));
+        pump->timer.async_wait([self = shared_from_this(), pump](const boost::system::error_code &ec) {
+            if (!ec && !self->m_closed) {
+                self->hold(pump, Milliseconds(0));
+            }
+        });
+    }
+
+    void pass(const std::shared_ptr<Pump> &pump)
+    {
+        if (pump->relay->silent) {
+            // The side that closed is not told to the other one; that one finds out by a timeout of its own.
+            if (!pump->end) {
+                read(pump);
+            }
+            return;
+        }
+        if (pump->end) {
+            pump->relay->close(pump->end != asio::error::eof);
+            return;
+        }
+        asio::async_write(pump->to(), asio::buffer(pump->chunk),
+                          [self = shared_from_this(), pump](const boost::system::error_code &ec, std::size_t) {
+                              if (ec) {
+                                  pump->relay->close(true);
+                                  return;
+                              }
+                              self->read(pump);
+                          });
+    }
+
+    asio::io_context &m_io;
+    tcp::acceptor m_acceptor;
+    tcp::endpoint m_target;
+    std::list<std::weak_ptr<Relay>> m_relays;
+    bool m_closed = false;
+};
+
+TcpProxy::TcpProxy(AsioLoop *loop, const std::string &listenAddress, const std::string &targetAddress)
+    : m_impl(std::make_shared<Impl>(loop, listenAddress, targetAddress))
+{
+    m_impl->accept();
+}
+
+TcpProxy::~TcpProxy()
+{
+    m_impl->close();
+}
+
+void TcpProxy::setRewrite(std::function<void(std::string *)> rewrite)
+{
+    m_impl->rewrite = std::move(rewrite);
+}
+
+void TcpProxy::cut(Direction direction, bool on)
+{
+    m_impl->cuts.at(static_cast<std::size_t>(direction)) += on ? 1 : -1;
+}
+
+void TcpProxy::addDelay(Milliseconds delay)
+{
+    m_impl->delay += delay;
+}
+
+void TcpProxy::resetAll()
+{
+    m_impl->resetAll();
+}
+
+void TcpProxy::silenceAll()
+{
+    m_impl->silenceAll();
+}
+
+} // namespace fescueledge::faultsoak
