--- /dev/null
+++ b/src/bench/faultsoak/faultsoakmain.cpp
@@ -0,0 +1,83 @@
+// A soak of the real programs: nodes as processes on loopback, against a stand-in of the platform, with faults from
+// outside. Prints each violation, and with it the command that plays the same schedule again.
+#include "fescueledge/error.h"
+#include "soakrun_pvt.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+using namespace fescueledge;
+using namespace fescueledge::faultsoak;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int exitViolations = 1;
+constexpr int exitUsage = 2;
+constexpr int exitNotMade = 3;
+
+std::string logDirectory(const SoakOptions &options)
+{
+    if (!options.keep.empty()) {
+        fs::create_directories(options.keep);
+        return options.keep;
+    }
+    std::string name = (fs::temp_directory_path() / "fescueledge-faultsoak-XXXXXX").string();
+    if (mkdtemp(name.data()) == nullptr) {
+        throw Error(ErrorKind::Internal, "cannot make a directory for logs");
+    }
+    return name;
+}
+
+/// The build directory that @p program is in.
+std::string buildDirectory(const char *program)
+{
+    return fs::canonical(program).parent_path().parent_path().parent_path().parent_path().string();
+}
+
+int playOnce(const SoakOptions &options, const char *program)
+{
+    const std::string directory = logDirectory(options);
+    std::vector<std::string> violations;
+    std::string failure;
+    try {
+        violations = SoakRun(options, directory, buildDirectory(program)).play();
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    for (const std::string &violation : violations) {
+        std::printf("violation %s\n", violation.c_str());
+    }
+    std::printf("result seed=%llu violations=%zu\n", static_cast<unsigned long long>(options.seed), violations.size());
+    if (!failure.empty()) {
+        std::fprintf(stderr, "the run could not be made: %s\n", failure.c_str());
+    }
+    const bool good = violations.empty() && failure.empty();
+    if (good && options.keep.empty()) {
+        fs::remove_all(directory);
+    } else {
+        std::printf("logs: %s\n", directory.c_str());
+    }
+    if (!good) {
+        std::printf("again: %s\n", options.command().c_str());
+    }
+    return failure.empty() ? (good ? EXIT_SUCCESS : exitViolations) : exitNotMade;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+    try {
+        return playOnce(SoakOptions::parse(argc, argv), argv[0]);
+    } catch (const Error &error) {
+        std::fprintf(stderr, "fescueledge-faultsoak: %s\n%s", error.what(), SoakOptions::usage());
+        return error.kind() == ErrorKind::InvalidArgument ? exitUsage : exitNotMade;
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "fescueledge-faultsoak: %s\n", error.what());
+        return exitNotMade;
+    }
+}
--- /dev/null
+++ b/src/bench/faultsoak/soakrun.cpp
@@ -0,0 +1,194 @@
+#include "soakrun_pvt.h"
+
+#include "bounds_pvt.h"
+#include "fescueledge/error.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+
+namespace fescueledge::faultsoak {
+
+namespace {
+
+constexpr Milliseconds pollInterval{100};
+constexpr Milliseconds startLimit{20000}; ///< For all processes of a large run to be ready.
+constexpr Milliseconds connectTimeout{500};
+constexpr Milliseconds calmSpan{2000}; ///< Before the first fault.
+constexpr Milliseconds quietSpan{3000}; ///< At the end of the faults, without new jobs: as long as clients wait.
+constexpr Milliseconds lastAnswers{3500}; ///< For the last questions: a little more than clients wait.
+constexpr Milliseconds stopLimit{15000}; ///< For nodes that were told to stop at the end of the faults.
+constexpr Milliseconds historyLimit{20000};
+constexpr Milliseconds clockDifference{50};
+constexpr int statusOk = 200;
+
+} // namespace
+
+SoakRun::SoakRun(const SoakOptions &options, const std::string &directory, const std::string &programs)
+    : m_options(options)
+    , m_cluster(&m_loop, options, directory, programs)
+    , m_control(&m_loop, m_cluster.controlAddress())
+    , m_faults(&m_loop, &m_cluster, &m_control, options.nodes, &m_history)
+    , m_callers(&m_loop, m_cluster.callerAddresses(), options.seed, options.workers, &m_history)
+    , m_http(&m_loop, connectTimeout)
+{
+}
+
+void SoakRun::runFor(Milliseconds span)
+{
+    m_loop.postAfter(span, [this] {
+        m_loop.stop();
+    });
+    m_loop.context().restart();
+    m_loop.run();
+}
+
+void SoakRun::runUntil(const std::function<bool()> &condition, Milliseconds limit, const std::string &what)
+{
+    const TimePoint end = m_loop.now() + limit;
+    while (!condition()) {
+        if (m_loop.now() > end) {
+            throw Error(ErrorKind::DeadlineExceeded, what);
+        }
+        runFor(pollInterval);
+    }
+}
+
+std::vector<std::string> SoakRun::play()
+{
+    startProcesses();
+    m_callers.start();
+    watchProcesses();
+    runFor(calmSpan);
+    disturb();
+    settle();
+    readHistory();
+    printTotals();
+    return HistoryRules(&m_history).violations();
+}
+
+void SoakRun::startProcesses()
+{
+    m_cluster.startStandIn();
+    bool answers = false;
+    Milliseconds difference{0};
+    runUntil(
+        [this, &answers, &difference] {
+            m_control.readTime([this, &answers, &difference](Milliseconds time) {
+                answers = true;
+                difference = time - std::chrono::duration_cast<Milliseconds>(m_loop.now().time_since_epoch());
+            });
+            return answers;
+        },
+        startLimit, "the stand-in does not answer");
+    m_control.forgetFailures(); // It was asked before it listened.
+    if (difference > clockDifference || difference < -clockDifference) {
+        throw Error(ErrorKind::Internal, "the stand-in has another clock");
+    }
+    m_faults.configure();
+    std::map<int, bool> ready;
+    for (int node = 0; node < m_options.nodes; ++node) {
+        m_cluster.startNode(node);
+        ready[node] = false;
+    }
+    runUntil(
+        [this, &ready] {
+            bool all = true;
+            for (auto &[node, isReady] : ready) {
+                all = all && isReady;
+                HttpCall call;
+                call.method = "GET";
+                call.target = "/v1/readyz";
+                call.timeout = connectTimeout;
+                m_http.call(m_cluster.readyAddress(node), call, [&flag = isReady](const HttpAnswer &answer) {
+                    flag = flag || answer.status == statusOk;
+                });
+            }
+            return all;
+        },
+        startLimit, "not all nodes are ready");
+    runFor(connectTimeout + pollInterval); // Until the last questions have ended, which refer to what is local here.
+}
+
+void SoakRun::watchProcesses()
+{
+    for (const std::string &end : m_cluster.takeOwnEnds()) {
+        std::printf("process_ended %s\n", end.c_str());
+        m_history.ownEnds.push_back(end);
+    }
+    m_loop.postAfter(pollInterval, [this] {
+        watchProcesses();
+    });
+}
+
+void SoakRun::disturb()
+{
+    ScheduleShape shape;
+    shape.span = std::chrono::duration_cast<Milliseconds>(m_options.span) - calmSpan - settleBound - lastAnswers;
+    shape.nodes = m_options.nodes;
+    shape.workers = m_options.workers;
+    const std::vector<Fault> schedule = makeFaultSchedule(m_options.seed, shape);
+    for (const Fault &fault : schedule) {
+        std::printf("schedule %s\n", describe(fault).c_str());
+    }
+    m_faults.play(schedule);
+    runFor(shape.span - quietSpan);
+    m_callers.stopSubmitting();
+    runFor(quietSpan);
+    runUntil(
+        [this] {
+            return m_faults.isOver();
+        },
+        stopLimit, "faults do not end");
+}
+
+void SoakRun::settle()
+{
+    std::printf("settling\n");
+    runFor(settleBound);
+    m_callers.askAll();
+    runFor(lastAnswers);
+}
+
+void SoakRun::readHistory()
+{
+    bool done = false;
+    m_control.readHistory(&m_history, [this, &done](Milliseconds at) {
+        m_history.settledAt = at;
+        done = true;
+    });
+    runUntil(
+        [&done] {
+            return done;
+        },
+        historyLimit, "the stand-in does not tell its history");
+    for (const auto &[term, process] : m_cluster.termsInLogs()) {
+        m_history.terms.push_back({term, process});
+    }
+    if (!m_control.failures().empty()) {
+        throw Error(ErrorKind::Internal, "the stand-in refused: " + m_control.failures().front());
+    }
+}
+
+void SoakRun::printTotals() const
+{
+    std::map<std::string, int> states;
+    for (const auto &[id, job] : m_history.jobs) {
+        ++states[job.acceptedAt ? (job.lastState.empty() ? "unseen" : job.lastState) : "not_accepted"];
+    }
+    std::map<int, int> statuses;
+    for (const AnswerSeen &answer : m_history.answers) {
+        ++statuses[answer.status];
+    }
+    std::printf("totals jobs=%zu runs=%zu terms=%zu disturbances=%zu changes=%zu", m_history.jobs.size(),
+                m_history.runs.size(), m_history.terms.size(), m_history.disturbances.size(),
+                m_history.routes.size() + m_history.evacuations.size());
+    for (const auto &[state, n] : states) {
+        std::printf(" %s=%d", state.c_str(), n);
+    }
+    for (const auto &[status, n] : statuses) {
+        std::printf(" status_%d=%d", status, n);
+    }
+    std::printf("\n");
+}
+
+} // namespace fescueledge::faultsoak
--- /dev/null
+++ b/src/bench/faultsoak/soakrun_pvt.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "callers_pvt.h"
+#include "faultinjector_pvt.h"
+#include "fescueledge/asioloop.h"
+#include "historyrules_pvt.h"
+
+namespace fescueledge::faultsoak {
+
+/// One run: processes, clients and faults, then the checks.
+class SoakRun
+{
+public:
+    /// Logs go to @p directory; @p programs is the directory of the build.
+    SoakRun(const SoakOptions &options, const std::string &directory, const std::string &programs);
+
+    /// Plays the run; the violations, one line each. @throws Error if it could not be made.
+    std::vector<std::string> play();
+
+private:
+    void startProcesses();
+    void watchProcesses();
+    void disturb();
+    void settle();
+    void readHistory();
+    void printTotals() const;
+    void runFor(Milliseconds span);
+    /// Runs until @p condition holds. @throws Error with @p what if it does not within @p limit.
+    void runUntil(const std::function<bool()> &condition, Milliseconds limit, const std::string &what);
+
+    SoakOptions m_options;
+    History m_history;
+    AsioLoop m_loop;
+    SoakCluster m_cluster;
+    StandInControl m_control;
+    FaultInjector m_faults;
+    Callers m_callers;
+    AsyncHttpClient m_http;
+    bool m_watching = false;
+};
+
+} // namespace fescueledge::faultsoak
--- /dev/null
+++ b/src/bench/faultsoak/standincontrol.cpp
@@ -0,0 +1,138 @@
+#include "standincontrol_pvt.h"
+
+#include "fescueledge/asioloop.h"
+#include "platform/workerclient.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+
+namespace fescueledge::faultsoak {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds connectTimeout{1000};
+constexpr Milliseconds callTimeout{10000}; ///< A long history takes a while.
+constexpr int statusOk = 200;
+constexpr int dataCentres = 3;
+
+std::string workerName(int worker)
+{
+    char out[16];
+    std::snprintf(out, sizeof(out), "w%03d", worker);
+    return out;
+}
+
+RunSeen runOf(const json &in)
+{
+    RunSeen out;
+    const std::string name = in.at("task").get<std::string>();
+    out.task = platform::parseTaskName(name).value_or(workflow::TaskKey{name, 0, 0, 0});
+    out.run = in.at("run").get<std::uint64_t>();
+    out.worker = in.at("worker").get<std::string>();
+    out.dataCentre = dataCentreOf(std::atoi(out.worker.substr(1).c_str()));
+    out.term = in.at("term").get<std::uint64_t>();
+    out.payload = in.value("payload", std::string());
+    out.beganAt = Milliseconds(in.at("began_ms").get<std::int64_t>());
+    if (!in.at("ended_ms").is_null()) {
+        out.endedAt = Milliseconds(in.at("ended_ms").get<std::int64_t>());
+        out.how = in.at("how").get<std::string>();
+        out.acknowledged = in.at("acknowledged").get<bool>();
+    }
+    return out;
+}
+
+} // namespace
+
+DataCentreId dataCentreOf(int worker)
+{
+    return std::string("dc-") + static_cast<char>('a' + worker % dataCentres);
+}
+
+StandInControl::StandInControl(AsioLoop *loop, const std::string &address)
+    : m_address(address)
+    , m_http(loop, connectTimeout)
+{
+}
+
+void StandInControl::call(const std::string &method, const std::string &target, const std::string &body,
+                          const std::function<void(const std::string &)> &handler)
+{
+    HttpCall call;
+    call.method = method;
+    call.target = target;
+    call.body = body;
+    call.contentType = body.empty() ? "" : "application/json";
+    call.timeout = callTimeout;
+    m_http.call(m_address, call, [this, target, body, handler](const HttpAnswer &answer) {
+        if (answer.fate != HttpFate::Answered || answer.status != statusOk) {
+            m_failures.push_back(target + " " + body + " status=" + std::to_string(answer.status) + " " + answer.body);
+        } else if (handler) {
+            handler(answer.body);
+        }
+    });
+}
+
+namespace {
+
+std::function<void(const std::string &)> timeTo(const StandInControl::Done &done)
+{
+    return [done](const std::string &text) {
+        if (done) {
+            done(Milliseconds(json::parse(text).at("now_ms").get<std::int64_t>()));
+        }
+    };
+}
+
+} // namespace
+
+void StandInControl::setStore(const StoreState &state, const Done &done)
+{
+    const json body{{"mode", state.mode},
+                    {"delay_ms", state.delay.count()},
+                    {"lose_answers", state.loseAnswers},
+                    {"late_ms", state.lateBy.count()}};
+    call("POST", "/control/store", body.dump(), timeTo(done));
+}
+
+void StandInControl::forgetHistory()
+{
+    call("POST", "/control/forget", "{}", {});
+}
+
+void StandInControl::tellWorker(int worker, const std::string &action, Milliseconds span)
+{
+    const json body{{"id", workerName(worker)}, {"do", action}, {"for_ms", span.count()}};
+    call("POST", "/control/worker", body.dump(), {});
+}
+
+void StandInControl::configure(const std::string &body, const Done &done)
+{
+    call("POST", "/control/config", body, timeTo(done));
+}
+
+void StandInControl::evacuate(const DataCentreId &dataCentre, bool on, const Done &done)
+{
+    call("POST", "/control/evacuate", json{{"zone", dataCentre}, {"on", on}}.dump(), timeTo(done));
+}
+
+void StandInControl::readTime(const Done &done)
+{
+    call("GET", "/control/now", "", timeTo(done));
+}
+
+void StandInControl::readHistory(History *history, const Done &done)
+{
+    call("GET", "/control/history", "", [history, done](const std::string &text) {
+        const json body = json::parse(text);
+        for (const json &run : body.at("runs")) {
+            history->runs.push_back(runOf(run));
+        }
+        history->standInViolations = body.at("violations").get<std::vector<std::string>>();
+        done(Milliseconds(body.at("now_ms").get<std::int64_t>()));
+    });
+}
+
+} // namespace fescueledge::faultsoak
