--- a/src/bench/faultsoak/soakcluster.cpp
+++ b/src/bench/faultsoak/soakcluster.cpp
@@ -109,6 +109,7 @@
 std::vector<std::string> SoakCluster::callerAddresses() const
 {
     std::vector<std::string> out;
+    out.reserve(static_cast<std::size_t>(m_options.nodes));
     for (int node = 0; node < m_options.nodes; ++node) {
         out.push_back(at(port(node, callerProxyPort)));
     }
--- a/src/bench/faultsoak/soakrun_pvt.h
+++ b/src/bench/faultsoak/soakrun_pvt.h
@@ -36,7 +36,6 @@
     FaultInjector m_faults;
     Callers m_callers;
     AsyncHttpClient m_http;
-    bool m_watching = false;
 };
 
 } // namespace fescueledge::faultsoak
