--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SEED ?= 1
 MINUTES ?= 1
-.PHONY: help install-deps build test demo bench cost soak lint format clean
+.PHONY: help install-deps build test demo bench cost soak faultsoak lint format clean
 
 help:
 	@echo "make install-deps  install the Debian packages the build needs"
@@ -12,6 +12,7 @@
 	@echo "make bench         build and run the measurements of the decisions"
 	@echo "make cost          measure what a daemon costs, with real processes on loopback"
 	@echo "make soak SEED=n MINUTES=m   run randomised fault runs from seed n for m minutes"
+	@echo "make faultsoak SEED=n MINUTES=m   run the real programs under faults for m minutes, with the faults of seed n"
 	@echo "make lint          check formatting and run the linter"
 	@echo "make format        format all sources"
 	@echo "make clean         remove $(BUILD)/"
@@ -39,6 +40,9 @@
 soak: build
 	@$(BUILD)/src/bench/soak/fescueledge-soak --seed $(SEED) --minutes $(MINUTES)
 
+faultsoak: build
+	@$(BUILD)/src/bench/faultsoak/fescueledge-faultsoak --seed $(SEED) --minutes $(MINUTES)
+
 lint: build
 	@sh src/cmake/lint.sh $(BUILD)
 
