--- a/src/bench/faultsoak/arguments_test.sh
+++ b/src/bench/faultsoak/arguments_test.sh
@@ -22,6 +22,7 @@
 refused "--nodes needs a number from 1 to" --nodes 1000
 refused "--workers needs a number from 1 to" --workers ""
 refused "--base-port needs a number from" --base-port 80
+refused "--base-port needs a multiple of 1000" --base-port 26001
 refused "unknown option or missing value: --seconds" --seconds 5
 refused "unknown option or missing value: --seed" --seed
 refused "unexpected argument 7" 7
--- a/src/bench/faultsoak/faultinjector.cpp
+++ b/src/bench/faultsoak/faultinjector.cpp
@@ -227,19 +227,20 @@
 
 void FaultInjector::setLink(const Fault &fault, bool on)
 {
-    TcpProxy *proxy = m_cluster->proxy(fault.link, fault.target);
-    if (fault.kind == FaultKind::LinkDelay) {
-        proxy->addDelay(Milliseconds(on ? fault.amount : -fault.amount));
-    } else if (fault.kind == FaultKind::LinkReset && on) {
-        proxy->resetAll();
-    } else if (fault.kind == FaultKind::LinkSilence && on) {
-        proxy->silenceAll();
-    }
-    if (fault.kind == FaultKind::LinkCut || fault.kind == FaultKind::LinkCutToTarget) {
-        proxy->cut(TcpProxy::Direction::ToTarget, on);
-    }
-    if (fault.kind == FaultKind::LinkCut || fault.kind == FaultKind::LinkCutFromTarget) {
-        proxy->cut(TcpProxy::Direction::FromTarget, on);
+    for (TcpProxy *proxy : m_cluster->proxies(fault.link, fault.target)) {
+        if (fault.kind == FaultKind::LinkDelay) {
+            proxy->addDelay(Milliseconds(on ? fault.amount : -fault.amount));
+        } else if (fault.kind == FaultKind::LinkReset && on) {
+            proxy->resetAll();
+        } else if (fault.kind == FaultKind::LinkSilence && on) {
+            proxy->silenceAll();
+        }
+        if (fault.kind == FaultKind::LinkCut || fault.kind == FaultKind::LinkCutToTarget) {
+            proxy->cut(TcpProxy::Direction::ToTarget, on);
+        }
+        if (fault.kind == FaultKind::LinkCut || fault.kind == FaultKind::LinkCutFromTarget) {
+            proxy->cut(TcpProxy::Direction::FromTarget, on);
+        }
     }
 }
 
--- a/src/bench/faultsoak/faultschedule.cpp
+++ b/src/bench/faultsoak/faultschedule.cpp
@@ -94,7 +94,7 @@
     fault.kind = row.kind;
     fault.span = Milliseconds(between(random, row.shortestMs, row.longestMs));
     fault.amount = between(random, row.least, row.most);
-    fault.link = static_cast<LinkKind>(random->below(static_cast<std::size_t>(LinkKind::Worker) + 1));
+    fault.link = static_cast<LinkKind>(random->below(static_cast<std::size_t>(LinkKind::NodeWorkers) + 1));
     const bool worker = isWorkerFault(row.kind) || (isLinkFault(row.kind) && fault.link == LinkKind::Worker);
     const int targets = row.kind == FaultKind::Evacuation ? dataCentres : (worker ? shape.workers : shape.nodes);
     fault.target = between(random, 0, targets - 1);
@@ -103,7 +103,7 @@
 
 const char *linkName(LinkKind link)
 {
-    static constexpr std::array<const char *, 4> names{"store", "peer", "callers", "worker"};
+    static constexpr std::array<const char *, 5> names{"store", "peer", "callers", "worker", "node_workers"};
     return names[static_cast<std::size_t>(link)];
 }
 
--- a/src/bench/faultsoak/faultschedule_pvt.h
+++ b/src/bench/faultsoak/faultschedule_pvt.h
@@ -40,7 +40,8 @@
     Store, ///< Between a node and the store.
     Peer, ///< In front of a node's listener for other nodes.
     Callers, ///< In front of a node's listener for callers.
-    Worker, ///< In front of a worker.
+    Worker, ///< Between all nodes and a worker.
+    NodeWorkers, ///< Between a node and all workers.
 };
 
 /// One fault of a schedule.
--- a/src/bench/faultsoak/soakcluster.cpp
+++ b/src/bench/faultsoak/soakcluster.cpp
@@ -26,12 +26,22 @@
 constexpr int callerProxyPort = 4;
 constexpr int storeProxyPort = 5;
 constexpr int peerProxyPort = 6;
+/// Beyond this, all nodes share one proxy for each worker, to stay within the descriptors of a process.
+constexpr int mostWorkerLinks = 600;
+/// Of the five digits of a worker proxy's port: with bases that are whole thousands, those are the same for all.
+constexpr std::size_t sharedPortDigits = 2;
 
 std::string at(int port)
 {
     return "127.0.0.1:" + std::to_string(port);
 }
 
+/// An address of the loopback for @p node's links to workers, as long as the usual one.
+std::string workerIp(int node)
+{
+    return "127." + std::to_string((node + 1) / 10) + "." + std::to_string((node + 1) % 10) + ".1";
+}
+
 } // namespace
 
 void replaceInBase64(const std::string &from, const std::string &to, std::string *bytes)
@@ -42,10 +52,9 @@
     for (std::size_t shift = 0; shift < groupBytes; ++shift) {
         // Only digits whose bits all come from the text are the same wherever it stands.
         const auto digits = [shift](const std::string &text) {
-            const std::string quoted = "\"" + text + "\"";
             const std::size_t first = (shift * byteBits + digitBits - 1) / digitBits;
-            const std::size_t end = (shift + quoted.size()) * byteBits / digitBits;
-            return platform::toBase64(std::string(shift, ' ') + quoted).substr(first, end - first);
+            const std::size_t end = (shift + text.size()) * byteBits / digitBits;
+            return platform::toBase64(std::string(shift, ' ') + text).substr(first, end - first);
         };
         const std::string old = digits(from);
         for (std::size_t it = bytes->find(old); it != std::string::npos; it = bytes->find(old, it + 1)) {
@@ -61,7 +70,12 @@
     , m_programs(std::move(programs))
     , m_nodes(static_cast<std::size_t>(options.nodes))
 {
-    openProxies();
+    for (int node = 0; node < options.nodes; ++node) {
+        openNodeProxies(node);
+    }
+    for (int worker = 0; worker < options.workers; ++worker) {
+        openWorkerProxies(worker);
+    }
 }
 
 int SoakCluster::port(int node, int offset) const
@@ -69,31 +83,59 @@
     return m_options.basePort + nodePorts * (node + 1) + offset;
 }
 
-void SoakCluster::openProxies()
+TcpProxy *SoakCluster::open(const std::string &from, const std::string &to, LinkKind link, int target)
 {
-    m_proxies.resize(static_cast<std::size_t>(LinkKind::Worker) + 1);
-    const auto open = [this](LinkKind link, int from, int to) {
-        m_proxies[static_cast<std::size_t>(link)].push_back(std::make_unique<TcpProxy>(m_loop, at(from), at(to)));
-    };
-    for (int node = 0; node < m_options.nodes; ++node) {
-        open(LinkKind::Callers, port(node, callerProxyPort), port(node, callerPort));
-        open(LinkKind::Store, port(node, storeProxyPort), m_options.basePort + storePort);
-        open(LinkKind::Peer, port(node, peerProxyPort), port(node, peerPort));
-        // Others learn the address of a node from its row in the store.
-        m_proxies[static_cast<std::size_t>(LinkKind::Store)].back()->setRewrite(
-            [own = at(port(node, peerPort)), shown = at(port(node, peerProxyPort))](std::string *bytes) {
-                replaceInBase64(own, shown, bytes);
-            });
+    m_proxies.push_back(std::make_unique<TcpProxy>(m_loop, from, to));
+    m_links[{link, target}].push_back(m_proxies.back().get());
+    return m_proxies.back().get();
+}
+
+bool SoakCluster::separatesWorkerLinks() const
+{
+    return m_options.nodes * m_options.workers <= mostWorkerLinks;
+}
+
+void SoakCluster::openNodeProxies(int node)
+{
+    open(at(port(node, callerProxyPort)), at(port(node, callerPort)), LinkKind::Callers, node);
+    open(at(port(node, peerProxyPort)), at(port(node, peerPort)), LinkKind::Peer, node);
+    TcpProxy *store = open(at(port(node, storeProxyPort)), at(m_options.basePort + storePort), LinkKind::Store, node);
+    // Others learn the address of a node from its row in the store. Each node is shown workers at an address of its
+    // own, so that its links to them can be told from those of other nodes.
+    const std::string own = "\"" + at(port(node, peerPort)) + "\"";
+    const std::string shown = "\"" + at(port(node, peerProxyPort)) + "\"";
+    const std::string portDigits = std::to_string(m_options.basePort + workerProxyPorts).substr(0, sharedPortDigits);
+    const std::string workers = "\"127.0.0.1:" + portDigits;
+    const std::string ownWorkers = "\"" + workerIp(node) + ":" + portDigits;
+    const bool separate = separatesWorkerLinks();
+    store->setRewrite(TcpProxy::Direction::ToTarget, [own, shown, workers, ownWorkers, separate](std::string *bytes) {
+        replaceInBase64(own, shown, bytes);
+        if (separate) {
+            replaceInBase64(ownWorkers, workers, bytes);
+        }
+    });
+    if (separate) {
+        store->setRewrite(TcpProxy::Direction::FromTarget, [workers, ownWorkers](std::string *bytes) {
+            replaceInBase64(workers, ownWorkers, bytes);
+        });
     }
-    for (int worker = 0; worker < m_options.workers; ++worker) {
-        open(LinkKind::Worker, m_options.basePort + workerProxyPorts + worker,
-             m_options.basePort + workerPorts + worker);
+}
+
+void SoakCluster::openWorkerProxies(int worker)
+{
+    const int listed = m_options.basePort + workerProxyPorts + worker;
+    const std::string target = at(m_options.basePort + workerPorts + worker);
+    open(at(listed), target, LinkKind::Worker, worker);
+    for (int node = 0; separatesWorkerLinks() && node < m_options.nodes; ++node) {
+        TcpProxy *proxy = open(workerIp(node) + ":" + std::to_string(listed), target, LinkKind::Worker, worker);
+        m_links[{LinkKind::NodeWorkers, node}].push_back(proxy);
     }
 }
 
-TcpProxy *SoakCluster::proxy(LinkKind link, int target)
+std::vector<TcpProxy *> SoakCluster::proxies(LinkKind link, int target) const
 {
-    return m_proxies.at(static_cast<std::size_t>(link)).at(static_cast<std::size_t>(target)).get();
+    const auto it = m_links.find({link, target});
+    return it == m_links.end() ? std::vector<TcpProxy *>() : it->second;
 }
 
 std::string SoakCluster::controlAddress() const
--- a/src/bench/faultsoak/soakcluster_pvt.h
+++ b/src/bench/faultsoak/soakcluster_pvt.h
@@ -5,6 +5,8 @@
 #include "soakoptions_pvt.h"
 #include "tcpproxy_pvt.h"
 
+#include <map>
+
 namespace fescueledge::faultsoak {
 
 /// The processes of a run, and the proxies between them.
@@ -32,7 +34,7 @@
     std::vector<std::string> takeOwnEnds();
 
     /// The proxies that stand for @p link of @p target.
-    TcpProxy *proxy(LinkKind link, int target);
+    std::vector<TcpProxy *> proxies(LinkKind link, int target) const;
     std::vector<std::string> callerAddresses() const;
     std::string readyAddress(int node) const;
     std::string controlAddress() const;
@@ -49,7 +51,10 @@
     };
 
     int port(int node, int offset) const;
-    void openProxies();
+    void openNodeProxies(int node);
+    void openWorkerProxies(int worker);
+    TcpProxy *open(const std::string &from, const std::string &to, LinkKind link, int target);
+    bool separatesWorkerLinks() const;
     void writeSettings(int node) const;
     std::string logFile(int node, int incarnation) const;
 
@@ -59,12 +64,12 @@
     std::string m_programs;
     std::unique_ptr<ChildProcess> m_standIn;
     std::vector<Node> m_nodes;
-    std::vector<std::vector<std::unique_ptr<TcpProxy>>> m_proxies; ///< By kind of link, then target.
+    std::map<std::pair<LinkKind, int>, std::vector<TcpProxy *>> m_links; ///< By kind and target.
+    std::vector<std::unique_ptr<TcpProxy>> m_proxies;
     std::vector<std::string> m_ownEnds;
 };
 
-/// Replaces `ip:port` @p from by the equally long @p to where JSON that contains it as a whole string is sent in
-/// base64.
+/// Replaces @p from by the equally long @p to in text that is sent in base64. The bits after @p from stay the same.
 void replaceInBase64(const std::string &from, const std::string &to, std::string *bytes);
 
 } // namespace fescueledge::faultsoak
--- a/src/bench/faultsoak/soakoptions.cpp
+++ b/src/bench/faultsoak/soakoptions.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int maxMinutes = 24 * 60;
+constexpr int portsPerRun = 1000; ///< Nodes, workers and proxies have a thousand each.
 
 std::uint64_t number(const std::string &name, const std::string &text, std::uint64_t least, std::uint64_t most)
 {
@@ -70,6 +71,10 @@
         } else if (which == 'p') {
             out.basePort =
                 static_cast<int>(number("base-port", optarg, SoakCluster::leastBasePort, SoakCluster::mostBasePort));
+            if (out.basePort % portsPerRun != 0) {
+                throw Error(ErrorKind::InvalidArgument,
+                            "--base-port needs a multiple of " + std::to_string(portsPerRun));
+            }
         } else if (which == 'k') {
             out.keep = optarg;
         } else {
--- a/src/bench/faultsoak/tcpproxy.cpp
+++ b/src/bench/faultsoak/tcpproxy.cpp
@@ -143,7 +143,7 @@
 
     std::array<int, 2> cuts{};
     Milliseconds delay{0};
-    std::function<void(std::string *)> rewrite;
+    std::array<std::function<void(std::string *)>, 2> rewrites;
 
 private:
     void connect(const std::shared_ptr<Relay> &relay)
@@ -176,8 +176,8 @@
                 }
                 pump->end = ec;
                 pump->chunk.assign(pump->buffer.data(), n);
-                if (pump->direction == Direction::ToTarget && self->rewrite) {
-                    self->rewrite(&pump->chunk);
+                if (self->rewrites.at(static_cast<std::size_t>(pump->direction))) {
+                    self->rewrites.at(static_cast<std::size_t>(pump->direction))(&pump->chunk);
                 }
                 self->hold(pump, self->delay);
             });
@@ -241,9 +241,9 @@
     m_impl->close();
 }
 
-void TcpProxy::setRewrite(std::function<void(std::string *)> rewrite)
+void TcpProxy::setRewrite(Direction direction, std::function<void(std::string *)> rewrite)
 {
-    m_impl->rewrite = std::move(rewrite);
+    m_impl->rewrites.at(static_cast<std::size_t>(direction)) = std::move(rewrite);
 }
 
 void TcpProxy::cut(Direction direction, bool on)
--- a/src/bench/faultsoak/tcpproxy_pvt.h
+++ b/src/bench/faultsoak/tcpproxy_pvt.h
@@ -30,8 +30,8 @@
     TcpProxy(const TcpProxy &) = delete;
     TcpProxy &operator=(const TcpProxy &) = delete;
 
-    /// Replaces what is sent towards the target before it goes on; must keep its length.
-    void setRewrite(std::function<void(std::string *)> rewrite);
+    /// Replaces what is sent in @p direction before it goes on; must keep its length.
+    void setRewrite(Direction direction, std::function<void(std::string *)> rewrite);
     /// Cuts @p direction, or ends one cut of it; cuts may overlap.
     void cut(Direction direction, bool on);
     /// Adds @p delay to each chunk in both directions; a negative one ends an earlier one.
--- a/src/bench/faultsoak/tcpproxy_test.cpp
+++ b/src/bench/faultsoak/tcpproxy_test.cpp
@@ -77,7 +77,7 @@
     const HttpAnswer answer = call();
     CHECK(answer.status == 200);
     CHECK(answer.body == "hello");
-    proxy.setRewrite([](std::string *chunk) {
+    proxy.setRewrite(TcpProxy::Direction::ToTarget, [](std::string *chunk) {
         const std::size_t at = chunk->find("hello");
         if (at != std::string::npos) {
             chunk->replace(at, 5, "jelly");
