--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SEED ?= 1
 MINUTES ?= 1
-.PHONY: help install-deps build test demo bench cost soak faultsoak lint format clean
+.PHONY: help install-deps build test demo bench cost soak faultsoak faultsoak-regressions lint format clean
 
 help:
 	@echo "make install-deps  install the Debian packages the build needs"
@@ -13,6 +13,7 @@
 	@echo "make cost          measure what a daemon costs, with real processes on loopback"
 	@echo "make soak SEED=n MINUTES=m   run randomised fault runs from seed n for m minutes"
 	@echo "make faultsoak SEED=n MINUTES=m   run the real programs under faults for m minutes, with the faults of seed n"
+	@echo "make faultsoak-regressions   the same for each seed that ever failed"
 	@echo "make lint          check formatting and run the linter"
 	@echo "make format        format all sources"
 	@echo "make clean         remove $(BUILD)/"
@@ -43,6 +44,9 @@
 faultsoak: build
 	@$(BUILD)/src/bench/faultsoak/fescueledge-faultsoak --seed $(SEED) --minutes $(MINUTES)
 
+faultsoak-regressions: build
+	@sh src/bench/faultsoak/regressions.sh $(BUILD)
+
 lint: build
 	@sh src/cmake/lint.sh $(BUILD)
 
--- a/src/bench/faultsoak/callers.cpp
+++ b/src/bench/faultsoak/callers.cpp
@@ -29,11 +29,6 @@
 constexpr double jobsPerWorkerSecond = 0.6;
 constexpr double mostJobsPerSecond = 12;
 
-bool isFinal(const std::string &state)
-{
-    return state == "complete" || state == "failed" || state == "cancelled";
-}
-
 bool isRefusal(const HttpAnswer &answer)
 {
     return answer.fate == HttpFate::Answered
--- a/src/bench/faultsoak/history_pvt.h
+++ b/src/bench/faultsoak/history_pvt.h
@@ -11,6 +11,25 @@
 
 namespace fescueledge::faultsoak {
 
+/// Whether the state of a job never changes again.
+inline bool isFinal(const std::string &state)
+{
+    return state == "complete" || state == "failed" || state == "cancelled";
+}
+
+/// The data centre of the stand-in's worker number @p worker; there are three.
+inline DataCentreId dataCentreOf(int worker)
+{
+    constexpr int dataCentres = 3;
+    return std::string("dc-") + static_cast<char>('a' + worker % dataCentres);
+}
+
+/// A time in messages.
+inline std::string ms(Milliseconds time)
+{
+    return std::to_string(time.count());
+}
+
 /// What the soak has seen. All times are milliseconds on the steady clock of the stand-in.
 
 /// One step of a submitted job.
--- a/src/bench/faultsoak/historyoutcomes.cpp
+++ b/src/bench/faultsoak/historyoutcomes.cpp
@@ -13,16 +13,6 @@
 constexpr int noSuchRoute = 404;
 constexpr int anyNode = -1;
 
-std::string ms(Milliseconds time)
-{
-    return std::to_string(time.count());
-}
-
-bool isFinal(const std::string &state)
-{
-    return state == "complete" || state == "failed" || state == "cancelled";
-}
-
 /// The last change of @p subject before @p at, if it and the state before it are all that was in force since.
 const ChangeSeen *lastChange(const std::vector<ChangeSeen> &changes, const std::string &subject, Milliseconds at)
 {
--- a/src/bench/faultsoak/historyrules.cpp
+++ b/src/bench/faultsoak/historyrules.cpp
@@ -1,38 +1,23 @@
 #include "bounds_pvt.h"
 #include "historyrules_pvt.h"
+#include "platform/workerclient.h"
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 
 namespace fescueledge::faultsoak {
 
+using platform::taskName;
 using workflow::TaskKey;
 
 namespace {
 
-std::string ms(Milliseconds time)
-{
-    return std::to_string(time.count());
-}
-
-std::string nameOf(const TaskKey &task)
-{
-    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
-        + std::to_string(task.index);
-}
-
 std::string nameOf(const RunSeen &run)
 {
-    return nameOf(run.task) + "#" + std::to_string(run.run) + "@" + run.worker + "(" + ms(run.beganAt) + ".."
+    return taskName(run.task) + "#" + std::to_string(run.run) + "@" + run.worker + "(" + ms(run.beganAt) + ".."
         + (run.endedAt ? ms(*run.endedAt) : std::string()) + " " + run.how + " term " + std::to_string(run.term) + ")";
 }
 
-std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t> orderOf(const TaskKey &task)
-{
-    return {task.job, task.occurrence, task.step, task.index};
-}
-
 bool byBegin(const RunSeen *a, const RunSeen *b)
 {
     return a->beganAt < b->beganAt;
@@ -83,11 +68,11 @@
 
 void HistoryRules::checkRunsOfTasks()
 {
-    std::map<std::tuple<JobId, std::uint32_t, std::uint32_t, std::uint32_t>, std::vector<const RunSeen *>> runs;
+    std::map<std::string, std::vector<const RunSeen *>> runs;
     for (const RunSeen &run : m_history->runs) {
-        runs[orderOf(run.task)].push_back(&run);
+        runs[taskName(run.task)].push_back(&run);
     }
-    for (auto &[key, list] : runs) {
+    for (auto &[name, list] : runs) {
         std::stable_sort(list.begin(), list.end(), byBegin);
         checkRunsOfTask(list.front()->task, list);
         checkAttempts(list.front()->task, list);
@@ -100,11 +85,11 @@
         const RunSeen &first = **it;
         for (auto later = it + 1; later != runs.end(); ++later) {
             if (!first.endedAt || *first.endedAt > (*later)->beganAt) {
-                report("two_runs", "task=" + nameOf(task) + " " + nameOf(first) + " " + nameOf(**later));
+                report("two_runs", "task=" + taskName(task) + " " + nameOf(first) + " " + nameOf(**later));
                 return;
             }
             if (ended(first, "done") && first.acknowledged) {
-                report("start_after_done", "task=" + nameOf(task) + " " + nameOf(first) + " " + nameOf(**later));
+                report("start_after_done", "task=" + taskName(task) + " " + nameOf(first) + " " + nameOf(**later));
                 return;
             }
         }
@@ -121,7 +106,7 @@
     unsigned failures = 0;
     for (const RunSeen *run : runs) {
         if (failures >= job->second.maxAttempts) {
-            report("too_many_attempts", "task=" + nameOf(task) + " " + nameOf(*run));
+            report("too_many_attempts", "task=" + taskName(task) + " " + nameOf(*run));
             return;
         }
         failures += ended(*run, "failed") && run->acknowledged ? 1 : 0;
--- a/src/bench/faultsoak/soakcluster.cpp
+++ b/src/bench/faultsoak/soakcluster.cpp
@@ -2,6 +2,7 @@
 
 #include "fescueledge/asioloop.h"
 #include "fescueledge/error.h"
+#include "history_pvt.h"
 #include "platform/body.h"
 
 #include <csignal>
@@ -182,7 +183,7 @@
 {
     const std::string store = at(port(node, storeProxyPort));
     std::ofstream file(m_directory + "/node" + std::to_string(node) + ".ini");
-    file << "[node]\nname = node-" << node << "\ndata-centre = dc-" << static_cast<char>('a' + node % 3)
+    file << "[node]\nname = node-" << node << "\ndata-centre = " << dataCentreOf(node)
          << "\n[listen]\ncaller = " << at(port(node, callerPort)) << "\noperator = " << at(port(node, operatorPort))
          << "\npeer = " << at(port(node, peerPort)) << "\n[platform]\ntable-service = " << store
          << "\nobject-store = " << store << "\nvm-list = " << store
--- a/src/bench/faultsoak/soakrun.cpp
+++ b/src/bench/faultsoak/soakrun.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
+#include <fstream>
 
 namespace fescueledge::faultsoak {
 
@@ -25,6 +26,7 @@
 
 SoakRun::SoakRun(const SoakOptions &options, const std::string &directory, const std::string &programs)
     : m_options(options)
+    , m_directory(directory)
     , m_cluster(&m_loop, options, directory, programs)
     , m_control(&m_loop, m_cluster.controlAddress())
     , m_faults(&m_loop, &m_cluster, &m_control, options.nodes, &m_history)
@@ -63,6 +65,7 @@
     settle();
     readHistory();
     printTotals();
+    writeAnswers();
     return HistoryRules(&m_history).violations();
 }
 
@@ -169,6 +172,17 @@
     }
 }
 
+void SoakRun::writeAnswers() const
+{
+    std::ofstream file(m_directory + "/answers.log");
+    for (const AnswerSeen &answer : m_history.answers) {
+        file << "sent_ms=" << answer.sentAt.count() << " answered_ms=" << answer.answeredAt.count()
+             << " node=" << answer.node << " job=" << answer.job
+             << (answer.kind == AnswerSeen::Kind::Submit ? " submit" : " ask") << " status=" << answer.status
+             << " state=" << answer.state << "\n";
+    }
+}
+
 void SoakRun::printTotals() const
 {
     std::map<std::string, int> states;
--- a/src/bench/faultsoak/soakrun_pvt.h
+++ b/src/bench/faultsoak/soakrun_pvt.h
@@ -24,11 +24,13 @@
     void settle();
     void readHistory();
     void printTotals() const;
+    void writeAnswers() const; ///< For whoever traces a violation.
     void runFor(Milliseconds span);
     /// Runs until @p condition holds. @throws Error with @p what if it does not within @p limit.
     void runUntil(const std::function<bool()> &condition, Milliseconds limit, const std::string &what);
 
     SoakOptions m_options;
+    std::string m_directory;
     History m_history;
     AsioLoop m_loop;
     SoakCluster m_cluster;
--- a/src/bench/faultsoak/standincontrol.cpp
+++ b/src/bench/faultsoak/standincontrol.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds connectTimeout{1000};
 constexpr Milliseconds callTimeout{10000}; ///< A long history takes a while.
 constexpr int statusOk = 200;
-constexpr int dataCentres = 3;
 
 std::string workerName(int worker)
 {
@@ -46,11 +45,6 @@
 
 } // namespace
 
-DataCentreId dataCentreOf(int worker)
-{
-    return std::string("dc-") + static_cast<char>('a' + worker % dataCentres);
-}
-
 StandInControl::StandInControl(AsioLoop *loop, const std::string &address)
     : m_address(address)
     , m_http(loop, connectTimeout)
--- a/src/bench/faultsoak/standincontrol_pvt.h
+++ b/src/bench/faultsoak/standincontrol_pvt.h
@@ -55,6 +55,4 @@
     std::vector<std::string> m_failures;
 };
 
-DataCentreId dataCentreOf(int worker);
-
 } // namespace fescueledge::faultsoak
