--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -237,10 +237,11 @@
     task->worker = nullptr;
     task->percent = 0;
     task->gauge = 0;
-    task->pace = 100;
+    task->pace = fullPace;
     task->slowSince = TimePoint{};
     task->overTargetSince = TimePoint{};
     task->preempted = false;
+    task->step->waitsSince = TimePoint{};
     list(task->step);
 }
 
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -211,6 +211,7 @@
             m_orders->stopUnknown(worker, run.task, run.run);
             return;
         }
+        task->pace = unknownPace; // An earlier coordinator may have slowed it down.
         FleetTable::place(task, worker);
         context.jobs.setPhase(task, TaskPhase::Running, now);
         task->progressAt = now;
@@ -221,8 +222,7 @@
     }
     task->seen = true;
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
-        context.jobs.setPhase(task, TaskPhase::Running, now);
-        task->progressAt = now;
+        m_orders->noteRunning(task);
     }
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
