--- a/src/bench/faultsoak/faultsoakmain.cpp
+++ b/src/bench/faultsoak/faultsoakmain.cpp
@@ -22,6 +22,10 @@
 {
     if (!options.keep.empty()) {
         fs::create_directories(options.keep);
+        if (!fs::is_empty(options.keep)) {
+            // Logs of an earlier run would be read as those of this one.
+            throw Error(ErrorKind::InvalidArgument, "--keep needs an empty directory, and " + options.keep + " is not");
+        }
         return options.keep;
     }
     std::string name = (fs::temp_directory_path() / "fescueledge-faultsoak-XXXXXX").string();
