--- a/src/bench/faultsoak/faultsoakmain.cpp
+++ b/src/bench/faultsoak/faultsoakmain.cpp
@@ -54,8 +54,10 @@
     for (const std::string &violation : violations) {
         std::printf("violation %s\n", violation.c_str());
     }
-    std::printf("result seed=%llu violations=%zu\n", static_cast<unsigned long long>(options.seed), violations.size());
-    if (!failure.empty()) {
+    if (failure.empty()) {
+        std::printf("result seed=%llu violations=%zu\n", static_cast<unsigned long long>(options.seed),
+                    violations.size());
+    } else {
         std::fprintf(stderr, "the run could not be made: %s\n", failure.c_str());
     }
     const bool good = violations.empty() && failure.empty();
