--- a/src/fescueledge/commands_pvt.h
+++ b/src/fescueledge/commands_pvt.h
@@ -57,6 +57,7 @@
     ExitCode jobsCancel();
     ExitCode explainTask();
     ExitCode explainRequest();
+    ExitCode explainLog();
     ExitCode audit();
     ExitCode settings();
 
--- a/src/fescueledge/commandtable.cpp
+++ b/src/fescueledge/commandtable.cpp
@@ -15,6 +15,8 @@
                                   "  5  outcome unknown: the answer was lost and the change was not found\n"
                                   "  6  accepted, but not yet in force everywhere\n";
 
+constexpr std::size_t mostLogs = 1000; ///< Files of one call; each node has few.
+
 constexpr const char *environmentHelp = "Environment:\n"
                                         "  FESCUELEDGE_NODES       used without --node\n"
                                         "  FESCUELEDGE_TOKEN_FILE  used without --token-file\n"
@@ -119,6 +121,13 @@
         {"jobs cancel", &Commands::jobsCancel, "JOB", 1, 1, {"who"}, "Cancel a job."},
         {"explain task", &Commands::explainTask, "JOB/INDEX", 1, 1, {}, "Say why a task waits, or what became of it."},
         {"explain request", &Commands::explainRequest, "ID", 1, 1, {}, "Say what became of a request."},
+        {"explain log",
+         &Commands::explainLog,
+         "JOB FILE...",
+         2,
+         1 + mostLogs,
+         {},
+         "Tell a job's story from saved logs of nodes, without asking a node."},
         {"audit", &Commands::audit, "", 0, 0, {"limit"}, "Print the audit trail of changes."},
         {"settings",
          &Commands::settings,
--- /dev/null
+++ b/src/fescueledge/logcommands.cpp
@@ -0,0 +1,45 @@
+#include "commands_pvt.h"
+
+#include "jobstory_pvt.h"
+#include "storyprinter_pvt.h"
+#include "storysummary_pvt.h"
+
+#include "fescueledge/error.h"
+
+#include <algorithm>
+#include <ostream>
+#include <set>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr std::size_t jobIdLength = 16; ///< Hex digits, as callers give them.
+
+bool isJobId(const std::string &text)
+{
+    return text.size() == jobIdLength && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+} // namespace
+
+ExitCode Commands::explainLog()
+{
+    const std::string &job = m_arguments.words[0];
+    if (!isJobId(job)) {
+        throw Error(ErrorKind::InvalidArgument, job + " is no id of a job: it has 16 hex digits");
+    }
+    const std::vector<std::string> files(m_arguments.words.begin() + 1, m_arguments.words.end());
+    if (std::set<std::string>(files.begin(), files.end()).size() != files.size()) {
+        throw Error(ErrorKind::InvalidArgument, "a log is named twice");
+    }
+    JobStory story(job);
+    story.read(files);
+    const StorySummary summary = summarize(story);
+    const StoryPrinter printer(story, summary);
+    return print(m_arguments.has("json") ? printer.json() : nlohmann::json(), [&] {
+        printer.printText(m_environment.out);
+    });
+}
+
+} // namespace fescueledge
--- /dev/null
+++ b/src/fescueledge/logrecord.cpp
@@ -0,0 +1,146 @@
+#include "logrecord_pvt.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fescueledge {
+
+namespace {
+
+constexpr std::int64_t latestTime = 253402300799999; ///< Milliseconds; the last of the year 9999, as dates are printed.
+
+std::optional<std::int64_t> wholeNumber(const std::string &text)
+{
+    std::int64_t number = 0;
+    const char *end = text.data() + text.size();
+    const std::from_chars_result result = std::from_chars(text.data(), end, number);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end || number < 0) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+bool isName(const std::string &text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_';
+    });
+}
+
+/// Takes the pairs off a line, one after the other.
+class PairReader
+{
+public:
+    explicit PairReader(const std::string &line)
+        : m_line(line)
+    {
+    }
+
+    bool atEnd() const
+    {
+        return m_at == m_line.size();
+    }
+
+    /// False if no whole pair follows.
+    bool next(std::string &key, std::string &value)
+    {
+        if (m_at > 0 && m_line[m_at++] != ' ') {
+            return false;
+        }
+        std::size_t sign = m_line.find('=', m_at);
+        if (sign == std::string::npos) {
+            return false;
+        }
+        key = m_line.substr(m_at, sign - m_at);
+        m_at = sign + 1;
+        return isName(key) && (m_at < m_line.size() && m_line[m_at] == '"' ? quoted(value) : plain(value));
+    }
+
+private:
+    bool quoted(std::string &value)
+    {
+        std::size_t end = m_line.find('"', m_at + 1);
+        if (end == std::string::npos) {
+            return false;
+        }
+        value = m_line.substr(m_at + 1, end - m_at - 1);
+        m_at = end + 1;
+        return true;
+    }
+
+    /// A value without quotes is not empty and has no sign that calls for quotes.
+    bool plain(std::string &value)
+    {
+        std::size_t end = std::min(m_line.find(' ', m_at), m_line.size());
+        value = m_line.substr(m_at, end - m_at);
+        m_at = end;
+        return !value.empty() && value.find_first_of("=\"") == std::string::npos;
+    }
+
+    const std::string &m_line;
+    std::size_t m_at = 0;
+};
+
+/// Makes @p line fit for terminals and JSON; false if it has control characters that no log line has.
+bool cleanText(std::string &line)
+{
+    for (char &c : line) {
+        const unsigned char byte = static_cast<unsigned char>(c);
+        if (c == '\t') {
+            c = ' ';
+        } else if (byte < 0x20U || byte == 0x7fU) {
+            return false;
+        } else if (byte > 0x7fU) {
+            c = '?';
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::string LogRecord::value(const std::string &key) const
+{
+    for (const std::pair<std::string, std::string> &field : fields) {
+        if (field.first == key) {
+            return field.second;
+        }
+    }
+    return std::string();
+}
+
+std::optional<std::int64_t> LogRecord::number(const std::string &key) const
+{
+    return wholeNumber(value(key));
+}
+
+std::optional<LogRecord> parseLogLine(const std::string &line)
+{
+    std::string text = line;
+    if (!cleanText(text)) {
+        return std::nullopt;
+    }
+    PairReader pairs(text);
+    LogRecord record;
+    std::string key;
+    std::string value;
+    if (!pairs.next(key, value) || key != "ts_ms") {
+        return std::nullopt;
+    }
+    const std::optional<std::int64_t> time = wholeNumber(value);
+    if (!time || *time > latestTime || !pairs.next(key, record.node) || key != "node" || !pairs.next(key, record.event)
+        || key != "event" || !isName(record.event)) {
+        return std::nullopt;
+    }
+    record.time = LogTime(Milliseconds(*time));
+    while (!pairs.atEnd()) {
+        // The head of a second line shows that the end of the first is lost.
+        if (!pairs.next(key, value) || key == "ts_ms" || key == "event") {
+            return std::nullopt;
+        }
+        record.fields.emplace_back(key, value);
+    }
+    return record;
+}
+
+} // namespace fescueledge
