--- a/Makefile
+++ b/Makefile
@@ -42,10 +42,10 @@
 	@$(BUILD)/src/bench/soak/fescueledge-soak --seed $(SEED) --minutes $(MINUTES)
 
 faultsoak: build
-	@$(BUILD)/src/bench/faultsoak/fescueledge-faultsoak --seed $(SEED) --minutes $(MINUTES)
+	@$(BUILD)/platform/faultsoak/fescueledge-faultsoak --seed $(SEED) --minutes $(MINUTES)
 
 faultsoak-regressions: build
-	@sh src/bench/faultsoak/regressions.sh $(BUILD)
+	@sh platform/faultsoak/regressions.sh $(BUILD)
 
 lint: build
 	@sh src/cmake/lint.sh $(BUILD)
--- a/src/libworkflow/sharedfleet.cpp
+++ b/src/libworkflow/sharedfleet.cpp
@@ -74,7 +74,7 @@
 JobId SharedFleet::submit(const std::vector<StepSpec> &steps, Milliseconds work)
 {
     const std::string number = std::to_string(m_jobs.size());
-    const JobId job = "f" + std::string(15 - number.size(), '0') + number;
+    JobId job = "f" + std::string(15 - number.size(), '0') + number;
     m_work[job] = work;
     m_jobs[job];
     world->submit(0, job, workflowOf(steps));
