--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -237,7 +237,7 @@
             entry.taken += model.taken(entry.image, task->step->spec->image, more);
         }
         m_orders->pace(task, pace);
-        }
+    }
 }
 
 void PacingSystem::moveStuck(Worker *worker)
