Log how old the coordinator's list of workers is and how late its loop runs

coordinator_load, once a second on the coordinator, tells the age of the list and the longest delay of a tick. An age counts from when the call was sent whose answer was complete; an answer that leaves out changes does not count.

Tests: collectionfollower_test, and the load report in dispatch_test.

--- a/src/include/fescueledge/watchabletable.h
+++ b/src/include/fescueledge/watchabletable.h
@@ -18,6 +18,7 @@
     bool historyLost = false; ///< The history since that version was dropped; a new scan is needed.
     std::vector<Change> changes; ///< Ordered by version.
     RowVersion asOf = 0; ///< Version from which the next watch continues.
+    bool truncated = false; ///< More changes had happened than fit into the answer.
 };
 
 /// A table service that can be watched for changes.
--- a/src/libworkflow/collectionfollower.cpp
+++ b/src/libworkflow/collectionfollower.cpp
@@ -22,6 +22,7 @@
     Milliseconds pause{0};
     bool stopped = false;
     RowVersion since = 0;
+    TimePoint confirmedAt{};
     SnapshotHandler snapshot;
     ChangesHandler changes;
     std::function<void(bool)> contact;
@@ -63,6 +64,11 @@
     return m_state->since;
 }
 
+TimePoint CollectionFollower::confirmedAt() const
+{
+    return m_state->confirmedAt;
+}
+
 void CollectionFollower::start(SnapshotHandler snapshot, ChangesHandler changes)
 {
     m_state->snapshot = std::move(snapshot);
@@ -82,7 +88,8 @@
 
 void CollectionFollower::scan(const std::shared_ptr<State> &state)
 {
-    state->table->scan(state->collection + "/", [state](const ReadResult &result) {
+    const TimePoint sentAt = state->loop->now();
+    state->table->scan(state->collection + "/", [state, sentAt](const ReadResult &result) {
         if (state->stopped) {
             return;
         }
@@ -92,6 +99,7 @@
             return;
         }
         state->since = result.asOf;
+        state->confirmedAt = sentAt;
         state->snapshot(result.rows);
         if (!state->stopped) {
             watch(state);
@@ -101,7 +109,8 @@
 
 void CollectionFollower::watch(const std::shared_ptr<State> &state)
 {
-    state->table->watch(state->collection, state->since, state->wait, [state](const WatchResult &result) {
+    const TimePoint sentAt = state->loop->now();
+    state->table->watch(state->collection, state->since, state->wait, [state, sentAt](const WatchResult &result) {
         if (state->stopped) {
             return;
         }
@@ -115,6 +124,9 @@
             return;
         }
         state->since = result.asOf;
+        if (!result.truncated) {
+            state->confirmedAt = sentAt;
+        }
         if (!result.changes.empty()) {
             state->changes(result.changes);
         }
--- /dev/null
+++ b/src/libworkflow/collectionfollower_test.cpp
@@ -0,0 +1,71 @@
+// How new the rows of a follower are known to be.
+#include "fescueledge/testing/simloop.h"
+#include "fescueledge/testing/simworld.h"
+#include "fescueledge/workflow/collectionfollower.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace fescueledge;
+using namespace fescueledge::workflow;
+using trompeloeil::_;
+
+namespace {
+
+class MockTable : public WatchableTable
+{
+public:
+    MAKE_MOCK2(read, void(const std::vector<std::string> &, ReadHandler), override);
+    MAKE_MOCK2(scan, void(const std::string &, ReadHandler), override);
+    MAKE_MOCK2(commit, void(const Transaction &, CommitHandler), override);
+    MAKE_MOCK4(watch, void(const std::string &, RowVersion, Milliseconds, WatchHandler), override);
+};
+
+ReadResult emptyScan()
+{
+    ReadResult result;
+    result.available = true;
+    result.asOf = 1;
+    return result;
+}
+
+WatchResult answerOf(bool truncated)
+{
+    WatchResult result;
+    result.available = true;
+    result.asOf = 2;
+    result.truncated = truncated;
+    result.changes.push_back(WatchResult::Change{});
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a follower's rows are as new as the call whose answer was complete")
+{
+    SimWorld world;
+    SimLoop loop(&world);
+    MockTable table;
+    WatchableTable::WatchHandler answer;
+    ALLOW_CALL(table, scan(_, _)).SIDE_EFFECT(_2(emptyScan()));
+    ALLOW_CALL(table, watch(_, _, _, _)).LR_SIDE_EFFECT(answer = _4);
+    CollectionFollower follower(&loop, &table, "servers", Milliseconds(700));
+    CHECK(follower.confirmedAt() == TimePoint{});
+    world.runFor(Milliseconds(100));
+    const TimePoint scannedAt = world.now();
+    follower.start([](const std::vector<Row> &) {}, [](const std::vector<WatchResult::Change> &) {});
+    CHECK(follower.confirmedAt() == scannedAt);
+
+    // Neither a call without an answer nor one that leaves out changes shows the present rows.
+    world.runFor(Milliseconds(500));
+    answer(WatchResult{});
+    world.runFor(Milliseconds(500));
+    answer(answerOf(true));
+    CHECK(follower.confirmedAt() == scannedAt);
+
+    world.runFor(Milliseconds(500));
+    const TimePoint watchedAt = world.now() - Milliseconds(500);
+    answer(answerOf(false));
+    CHECK(follower.confirmedAt() == watchedAt);
+    world.runFor(Milliseconds(1));
+}
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -13,6 +13,7 @@
 
 /// How often timeouts, due occurrences and expired leases are checked.
 constexpr Milliseconds tickInterval{50};
+constexpr std::chrono::seconds loadReportInterval{1};
 /// How often ended jobs and unlisted workers are removed.
 constexpr Milliseconds cleanupInterval{2000};
 /// Tasks that become startable within this time are placed together.
@@ -360,9 +361,30 @@
     }
 }
 
+void Coordinator::reportLoad(TimePoint now)
+{
+    if (m_tickDueAt != TimePoint{}) {
+        m_longestTickDelay = std::max(m_longestTickDelay, now - m_tickDueAt);
+    }
+    m_tickDueAt = now + tickInterval;
+    if (now < m_loadReportedAt + loadReportInterval) {
+        return;
+    }
+    m_loadReportedAt = now;
+    m_context->log->write(
+        LogLine("coordinator_load")
+            .with("term", static_cast<std::int64_t>(m_context->term))
+            .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(now - m_fleetSource->confirmedAt()))
+            .with("loop_delay_ms", std::chrono::duration_cast<Milliseconds>(m_longestTickDelay))
+            .with("workers", static_cast<std::int64_t>(m_context->fleet.all().size()))
+            .with("starts", static_cast<std::int64_t>(m_orders.startsSent)));
+    m_longestTickDelay = Duration::zero();
+}
+
 void Coordinator::tick()
 {
     Context &context = *m_context;
+    reportLoad(context.now());
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
     if (context.jobs.hasDirty()) {
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -73,6 +73,8 @@
     void onFleetUpdate(const FleetUpdate &update);
     void reportStoreContact(bool reachable);
     void tick();
+    /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
+    void reportLoad(TimePoint now);
     void removeExpiredJobs();
     void removeUnlistedWorkers();
     void scheduleDispatch();
@@ -108,6 +110,9 @@
     DispatchBudget m_dispatchBudget;
     Duration m_lastDispatchDuration{0}; ///< Duration of the last run, including the wait for the processor.
     TimePoint m_lastCleanupAt{};
+    TimePoint m_tickDueAt{};
+    Duration m_longestTickDelay{0}; ///< Since the last load report.
+    TimePoint m_loadReportedAt{};
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/dispatch_test.cpp
+++ b/src/libworkflow/dispatch_test.cpp
@@ -214,3 +214,16 @@
         CHECK((world->workers.runsOf(jobA).front().began - submitted < Milliseconds(3000)));
     }
 }
+
+TEST_CASE("the load report tells how old the list of workers is")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2);
+    world->withholdFleetUpdates(0, true);
+    world->run(Milliseconds(3500));
+    const std::vector<std::string> &lines = world->log(0).lines;
+    CHECK(std::any_of(lines.begin(), lines.end(), [](const std::string &line) {
+        const std::size_t at = line.find("list_age_ms=");
+        return line.find("event=coordinator_load") != std::string::npos && at != std::string::npos
+            && std::stoi(line.substr(at + std::string("list_age_ms=").size())) >= 2000;
+    }));
+}
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -149,12 +149,13 @@
         : m_loop(loop)
         , m_workers(workers)
     {
-        const std::shared_ptr<Handler> handler = m_handler;
-        Loop *target = loop;
-        workers->listeners.push_back([handler, target](const FleetUpdate &update) {
-            target->postAfter(latency, [handler, update] {
-                if (*handler) {
-                    (*handler)(update);
+        workers->listeners.push_back([state = m_state, loop](const FleetUpdate &update) {
+            if (state->withheld) {
+                return;
+            }
+            loop->postAfter(latency, [state, update] {
+                if (state->handler) {
+                    state->handler(update);
                 }
             });
         });
@@ -162,27 +163,53 @@
 
     void follow(Handler handler) override
     {
-        *m_handler = std::move(handler);
-        FleetUpdate all;
-        all.complete = true;
-        all.present = m_workers->listed();
-        const std::shared_ptr<Handler> target = m_handler;
-        m_loop->postAfter(latency, [target, all] {
-            if (*target) {
-                (*target)(all);
-            }
-        });
+        m_state->handler = std::move(handler);
+        publishAll();
     }
 
     void stop() override
     {
-        *m_handler = nullptr;
+        m_state->handler = nullptr;
+    }
+
+    TimePoint confirmedAt() const override
+    {
+        return m_state->withheld ? m_state->withheldSince : m_loop->now();
+    }
+
+    /// Withholds updates; afterwards the whole list is published again.
+    void withhold(bool on)
+    {
+        m_state->withheld = on;
+        m_state->withheldSince = m_loop->now();
+        if (!on && m_state->handler) {
+            publishAll();
+        }
     }
 
 private:
+    struct State
+    {
+        Handler handler;
+        bool withheld = false;
+        TimePoint withheldSince{};
+    };
+
+    void publishAll()
+    {
+        FleetUpdate all;
+        all.complete = true;
+        all.present = m_workers->listed();
+        m_loop->postAfter(latency, [state = m_state, all] {
+            if (state->handler && !state->withheld) {
+                state->handler(all);
+            }
+        });
+    }
+
     Loop *m_loop;
     SimWorkers *m_workers;
-    std::shared_ptr<Handler> m_handler = std::make_shared<Handler>();
+    std::shared_ptr<State> m_state = std::make_shared<State>();
 };
 
 /// Publishes the catalogs that a test sets.
@@ -375,6 +402,11 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.startDelay = delay;
 }
 
+void WorkflowWorld::withholdFleetUpdates(int index, bool on)
+{
+    m_processes[static_cast<std::size_t>(index)]->fleet.withhold(on);
+}
+
 MemoryLog &WorkflowWorld::log(int index)
 {
     return m_processes[static_cast<std::size_t>(index)]->log;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -61,6 +61,9 @@
     /// Makes each following start order of node @p index take effect after @p delay, and loses its answer.
     void delayStarts(int index, Duration delay);
 
+    /// Withholds updates of the list of workers from node @p index while @p on.
+    void withholdFleetUpdates(int index, bool on);
+
     /// The same for pace orders.
     void delayPaces(int index, Duration delay);
 
