--- /dev/null
+++ b/src/libhttp/asynchttp_test.cpp
@@ -0,0 +1,105 @@
+// Large messages on a node without processor time to spare, where each pass of the loop takes long.
+#include "fescueledge/asioloop.h"
+#include "fescueledge/asynchttpclient.h"
+#include "fescueledge/asynchttpserver.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+
+using namespace fescueledge;
+
+namespace {
+
+constexpr std::size_t largeBodyBytes = 100'000; ///< A list of two hundred workers.
+constexpr Milliseconds passDuration{1};
+constexpr int fewPasses = 40; ///< A call with a small body takes about ten.
+
+/// A client and a server on one loop that always has something else to do.
+class BusyLoop
+{
+public:
+    explicit BusyLoop(const AsyncHttpServer::Handler &handler)
+        : m_server(&m_loop, address, handler)
+        , m_client(&m_loop, Milliseconds(300))
+    {
+        pass();
+    }
+
+    /// Makes a call and returns its answer.
+    HttpAnswer call(const std::string &body)
+    {
+        HttpCall call;
+        call.method = "POST";
+        call.target = "/";
+        call.contentType = "text/plain";
+        call.body = body;
+        call.timeout = Milliseconds(5000);
+        HttpAnswer got;
+        m_client.call(address, std::move(call), [this, &got](const HttpAnswer &answer) {
+            got = answer;
+            m_loop.stop();
+        });
+        m_loop.run();
+        return got;
+    }
+
+    int passes() const
+    {
+        return m_passes;
+    }
+
+private:
+    static constexpr const char *address = "127.0.0.1:19571";
+
+    void pass()
+    {
+        m_loop.post([this] {
+            std::this_thread::sleep_for(passDuration);
+            ++m_passes;
+            pass();
+        });
+    }
+
+    AsioLoop m_loop;
+    AsyncHttpServer m_server;
+    AsyncHttpClient m_client;
+    int m_passes = 0;
+};
+
+HttpReply replyOf(const std::string &body)
+{
+    HttpReply reply;
+    reply.status = 200;
+    reply.contentType = "text/plain";
+    reply.body = body;
+    return reply;
+}
+
+} // namespace
+
+// Guards against a list of workers that arrives seconds late, because each pass of a busy loop reads 512 bytes of it.
+TEST_CASE("a large response is read in a few passes of a busy loop")
+{
+    const std::string body(largeBodyBytes, 'w');
+    BusyLoop busy([body](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+        respond(replyOf(body));
+    });
+    const HttpAnswer got = busy.call("");
+    CHECK(got.status == 200);
+    CHECK(got.body == body);
+    CHECK(busy.passes() < fewPasses);
+}
+
+// Guards against the same delay of a caller's large request.
+TEST_CASE("a large request is read in a few passes of a busy loop")
+{
+    const std::string body(largeBodyBytes, 'j');
+    BusyLoop busy([](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
+        respond(replyOf(std::to_string(request.body.size())));
+    });
+    const HttpAnswer got = busy.call(body);
+    CHECK(got.status == 200);
+    CHECK(got.body == std::to_string(body.size()));
+    CHECK(busy.passes() < fewPasses);
+}
