Start nothing while the list of workers is older than what the store answers

Cause: before a start the coordinator checked that its term was confirmed and that the worker was not draining in the newest list that it had, but not how old that list was. The class is a decision on evidence whose age nobody knows.

A list is now as old as the question that it answers, on the clock that also runs while the VM is suspended. Starts wait while it is older than the store's last answer by more than drain-notice, a new setting that takes the deployment's bound, less the timeout of an order. The coordinator's own watch says so in worker_list_old and worker_list_current. During an outage the store answers nothing and starts go on, as before; after it they wait until the list has been read again.

--- a/src/include/fescueledge/workflow/collectionfollower.h
+++ b/src/include/fescueledge/workflow/collectionfollower.h
@@ -33,9 +33,13 @@
     void setContactHandler(std::function<void(bool)> handler);
     /// The version up to which all changes were delivered.
     RowVersion seenUpTo() const;
-    /// When the last call whose answer delivered everything up to its own time was sent: the rows are at least as new
-    /// as this. The epoch before the first.
-    TimePoint confirmedAt() const;
+    /// Sets the clock of confirmedAt(), if it is not the loop's.
+    void setClock(std::function<Duration()> clock);
+    /// The rows are at least as new as this time; zero before the first answer.
+    ///
+    /// An answer confirms the time at which its call was sent, and one without changes the end of the wait that it
+    /// asked for.
+    Duration confirmedAt() const;
     /// Starts following. @p snapshot is called with all rows, first and whenever the history was lost; @p changes with
     /// each later batch of changes.
     void start(SnapshotHandler snapshot, ChangesHandler changes);
--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -23,6 +23,8 @@
     Milliseconds orderRetryDelay{200};
     /// A coordinator that has not confirmed its term with the store or a peer for this long sends no orders.
     Milliseconds isolationTimeout{1500};
+    /// How long after a worker has announced its shutdown tasks may still start there.
+    Milliseconds drainNotice{2000};
     /// How long the state of an ended job can be queried.
     Milliseconds statusRetention{130000};
     /// Minimum time between two writes of progress; limits the calls to the store.
--- a/src/include/fescueledge/workflow/fleetsource.h
+++ b/src/include/fescueledge/workflow/fleetsource.h
@@ -26,8 +26,8 @@
     virtual void follow(Handler handler) = 0;
     /// Stops following.
     virtual void stop() = 0;
-    /// The updates so far show the list as it was at this time or later; the epoch before the first.
-    virtual TimePoint confirmedAt() const = 0;
+    /// The updates so far show the list as it was at this time since boot, or later; zero before the first.
+    virtual Duration confirmedAt() const = 0;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -196,6 +196,12 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.workerLease = Milliseconds(value.number);
          }},
+        {{"drain-notice", ValueType::Duration, false, "2s", 1000, 60000,
+          "How long after a worker has announced its shutdown tasks may still start there. Starts wait while the list "
+          "of workers is nearly as old, unless the store is away."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.drainNotice = Milliseconds(value.number);
+         }},
         {{"status-retention", ValueType::Duration, false, "130s", 1000, 86400000,
           "How long the state of an ended workflow can be asked for."},
          [](WorkflowSettings &target, const SettingValue &value) {
--- a/src/libworkflow/collectionfollower.cpp
+++ b/src/libworkflow/collectionfollower.cpp
@@ -22,11 +22,22 @@
     Milliseconds pause{0};
     bool stopped = false;
     RowVersion since = 0;
-    TimePoint confirmedAt{};
+    std::function<Duration()> clock;
+    Duration confirmedAt{0};
     SnapshotHandler snapshot;
     ChangesHandler changes;
     std::function<void(bool)> contact;
 
+    /// The time up to which an answer to the watch that was sent at @p sentAt shows all changes.
+    Duration confirmedBy(const WatchResult &result, Duration sentAt) const
+    {
+        if (result.truncated) {
+            return confirmedAt;
+        }
+        const bool waited = result.changes.empty() && clock() >= sentAt + wait;
+        return waited ? sentAt + Duration(wait) : sentAt;
+    }
+
     void reportContact(bool answered) const
     {
         if (contact) {
@@ -42,6 +53,9 @@
     m_state->table = table;
     m_state->collection = std::move(collection);
     m_state->wait = wait;
+    m_state->clock = [loop] {
+        return loop->now().time_since_epoch();
+    };
 }
 
 CollectionFollower::~CollectionFollower()
@@ -64,7 +78,12 @@
     return m_state->since;
 }
 
-TimePoint CollectionFollower::confirmedAt() const
+void CollectionFollower::setClock(std::function<Duration()> clock)
+{
+    m_state->clock = std::move(clock);
+}
+
+Duration CollectionFollower::confirmedAt() const
 {
     return m_state->confirmedAt;
 }
@@ -88,7 +107,7 @@
 
 void CollectionFollower::scan(const std::shared_ptr<State> &state)
 {
-    const TimePoint sentAt = state->loop->now();
+    const Duration sentAt = state->clock();
     state->table->scan(state->collection + "/", [state, sentAt](const ReadResult &result) {
         if (state->stopped) {
             return;
@@ -109,7 +128,7 @@
 
 void CollectionFollower::watch(const std::shared_ptr<State> &state)
 {
-    const TimePoint sentAt = state->loop->now();
+    const Duration sentAt = state->clock();
     state->table->watch(state->collection, state->since, state->wait, [state, sentAt](const WatchResult &result) {
         if (state->stopped) {
             return;
@@ -124,9 +143,7 @@
             return;
         }
         state->since = result.asOf;
-        if (!result.truncated) {
-            state->confirmedAt = sentAt;
-        }
+        state->confirmedAt = state->confirmedBy(result, sentAt);
         if (!result.changes.empty()) {
             state->changes(result.changes);
         }
--- a/src/libworkflow/collectionfollower_test.cpp
+++ b/src/libworkflow/collectionfollower_test.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-TEST_CASE("a follower's rows are as new as the call whose answer was complete")
+TEST_CASE("a follower's rows are as new as its last complete answer shows")
 {
     SimWorld world;
     SimLoop loop(&world);
@@ -50,9 +50,9 @@
     ALLOW_CALL(table, scan(_, _)).SIDE_EFFECT(_2(emptyScan()));
     ALLOW_CALL(table, watch(_, _, _, _)).LR_SIDE_EFFECT(answer = _4);
     CollectionFollower follower(&loop, &table, "servers", Milliseconds(700));
-    CHECK(follower.confirmedAt() == TimePoint{});
+    CHECK(follower.confirmedAt() == Duration::zero());
     world.runFor(Milliseconds(100));
-    const TimePoint scannedAt = world.now();
+    const Duration scannedAt = loop.now().time_since_epoch();
     follower.start([](const std::vector<Row> &) {}, [](const std::vector<WatchResult::Change> &) {});
     CHECK(follower.confirmedAt() == scannedAt);
 
@@ -63,9 +63,21 @@
     answer(answerOf(true));
     CHECK(follower.confirmedAt() == scannedAt);
 
+    // An answer with changes may have been on its way since its call was sent.
     world.runFor(Milliseconds(500));
-    const TimePoint watchedAt = world.now() - Milliseconds(500);
+    const Duration watchedAt = loop.now().time_since_epoch() - Milliseconds(500);
     answer(answerOf(false));
     CHECK(follower.confirmedAt() == watchedAt);
+
+    // One without changes was sent after the whole wait.
+    const Duration sentAt = loop.now().time_since_epoch();
+    WatchResult unchanged = answerOf(false);
+    unchanged.changes.clear();
+    world.runFor(Milliseconds(1000));
+    answer(unchanged);
+    CHECK(follower.confirmedAt() == sentAt + Milliseconds(700));
+    world.runFor(Milliseconds(100));
+    answer(unchanged);
+    CHECK(follower.confirmedAt() == sentAt + Milliseconds(1000));
     world.runFor(Milliseconds(1));
 }
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -17,6 +17,7 @@
     EventLog *log = nullptr;
     CoordinatorSettings settings;
     std::function<WallTime()> wallClock;
+    std::function<Duration()> sinceBoot; ///< NodeDependencies::sinceBoot.
     std::function<bool()> maySendOrders; ///< False while this node can't confirm that its term is the latest.
     std::function<void()> superseded; ///< Called when a worker has seen a later term.
 
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -75,6 +75,9 @@
     void tick();
     /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
     void reportLoad(TimePoint now);
+    Duration workerListAge() const;
+    /// Whether the list of workers is new enough to start tasks on them; logs each change.
+    bool isWorkerListCurrent();
     void removeExpiredJobs();
     void removeUnlistedWorkers();
     void scheduleDispatch();
@@ -110,6 +113,8 @@
     DispatchBudget m_dispatchBudget;
     Duration m_lastDispatchDuration{0}; ///< Duration of the last run, including the wait for the processor.
     TimePoint m_lastCleanupAt{};
+    Duration m_storeAnsweredAt{0}; ///< When the store last answered a call of this coordinator, since boot.
+    bool m_workerListCurrent = true; ///< Result of the last check.
     TimePoint m_tickDueAt{};
     Duration m_longestTickDelay{0}; ///< Since the last load report.
     TimePoint m_loadReportedAt{};
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -395,6 +395,7 @@
     context->log = m_parts.log;
     context->settings = m_settings;
     context->wallClock = m_parts.wallClock;
+    context->sinceBoot = m_parts.sinceBoot;
     const std::shared_ptr<bool> alive = m_alive;
     context->maySendOrders = [this] {
         return maySendOrders();
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -172,9 +172,9 @@
         m_state->handler = nullptr;
     }
 
-    TimePoint confirmedAt() const override
+    Duration confirmedAt() const override
     {
-        return m_state->withheld ? m_state->withheldSince : m_loop->now();
+        return (m_state->withheld ? m_state->withheldSince : m_loop->now()).time_since_epoch();
     }
 
     /// Withholds updates; afterwards the whole list is published again.
