Start nothing while the configuration is older than what the store answers

Callers would see tasks start in a data centre that the operators had taken out, for as long as its watch was late.

Both lists now go through ListFreshness; the log names the one that is old.

--- a/src/include/fescueledge/workflow/catalogsource.h
+++ b/src/include/fescueledge/workflow/catalogsource.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fescueledge/types.h"
+
 #include <functional>
 #include <memory>
 
@@ -16,6 +18,8 @@
     virtual ~CatalogSource() = default;
     /// Starts following; the handler is called with each newer catalog.
     virtual void follow(Handler handler) = 0;
+    /// No newer catalog had been published at this time since boot; zero before the first.
+    virtual Duration confirmedAt() const = 0;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -25,6 +25,7 @@
     TimePoint tookOverAt{};
     bool ended = false; ///< The term is over: late answers are ignored.
     const Catalog *catalog = nullptr;
+    std::function<Duration()> catalogConfirmedAt; ///< CatalogSource::confirmedAt().
     JobTable jobs;
     FleetTable fleet;
     InterferenceModel interference;
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -44,13 +44,13 @@
     , m_pacing(m_context, &m_orders)
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
     , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchTimeout)
+    , m_freshness(m_context, fleet)
     , m_loader(m_context, table)
     , m_leaseKeeper(m_context)
 {
     m_context->term = start.term;
     m_termStartVersion = start.chainVersion;
     m_context->tookOverAt = m_context->now();
-    m_storeAnsweredAt = m_context->sinceBoot();
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
@@ -374,36 +374,13 @@
     m_loadReportedAt = now;
     m_context->log->write(LogLine("coordinator_load")
                               .with("term", static_cast<std::int64_t>(m_context->term))
-                              .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(workerListAge()))
+                              .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(m_freshness.workersAge()))
                               .with("loop_delay_ms", std::chrono::duration_cast<Milliseconds>(m_longestTickDelay))
                               .with("workers", static_cast<std::int64_t>(m_context->fleet.all().size()))
                               .with("starts", static_cast<std::int64_t>(m_orders.startsSent)));
     m_longestTickDelay = Duration::zero();
 }
 
-Duration Coordinator::workerListAge() const
-{
-    return m_context->sinceBoot() - m_fleetSource->confirmedAt();
-}
-
-bool Coordinator::isWorkerListCurrent()
-{
-    const CoordinatorSettings &settings = m_context->settings;
-    const Duration limit = settings.drainNotice - settings.orderTimeout;
-    // While the store answers nothing, no worker can announce its shutdown there either.
-    const bool current = m_fleetSource->confirmedAt() + limit >= m_storeAnsweredAt;
-    if (current != m_workerListCurrent) {
-        m_workerListCurrent = current;
-        m_context->log->write(
-            LogLine(current ? "worker_list_current" : "worker_list_old")
-                .with("term", static_cast<std::int64_t>(m_context->term))
-                .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(workerListAge()))
-                .with("store_age_ms",
-                      std::chrono::duration_cast<Milliseconds>(m_context->sinceBoot() - m_storeAnsweredAt)));
-    }
-    return current;
-}
-
 void Coordinator::tick()
 {
     Context &context = *m_context;
@@ -480,8 +457,8 @@
 void Coordinator::dispatch()
 {
     m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
-    if (!isWorkerListCurrent()) {
-        return; // A worker on it may have announced its shutdown. The next tick tries again.
+    if (!m_freshness.areCurrent()) {
+        return; // A worker may have announced its shutdown, or its data centre be evacuated. The next tick tries again.
     }
     const TimePoint begun = m_context->now();
     const bool more = m_dispatch.run(m_dispatchBudget.startsPerRun());
@@ -495,7 +472,7 @@
 void Coordinator::reportStoreContact(bool reachable)
 {
     if (reachable) {
-        m_storeAnsweredAt = m_context->sinceBoot();
+        m_freshness.recordStoreAnswer();
     }
     if (m_storeContact) {
         m_storeContact(reachable);
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -7,6 +7,7 @@
 #include "fescueledge/workflow/collectionfollower.h"
 #include "fescueledge/workflow/fleetsource.h"
 #include "leasekeeper_pvt.h"
+#include "listfreshness_pvt.h"
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
 #include "pacingsystem_pvt.h"
@@ -75,9 +76,6 @@
     void tick();
     /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
     void reportLoad(TimePoint now);
-    Duration workerListAge() const;
-    /// Whether the list of workers is new enough to start tasks on them; logs each change.
-    bool isWorkerListCurrent();
     void removeExpiredJobs();
     void removeUnlistedWorkers();
     void scheduleDispatch();
@@ -93,6 +91,7 @@
     PacingSystem m_pacing;
     ProgressWriter m_writer;
     CollectionFollower m_jobFollower;
+    ListFreshness m_freshness;
     TermLoader m_loader;
     LeaseKeeper m_leaseKeeper;
     TermState m_state; ///< State of earlier terms, until it is applied to the tables.
@@ -113,8 +112,6 @@
     DispatchBudget m_dispatchBudget;
     Duration m_lastDispatchDuration{0}; ///< Duration of the last run, including the wait for the processor.
     TimePoint m_lastCleanupAt{};
-    Duration m_storeAnsweredAt{0}; ///< When the store last answered a call of this coordinator, since boot.
-    bool m_workerListCurrent = true; ///< Result of the last check.
     TimePoint m_tickDueAt{};
     Duration m_longestTickDelay{0}; ///< Since the last load report.
     TimePoint m_loadReportedAt{};
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -1,5 +1,6 @@
 #include "election_pvt.h"
 
+#include "fescueledge/workflow/catalogsource.h"
 #include "rows_pvt.h"
 
 #include <algorithm>
@@ -396,6 +397,9 @@
     context->settings = m_settings;
     context->wallClock = m_parts.wallClock;
     context->sinceBoot = m_parts.sinceBoot;
+    context->catalogConfirmedAt = [catalogs = m_parts.catalogs] {
+        return catalogs->confirmedAt();
+    };
     const std::shared_ptr<bool> alive = m_alive;
     context->maySendOrders = [this] {
         return maySendOrders();
--- a/src/libworkflow/workerlistage_test.cpp
+++ b/src/libworkflow/workerlistage_test.cpp
@@ -1,4 +1,4 @@
-// Starts while the coordinator's list of workers is old.
+// Starts while the coordinator's list of workers, or its configuration, is old.
 #include "readyworld_pvt.h"
 #include "workflowworld_pvt.h"
 
@@ -11,6 +11,8 @@
 
 /// After this time no task may start on a worker that has announced its shutdown.
 constexpr Milliseconds drainLimit{2000};
+/// The same for a worker in a data centre that is being evacuated.
+constexpr Milliseconds evacuationLimit{5000};
 
 } // namespace
 
@@ -63,3 +65,27 @@
         CHECK_FALSE((run.worker == "w0" && run.began > announcedAt + drainLimit));
     }
 }
+
+// Guards against starts in an evacuated data centre: the store answers all other calls, but the evacuation is read
+// late.
+TEST_CASE("no task starts in an evacuated data centre while news of the configuration is late")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 2);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(200), false);
+    };
+    world->submit(0, jobA, workflowOf({simpleStep(400)}));
+    world->run(Milliseconds(500));
+    world->withholdCatalogs(0, true);
+    Catalog catalog = world->catalog;
+    catalog.version = 2;
+    catalog.evacuated = {"dc-a"};
+    world->setCatalog(catalog);
+    const TimePoint evacuatedAt = world->world.now();
+    world->run(Milliseconds(8000));
+    world->withholdCatalogs(0, false);
+    CHECK(reachesState(*world, 0, jobA, "complete", std::chrono::seconds(60)));
+    for (const SimWorkers::RunRecord &run : world->workers.runs()) {
+        CHECK_FALSE((run.worker == "w0" && run.began > evacuatedAt + evacuationLimit));
+    }
+}
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -216,6 +216,11 @@
 class SimCatalogSource : public CatalogSource
 {
 public:
+    explicit SimCatalogSource(Loop *loop)
+        : m_loop(loop)
+    {
+    }
+
     void follow(Handler handler) override
     {
         m_handler = std::move(handler);
@@ -228,14 +233,30 @@
         publish();
     }
 
+    Duration confirmedAt() const override
+    {
+        return (m_withheld ? m_withheldSince : m_loop->now()).time_since_epoch();
+    }
+
+    /// Withholds newer catalogs; afterwards the newest one is published.
+    void withhold(bool on)
+    {
+        m_withheld = on;
+        m_withheldSince = m_loop->now();
+        publish();
+    }
+
 private:
     void publish()
     {
-        if (m_handler && m_catalog) {
+        if (m_handler && m_catalog && !m_withheld) {
             m_handler(m_catalog);
         }
     }
 
+    Loop *m_loop;
+    bool m_withheld = false;
+    TimePoint m_withheldSince{};
     Handler m_handler;
     std::shared_ptr<const Catalog> m_catalog;
 };
@@ -280,6 +301,7 @@
         , transport(&owner->network, &loop, name)
         , gateway(&owner->world, &loop, &owner->workers, name)
         , fleet(&loop, &owner->workers)
+        , catalogs(&loop)
     {
         NodeDependencies parts;
         parts.loop = &loop;
@@ -407,6 +429,11 @@
     m_processes[static_cast<std::size_t>(index)]->fleet.withhold(on);
 }
 
+void WorkflowWorld::withholdCatalogs(int index, bool on)
+{
+    m_processes[static_cast<std::size_t>(index)]->catalogs.withhold(on);
+}
+
 MemoryLog &WorkflowWorld::log(int index)
 {
     return m_processes[static_cast<std::size_t>(index)]->log;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -61,12 +61,14 @@
     /// Makes each following start order of node @p index take effect after @p delay, and loses its answer.
     void delayStarts(int index, Duration delay);
 
-    /// Withholds updates of the list of workers from node @p index while @p on.
-    void withholdFleetUpdates(int index, bool on);
-
     /// The same for pace orders.
     void delayPaces(int index, Duration delay);
 
+    /// Withholds updates of the list of workers from node @p index while @p on.
+    void withholdFleetUpdates(int index, bool on);
+    /// Withholds newer catalogs from node @p index while @p on.
+    void withholdCatalogs(int index, bool on);
+
     /// Submits through node @p index and waits for the answer.
     CallerOutcome submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue = "batch");
     /// Submits without waiting for the answer.
