--- a/src/libworkflow/listfreshness_pvt.h
+++ b/src/libworkflow/listfreshness_pvt.h
@@ -11,8 +11,8 @@
 /// Decides whether the lists that say where nothing may start, of workers and of evacuated data centres, are new enough
 /// to start tasks by.
 ///
-/// A list may be older than the store's last answer by CoordinatorSettings::drainNotice, less the time that an order may
-/// take. While the store answers nothing the lists stay current: nobody can announce anything there either.
+/// A list may be older than the store's last answer by CoordinatorSettings::drainNotice, less the time that an order
+/// may take. While the store answers nothing the lists stay current: nobody can announce anything there either.
 class ListFreshness
 {
 public:
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -41,6 +41,11 @@
     void stop(const WorkerRef &worker, const TaskKey &task, RunNumber run, Term term, Milliseconds timeout,
               OrderHandler handler) override
     {
+        if (stopsToLose > 0) {
+            --stopsToLose;
+            answerWithTimeout(timeout, handler);
+            return;
+        }
         deliver(worker, timeout, handler, [this, worker, task, run, term] {
             return m_workers->stop(worker.id, task, run, term);
         });
@@ -80,6 +85,7 @@
 
     Duration startDelay{0};
     Duration paceDelay{0};
+    int stopsToLose = 0; ///< This many following stop orders are not delivered.
     int dropEvery = 0; ///< Every observation with a multiple of this number gets no answer; 0 for none.
 
 private:
@@ -424,6 +430,11 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.startDelay = delay;
 }
 
+void WorkflowWorld::loseStops(int index, int count)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.stopsToLose = count;
+}
+
 void WorkflowWorld::withholdFleetUpdates(int index, bool on)
 {
     m_processes[static_cast<std::size_t>(index)]->fleet.withhold(on);
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -64,6 +64,9 @@
     /// The same for pace orders.
     void delayPaces(int index, Duration delay);
 
+    /// Loses the following @p count stop orders of node @p index.
+    void loseStops(int index, int count);
+
     /// Withholds updates of the list of workers from node @p index while @p on.
     void withholdFleetUpdates(int index, bool on);
     /// Withholds newer catalogs from node @p index while @p on.
