Keep the latest run of a task that is seen, and start none before each earlier one is over

Cause: the record of a silent worker names the runs that may be there. It can be older than the run that its writer started elsewhere once the lease was over. The next coordinator put the task on the recorded worker, met the later run at work, stopped that as unknown, and started the task a third time as soon as the recorded worker turned out to be gone, whether or not the stop had taken effect. The same happened to each run that was met and not the current one: it was told to stop, and nothing waited for that.

The rule is in one place, FleetTable: the run with the highest number that was seen is the task's run, and any other run that is known has to be over before the task starts again. Its end was listed, it was missing in a later list, its worker began another life, or its lease has expired. Such runs keep their reservation on the worker and are named in the record. run_superseded logs a run that is kept, step_waits says earlier_run when that is what a step waits for.

Why it is safe: a run starts only when each earlier one is over, so a later run at work shows that earlier ones are; a run of an earlier term can't start late on a worker that has answered this term.

Ruled out: writing the record before each start elsewhere, which a coordinator without the store can't.

Looked for elsewhere: starts of gangs, the record of workers and its restoration had the same gap and follow the rule; the room of such a run was not counted.

--- a/src/include/fescueledge/workflow/taskkey.h
+++ b/src/include/fescueledge/workflow/taskkey.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace fescueledge::workflow {
 
@@ -21,6 +22,11 @@
     return a.index == b.index && a.step == b.step && a.occurrence == b.occurrence && a.job == b.job;
 }
 
+inline bool operator<(const TaskKey &a, const TaskKey &b)
+{
+    return std::tie(a.job, a.occurrence, a.step, a.index) < std::tie(b.job, b.occurrence, b.step, b.index);
+}
+
 /// Formats @p key as `job.occurrence.step.index`, for logs.
 inline std::string toString(const TaskKey &key)
 {
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -292,12 +292,21 @@
         worker->recordNamesRuns = recorded.namesRuns;
         for (const auto &[key, run] : recorded.runs) {
             Task *task = context.jobs.findTask(key);
-            if (task != nullptr && task->phase == TaskPhase::Idle) {
-                task->run = std::max(task->run, run);
-                task->pace = unknownPace;
-                FleetTable::place(task, worker);
-                context.jobs.setPhase(task, TaskPhase::Uncertain, now);
+            if (task == nullptr || task->phase == TaskPhase::Done) {
+                continue;
             }
+            if (run < task->run || (run == task->run && task->worker != nullptr)) {
+                context.fleet.addEarlierRun(worker, key, run, task->step->spec);
+                continue;
+            }
+            if (task->worker != nullptr) {
+                context.fleet.addEarlierRun(task->worker, key, task->run, task->step->spec);
+                FleetTable::release(task);
+            }
+            task->run = run;
+            task->pace = unknownPace;
+            FleetTable::place(task, worker);
+            context.jobs.setPhase(task, TaskPhase::Uncertain, now);
         }
     }
 }
@@ -425,7 +434,8 @@
     const TimePoint now = m_context->now();
     std::vector<WorkerId> removable;
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (!worker->listed && worker->tasks.empty() && now > worker->leaseExpiresAt && !worker->observationPending) {
+        if (!worker->listed && worker->tasks.empty() && worker->earlierRuns.empty() && now > worker->leaseExpiresAt
+            && !worker->observationPending) {
             removable.push_back(id);
         }
     }
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -146,7 +146,7 @@
         return;
     }
     for (Task &task : step->tasks) {
-        if (task.phase != TaskPhase::Idle) {
+        if (task.phase != TaskPhase::Idle || m_context->fleet.isAwaited(keyOf(task))) {
             continue;
         }
         if (m_orders->startsSent >= limit) {
@@ -183,6 +183,11 @@
     if (step->idleTasks != step->tasksLeft) {
         return;
     }
+    if (std::any_of(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
+            return task.phase == TaskPhase::Idle && m_context->fleet.isAwaited(keyOf(task));
+        })) {
+        return;
+    }
     std::vector<std::pair<Task *, Place>> places;
     const bool overdue = m_placement->overdue(*step->occurrence->job); // A job with a placed task is never overdue.
     RunNumber run = 0;
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -136,6 +136,14 @@
     Lost, ///< It has not answered for longer than its lease, so nothing runs there.
 };
 
+/// A run on a worker that is not the current run of its task: a later one has superseded it, or is known to exist.
+struct EarlierRun
+{
+    TaskKey task;
+    RunNumber run = 0;
+    Resources reserved; ///< What it keeps reserved on the worker.
+};
+
 /// One worker, by id.
 struct Worker
 {
@@ -156,6 +164,8 @@
     std::map<std::string, int> servingImages; ///< Number of serving tasks on it, by image.
     std::map<Step *, int, CreationOrder> servingSteps; ///< Number of serving tasks on it, by step.
     TaskSet tasks; ///< Tasks on it, in any phase but Idle and Done.
+    /// Runs on it that have to end before their tasks start again; see FleetTable::addEarlierRun().
+    std::vector<EarlierRun> earlierRuns;
     std::uint64_t endsApplied = 0; ///< Number of the last run end that was applied to the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
     std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -120,6 +120,26 @@
     }
 }
 
+void FleetTable::addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step)
+{
+    EarlierRun earlier;
+    earlier.task = task;
+    earlier.run = run;
+    earlier.reserved = step == nullptr ? Resources{} : reservedResources(*step);
+    worker->used += earlier.reserved;
+    worker->earlierRuns.push_back(earlier);
+    ++m_awaited[task];
+}
+
+void FleetTable::clearEarlierRuns(Worker *worker)
+{
+    for (const EarlierRun &earlier : worker->earlierRuns) {
+        worker->used -= earlier.reserved;
+        addTo(&m_awaited, earlier.task, -1);
+    }
+    worker->earlierRuns.clear();
+}
+
 bool FleetTable::hasRoom(const Worker &worker, const StepSpec &step)
 {
     return (worker.used + reservedResources(step)).fitsIn(worker.entry.capacity);
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -10,6 +10,10 @@
 constexpr Milliseconds leaseMargin{100};
 
 /// The workers, the tasks on them, and the ends of their leases.
+///
+/// The run of a task with the highest number that was seen is its current run. Any other run of it that is known,
+/// wherever it is, has to be over before the task starts again: its end was listed, it was missing in a later list, its
+/// worker began another life, or its lease has certainly expired.
 class FleetTable
 {
 public:
@@ -24,6 +28,17 @@
     /// Sets the pace of @p task and updates the load of its worker.
     static void setPace(Task *task, int pace);
 
+    /// Records that @p run, which is not the current run of its task, is on @p worker. While it is, isAwaited() holds
+    /// for the task. @p step is the task's step, or nullptr if that is not known.
+    void addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step);
+    /// Forgets the earlier runs on @p worker: they are over.
+    void clearEarlierRuns(Worker *worker);
+    /// Whether an earlier run of @p task may still be on some worker.
+    bool isAwaited(const TaskKey &task) const
+    {
+        return m_awaited.count(task) > 0;
+    }
+
     /// Whether a task of @p step fits on @p worker beside the tasks there.
     static bool hasRoom(const Worker &worker, const StepSpec &step);
     /// Number of tasks of @p step on @p worker.
@@ -45,6 +60,7 @@
 
 private:
     std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
+    std::map<TaskKey, int> m_awaited; ///< Number of earlier runs of a task, on all workers.
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -34,7 +34,7 @@
     if (worker.contact == WorkerContact::Unadopted) {
         return true;
     }
-    return !worker.tasks.empty() || worker.endsApplied > worker.endsAcknowledged
+    return !worker.tasks.empty() || !worker.earlierRuns.empty() || worker.endsApplied > worker.endsAcknowledged
         || (worker.contact != WorkerContact::Adopted && worker.listed);
 }
 
@@ -48,7 +48,8 @@
 {
     const TimePoint now = m_context->now();
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        const bool mayHoldRuns = worker->contact == WorkerContact::Unadopted || !worker->tasks.empty();
+        const bool mayHoldRuns =
+            worker->contact == WorkerContact::Unadopted || !worker->tasks.empty() || !worker->earlierRuns.empty();
         if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->leaseExpiresAt
             && worker->contact != WorkerContact::Adopted) {
             m_orders->markTasksLost(worker.get(), "lease-over");
@@ -130,6 +131,10 @@
     if (worker->incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
         adopt(worker, answer);
     }
+    if (!worker->earlierRuns.empty()) {
+        context.fleet.clearEarlierRuns(worker); // Those that are not over are listed again.
+        context.wakeDispatch();
+    }
     for (const ActiveRun &run : answer.active) {
         applyActiveRun(worker, run);
     }
@@ -204,24 +209,13 @@
     Context &context = *m_context;
     const TimePoint now = context.now();
     Task *task = context.jobs.findTask(run.task);
-    if (task == nullptr || task->phase == TaskPhase::Done) {
-        m_orders->stopUnknownRun(worker, run.task, run.run);
+    const bool current = task != nullptr && task->worker == worker && task->run == run.run;
+    if (!current && (task == nullptr || task->phase == TaskPhase::Done || !supersedes(*task, run))) {
+        awaitEnd(worker, run.task, run.run, task);
         return;
     }
-    if (task->worker == nullptr) {
-        task->run = std::max(task->run, run.run);
-        if (run.run < task->run) {
-            m_orders->stopUnknownRun(worker, run.task, run.run);
-            return;
-        }
-        task->pace = unknownPace; // An earlier coordinator may have slowed it down.
-        FleetTable::place(task, worker);
-        context.jobs.setPhase(task, TaskPhase::Running, now);
-        task->progressAt = now;
-        task->stopConfirmed = false;
-    } else if (task->worker != worker || task->run != run.run) {
-        m_orders->stopUnknownRun(worker, run.task, run.run);
-        return;
+    if (!current) {
+        adoptRun(worker, task, run.run);
     }
     task->seenOnWorker = true;
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
@@ -240,6 +234,47 @@
     }
 }
 
+bool ObservationSystem::supersedes(const Task &task, const ActiveRun &run)
+{
+    return run.run > task.run || (run.run == task.run && task.worker == nullptr);
+}
+
+void ObservationSystem::awaitEnd(Worker *worker, const TaskKey &key, RunNumber run, const Task *task)
+{
+    if (worker->contact == WorkerContact::Lost) {
+        return; // Nothing runs there.
+    }
+    m_orders->stopUnknownRun(worker, key, run);
+    m_context->fleet.addEarlierRun(worker, key, run, task == nullptr ? nullptr : task->step->spec);
+}
+
+void ObservationSystem::adoptRun(Worker *worker, Task *task, RunNumber run)
+{
+    Context &context = *m_context;
+    const TimePoint now = context.now();
+    Worker *before = task->worker;
+    const RunNumber superseded = task->run;
+    if (before != nullptr) {
+        context.log->write(LogLine("run_superseded")
+                               .with("job", task->step->occurrence->job->id)
+                               .with("task", toString(keyOf(*task)))
+                               .with("run", static_cast<std::int64_t>(superseded))
+                               .with("worker", before->id)
+                               .with("by_run", static_cast<std::int64_t>(run))
+                               .with("by_worker", worker->id));
+        FleetTable::release(task);
+        if (before != worker) { // A worker lists all its runs, so one that it does not list is over.
+            awaitEnd(before, keyOf(*task), superseded, task);
+        }
+    }
+    task->run = run;
+    task->pace = unknownPace; // An earlier coordinator may have slowed it down.
+    FleetTable::place(task, worker);
+    context.jobs.setPhase(task, TaskPhase::Running, now);
+    task->progressAt = now;
+    task->stopConfirmed = false;
+}
+
 void ObservationSystem::applyRunEnd(Worker *worker, const EndedRun &end)
 {
     Context &context = *m_context;
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -30,6 +30,13 @@
     void onNoAnswer(Worker *worker, OrderOutcome outcome);
     void adopt(Worker *worker, const Observation &answer);
     void applyActiveRun(Worker *worker, const ActiveRun &run);
+    /// Whether @p run, seen at work, is to be the current run of @p task.
+    static bool supersedes(const Task &task, const ActiveRun &run);
+    /// Makes run @p run on @p worker the current run of @p task.
+    void adoptRun(Worker *worker, Task *task, RunNumber run);
+    /// Stops a run that is not the current one of its task, which can start again when the run is over. @p task is
+    /// nullptr if the task is not in the tables.
+    void awaitEnd(Worker *worker, const TaskKey &key, RunNumber run, const Task *task);
     void applyRunEnd(Worker *worker, const EndedRun &end);
     void finishRun(Task *task, const EndedRun &end);
     void finishEarlierRun(Task *task, const EndedRun &end);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -307,7 +307,9 @@
         FleetTable::release(task);
         m_context->jobs.setIdle(task);
     }
-    if (!tasks.empty()) {
+    const bool awaited = !worker->earlierRuns.empty();
+    m_context->fleet.clearEarlierRuns(worker);
+    if (!tasks.empty() || awaited) {
         m_context->wakeDispatch();
     }
 }
--- a/src/libworkflow/supersededrun_test.cpp
+++ b/src/libworkflow/supersededrun_test.cpp
@@ -91,8 +91,8 @@
 
 } // namespace
 
-// Guards against a task that runs twice: after a takeover the newer of two runs was stopped, because the record named the
-// older one, and the task started again before the stop had taken effect.
+// Guards against a task that runs twice: after a takeover the newer of two runs was stopped, because the record named
+// the older one, and the task started again before the stop had taken effect.
 TEST_CASE("after a takeover a run at work supersedes an earlier one that was recorded on a lost worker")
 {
     const int lostStops = GENERATE(0, 1, 2);
@@ -131,8 +131,8 @@
     CHECK(world.workers.tasksRunTwice().empty());
 }
 
-// Guards against a new run beside an earlier one that was seen at work: its start order took effect late, and stops of it
-// are lost.
+// Guards against a new run beside an earlier one that was seen at work: its start order took effect late, and stops of
+// it are lost.
 TEST_CASE("a task whose run was lost starts again only when an earlier run of it, seen elsewhere, is over")
 {
     const int lostStops = GENERATE(0, 1, 2, 5);
@@ -156,6 +156,11 @@
     world->run(Milliseconds(300));
     world->loseStops(0, lostStops);
     startLate(world.get(), task, workerOtherThan(early, later));
+    REQUIRE(world->runUntil(
+        [&] {
+            return world->log(0).count("run_stop_unknown") >= 1;
+        },
+        std::chrono::seconds(2)));
     world->workers.crash(later);
     world->workers.restart(later);
     CHECK(reachesState(*world, 0, jobA, "complete", std::chrono::seconds(60)));
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -69,6 +69,9 @@
         ++workers.at(static_cast<std::size_t>(m_placement->verdict(*worker, *step)));
     }
     const bool held = !DispatchSystem::mayStart(*step, m_observations->knowsEarlierRuns());
+    const auto awaiting = std::count_if(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
+        return task.phase == TaskPhase::Idle && m_context->fleet.isAwaited(keyOf(task));
+    });
     const auto most = std::max_element(workers.begin(), workers.end());
     const PlaceVerdict reason = static_cast<PlaceVerdict>(most - workers.begin());
     LogLine line("step_waits");
@@ -78,7 +81,13 @@
         .with("of", static_cast<std::int64_t>(step->spec->count))
         .with("job_idle_ms", idleFor(job, now))
         .with("waited_ms", std::chrono::duration_cast<Milliseconds>(now - step->waitingSince))
-        .with("outcome", held ? "earlier_runs_unknown" : placeVerdictName(reason));
+        .with("outcome",
+              held                              ? "earlier_runs_unknown"
+                  : awaiting == step->idleTasks ? "earlier_run"
+                                                : placeVerdictName(reason));
+    if (awaiting > 0) {
+        line.with("earlier_run", static_cast<std::int64_t>(awaiting));
+    }
     for (std::size_t i = 0; i < workers.size(); ++i) {
         if (workers.at(i) > 0) {
             line.with(placeVerdictName(static_cast<PlaceVerdict>(i)), workers.at(i));
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -27,6 +27,10 @@
                 const TaskKey key = keyOf(*task);
                 runs.push_back({key.job, key.occurrence, key.step, key.index, task->run});
             }
+            for (const EarlierRun &earlier : worker->earlierRuns) {
+                const TaskKey &key = earlier.task;
+                runs.push_back({key.job, key.occurrence, key.step, key.index, earlier.run});
+            }
             entry["runs"] = runs;
         }
         out.push_back(entry);
