Count evidence of a term from when its question was sent

Cause: a coordinator that was cut off and replaced found pings of its own term in its sockets when it was reached again, and answers of the store after a suspension. Both were stamped on arrival, so it took its term for confirmed and started tasks for up to 1.5 s on workers that had not heard of the next term.

A pong now carries the coordinator's time, and the next ping returns it: a ping proves that its sender knew no later term at some time after that pong. A write counts from when it was sent, a watch as its rows do, the takeover from when its write was sent. All are times since boot, which go on while the VM is suspended. Reads of other rows at the start of a term, which say nothing about it, no longer confirm it.

Ruled out: time stamps of the senders, which would need one clock for all VMs; a shorter isolation timeout, which only makes the window smaller. A node of an earlier version sends no time with its pings, so during a rolling update the store alone confirms terms until all run this one.

--- a/src/include/fescueledge/testing/fakenetwork.h
+++ b/src/include/fescueledge/testing/fakenetwork.h
@@ -3,9 +3,11 @@
 #include "fescueledge/peertransport.h"
 #include "fescueledge/random.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace fescueledge {
 
@@ -22,6 +24,8 @@
     void setCut(const NodeId &from, const NodeId &to, bool cut);
     /// Cuts or restores all links of @p node, in both directions.
     void setIsolated(const NodeId &node, bool isolated);
+    /// Holds up the messages to and from @p node, or delivers those that were held up.
+    void setHeld(const NodeId &node, bool held);
     /// True if a message from @p from would reach @p to.
     bool connected(const NodeId &from, const NodeId &to) const;
 
@@ -38,6 +42,7 @@
     std::map<NodeId, FakePeerTransport *> m_transports;
     std::set<std::pair<NodeId, NodeId>> m_cuts;
     std::set<NodeId> m_isolated;
+    std::map<NodeId, std::vector<std::function<void()>>> m_held; ///< Messages by the node for which they are held up.
 };
 
 } // namespace fescueledge
--- a/src/libtesting/fakenetwork.cpp
+++ b/src/libtesting/fakenetwork.cpp
@@ -33,6 +33,19 @@
     }
 }
 
+void FakeNetwork::setHeld(const NodeId &node, bool held)
+{
+    if (held) {
+        m_held[node];
+        return;
+    }
+    const std::vector<std::function<void()>> messages = std::move(m_held[node]);
+    m_held.erase(node);
+    for (const std::function<void()> &deliver : messages) {
+        m_world->after(Duration(latency), deliver);
+    }
+}
+
 bool FakeNetwork::connected(const NodeId &from, const NodeId &to) const
 {
     if (from == to) {
@@ -46,6 +59,13 @@
     if (!connected(from, to) || (from != to && m_random.chance(loss))) {
         return;
     }
+    for (const NodeId &node : {from, to}) {
+        const auto held = m_held.find(node);
+        if (held != m_held.end()) {
+            held->second.push_back(std::move(deliver));
+            return;
+        }
+    }
     m_world->after(from == to ? Duration::zero() : Duration(latency), std::move(deliver));
 }
 
--- a/src/libworkflow/collectionfollower.cpp
+++ b/src/libworkflow/collectionfollower.cpp
@@ -31,7 +31,7 @@
     /// The time up to which an answer to the watch that was sent at @p sentAt shows all changes.
     Duration confirmedBy(const WatchResult &result, Duration sentAt) const
     {
-        if (result.truncated) {
+        if (!result.available || result.historyLost || result.truncated) {
             return confirmedAt;
         }
         const bool waited = result.changes.empty() && clock() >= sentAt + wait;
@@ -112,13 +112,13 @@
         if (state->stopped) {
             return;
         }
+        state->confirmedAt = result.available ? sentAt : state->confirmedAt;
         state->reportContact(result.available);
         if (!result.available) {
             later(state, &CollectionFollower::scan, retryDelay);
             return;
         }
         state->since = result.asOf;
-        state->confirmedAt = sentAt;
         state->snapshot(result.rows);
         if (!state->stopped) {
             watch(state);
@@ -133,6 +133,7 @@
         if (state->stopped) {
             return;
         }
+        state->confirmedAt = state->confirmedBy(result, sentAt);
         state->reportContact(result.available);
         if (!result.available) {
             later(state, &CollectionFollower::watch, retryDelay);
@@ -143,7 +144,6 @@
             return;
         }
         state->since = result.asOf;
-        state->confirmedAt = state->confirmedBy(result, sentAt);
         if (!result.changes.empty()) {
             state->changes(result.changes);
         }
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -77,6 +77,9 @@
     m_writer.storeReachable = [this](bool reachable) {
         reportStoreContact(reachable);
     };
+    m_writer.termConfirmed = [this](Duration at) {
+        reportTermConfirmed(at);
+    };
     m_loader.storeReachable = [this](bool reachable) {
         reportStoreContact(reachable);
     };
@@ -105,8 +108,10 @@
 void Coordinator::followJobs()
 {
     m_jobFollower.setWatchDelay(jobWatchDelay);
+    m_jobFollower.setClock(m_context->sinceBoot);
     m_jobFollower.setContactHandler([this](bool answered) {
         reportStoreContact(answered);
+        reportTermConfirmed(m_jobFollower.confirmedAt()); // The marker of a later term would have been among the rows.
     });
     m_jobFollower.start(
         [this](const std::vector<Row> &rows) {
@@ -494,6 +499,18 @@
     m_storeContact = std::move(handler);
 }
 
+void Coordinator::reportTermConfirmed(Duration at)
+{
+    if (m_termConfirmed && !m_context->ended) {
+        m_termConfirmed(at);
+    }
+}
+
+void Coordinator::setTermConfirmedHandler(std::function<void(Duration)> handler)
+{
+    m_termConfirmed = std::move(handler);
+}
+
 void Coordinator::setCatalog(const Catalog *catalog)
 {
     m_context->catalog = catalog;
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -55,6 +55,8 @@
     }
     /// @p handler is called after calls to the store, with whether the store answered.
     void setStoreContactHandler(std::function<void(bool)> handler);
+    /// @p handler is called with times since boot at which the store still had this term as the latest.
+    void setTermConfirmedHandler(std::function<void(Duration)> handler);
     Term term() const
     {
         return m_context->term;
@@ -73,6 +75,7 @@
     void restoreRecordedWorkers(const std::string &record);
     void onFleetUpdate(const FleetUpdate &update);
     void reportStoreContact(bool reachable);
+    void reportTermConfirmed(Duration at);
     void tick();
     /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
     void reportLoad(TimePoint now);
@@ -104,6 +107,7 @@
     std::set<JobId> m_acceptedThisTerm;
     std::set<JobId> m_earlyCancellations; ///< Cancellations that were read before their jobs.
     std::function<void(bool)> m_storeContact;
+    std::function<void(Duration)> m_termConfirmed;
     bool m_jobsLoaded = false;
     /// Earlier coordinators can't start anything more, and all runs that they started are known.
     bool m_earlierRunsKnown = false;
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -211,7 +211,11 @@
 void Election::ping()
 {
     const std::shared_ptr<bool> alive = m_alive;
-    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", pingBody()}, pingTimeout,
+    json body = pingBody();
+    if (m_coordinatorStamp != Milliseconds::zero()) {
+        body["answers_ms"] = m_coordinatorStamp.count();
+    }
+    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout,
                         [this, alive](const PeerResult &result) {
                             if (*alive && !m_localCoordinator) {
                                 onPong(result);
@@ -232,6 +236,7 @@
         return;
     }
     if (term == m_term && body.value("leads", false)) {
+        m_coordinatorStamp = Milliseconds(body.value("now_ms", std::int64_t{0}));
         if (body.value("store", true)) {
             m_coordinatorSeenAt = m_parts.loop->now();
             m_storeLossSince = TimePoint{};
@@ -253,10 +258,13 @@
     }
     if (m_localCoordinator) {
         if (theirTerm == m_term) {
-            m_lastPingFrom[from] = m_parts.sinceBoot();
+            // The ping may have been on its way for long, but not since before the pong that it answers.
+            Duration &confirmedAt = m_confirmedByPing[from];
+            confirmedAt = std::max(confirmedAt, Duration(Milliseconds(body.value("answers_ms", std::int64_t{0}))));
         }
     }
     json reply = pingBody();
+    reply["now_ms"] = std::chrono::duration_cast<Milliseconds>(m_parts.sinceBoot()).count();
     reply["leads"] = m_localCoordinator != nullptr;
     reply["store"] = isStoreResponsive();
     return PeerMessage{"coordinator-pong", reply};
@@ -325,6 +333,7 @@
     m_coordinator = row.node;
     m_coordinatorAddress = row.address;
     m_coordinatorSeenAt = m_parts.loop->now();
+    m_coordinatorStamp = Milliseconds::zero();
     m_storeLossSince = TimePoint{};
     m_parts.log->write(
         LogLine("coordinator_known").with("node", row.node).with("term", static_cast<std::int64_t>(row.term)));
@@ -366,18 +375,19 @@
             .with("silent_ms", std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - m_coordinatorSeenAt)));
     m_reading = true;
     const std::shared_ptr<bool> alive = m_alive;
-    m_resolver.commit(transaction, takeoverCommitTimeout, [this, alive, next](const CommitResult &result) {
+    const Duration sentAt = m_parts.sinceBoot();
+    m_resolver.commit(transaction, takeoverCommitTimeout, [this, alive, next, sentAt](const CommitResult &result) {
         if (!*alive) {
             return;
         }
         m_reading = false;
         if (result.status == CommitStatus::Committed) {
-            beginTerm(next, result.version);
+            beginTerm(next, result.version, sentAt);
         }
     });
 }
 
-void Election::beginTerm(const CoordinatorRow &row, RowVersion version)
+void Election::beginTerm(const CoordinatorRow &row, RowVersion version, Duration confirmedAt)
 {
     if (m_localCoordinator || m_term > row.term) {
         return;
@@ -386,7 +396,8 @@
     m_storeLossSince = TimePoint{};
     m_coordinator = m_self.name;
     m_coordinatorAddress = m_self.peerAddress;
-    m_lastPingFrom.clear();
+    m_confirmedByPing.clear();
+    m_confirmedByStore = confirmedAt;
     m_storeFailures = 0;
     m_storeAnsweredAt = m_parts.sinceBoot();
     m_parts.log->write(LogLine("term_begun").with("term", static_cast<std::int64_t>(row.term)));
@@ -428,6 +439,11 @@
             recordStoreContact(answered);
         }
     });
+    m_localCoordinator->setTermConfirmedHandler([this, alive](Duration at) {
+        if (*alive) {
+            m_confirmedByStore = std::max(m_confirmedByStore, at);
+        }
+    });
 }
 
 void Election::setCatalog(std::shared_ptr<const Catalog> catalog)
@@ -451,11 +467,11 @@
 bool Election::maySendOrders() const
 {
     const Duration now = m_parts.sinceBoot();
-    if (now < m_storeAnsweredAt + m_settings.isolationTimeout) {
+    if (now < m_confirmedByStore + m_settings.isolationTimeout) {
         return true;
     }
     // During an outage of the store, pings from the other nodes show that none of them has taken over.
-    const auto recent = std::count_if(m_lastPingFrom.begin(), m_lastPingFrom.end(), [&](const auto &entry) {
+    const auto recent = std::count_if(m_confirmedByPing.begin(), m_confirmedByPing.end(), [&](const auto &entry) {
         return now < entry.second + m_settings.isolationTimeout;
     });
     return static_cast<std::size_t>(recent) + 1 > m_members.size() / 2;
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -79,7 +79,8 @@
     void readCoordinator();
     void onCoordinatorRow(const ReadResult &result);
     void takeOver(const CoordinatorRow &current, RowVersion version);
-    void beginTerm(const CoordinatorRow &row, RowVersion version);
+    /// @p confirmedAt is when the write that began the term was sent, since boot.
+    void beginTerm(const CoordinatorRow &row, RowVersion version, Duration confirmedAt);
     void stepDown(const char *reason);
     bool maySendOrders() const;
     void recordStoreContact(bool answered);
@@ -109,8 +110,12 @@
     std::unique_ptr<Coordinator> m_localCoordinator;
     Duration m_storeAnsweredAt{}; ///< Time since boot at the last answer of the store.
     int m_storeFailures = 0;
-    /// Time since boot at the last ping from each node under this coordinator's term.
-    std::map<NodeId, Duration> m_lastPingFrom;
+    /// Times since boot at which this coordinator's term was the latest: evidence counts from when the question that it
+    /// answers was sent, because an answer may have been held up on its way.
+    Duration m_confirmedByStore{};
+    std::map<NodeId, Duration> m_confirmedByPing; ///< By the node whose ping answered a pong of that time.
+    /// The coordinator's time in its last pong, to be returned with the next ping; zero if there is none.
+    Milliseconds m_coordinatorStamp{0};
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -159,6 +159,7 @@
     fillModel(&transaction);
     m_inFlight = true;
     m_lastWriteAt = m_context->now();
+    m_lastWriteSentAt = m_context->sinceBoot();
     const std::shared_ptr<Context> shared = m_context;
     m_resolver.commit(transaction, commitTimeout, [this, shared, batch](const CommitResult &result) {
         if (!shared->ended) {
@@ -174,6 +175,7 @@
         m_chainVersion = result.version;
         ++commits;
         storeReachable(true);
+        termConfirmed(m_lastWriteSentAt);
         applyCommitted(*batch);
         if (m_context->jobs.hasDirty() || !m_removals.empty()) {
             wake();
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -38,6 +38,8 @@
     std::function<void()> committed;
     /// Called with whether the store could be reached for a write.
     std::function<void(bool)> storeReachable;
+    /// Called with a time since boot at which the store still had this term as the latest.
+    std::function<void(Duration)> termConfirmed;
 
     std::uint64_t commits = 0;
 
@@ -75,6 +77,7 @@
     bool m_scheduled = false;
     bool m_inFlight = false;
     TimePoint m_lastWriteAt{};
+    Duration m_lastWriteSentAt{0}; ///< The same, since boot.
 };
 
 } // namespace fescueledge::workflow
