--- a/src/libworkflow/collectionfollower_test.cpp
+++ b/src/libworkflow/collectionfollower_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace fescueledge;
 using namespace fescueledge::workflow;
-using trompeloeil::_;
 
 namespace {
 
@@ -47,8 +46,9 @@
     SimLoop loop(&world);
     MockTable table;
     WatchableTable::WatchHandler answer;
-    ALLOW_CALL(table, scan(_, _)).SIDE_EFFECT(_2(emptyScan()));
-    ALLOW_CALL(table, watch(_, _, _, _)).LR_SIDE_EFFECT(answer = _4);
+    ALLOW_CALL(table, scan(trompeloeil::_, trompeloeil::_)).SIDE_EFFECT(_2(emptyScan()));
+    ALLOW_CALL(table, watch(trompeloeil::_, trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .LR_SIDE_EFFECT(answer = _4);
     CollectionFollower follower(&loop, &table, "servers", Milliseconds(700));
     CHECK(follower.confirmedAt() == Duration::zero());
     world.runFor(Milliseconds(100));
--- a/src/libworkflow/lateevidence_test.cpp
+++ b/src/libworkflow/lateevidence_test.cpp
@@ -8,8 +8,8 @@
 using namespace fescueledge;
 using namespace fescueledge::workflow;
 
-// Guards against orders under an old term: pings that were held up while the coordinator was cut off arrive late and count
-// as fresh, so that the coordinator takes its term for confirmed.
+// Guards against orders under an old term: pings that were held up while the coordinator was cut off arrive late and
+// count as fresh, so that the coordinator takes its term for confirmed.
 TEST_CASE("pings that were sent before a coordinator was replaced do not confirm its term when they arrive late")
 {
     constexpr int nodes = 3;
@@ -31,7 +31,8 @@
     world->network.setIsolated(cutNode, true); // Later messages, such as news of the next term, are lost.
     for (int i = 0; i < nodes; ++i) {
         if (i != cut) {
-            world->workers.find("w1")->cutFrom.insert("node-" + std::to_string(i)); // It does not hear of the next term.
+            world->workers.find("w1")->cutFrom.insert("node-"
+                                                      + std::to_string(i)); // It does not hear of the next term.
         }
     }
     world->run(std::chrono::seconds(9));
