Suspect a coordinator less soon after one that was working has been replaced

Cause: nodes replace a coordinator that has not answered a ping for 600 ms, and drop a pong that takes longer than 300 ms. On a small node that loads jobs and adopts 350 workers a pong takes longer, so each coordinator was replaced before it had loaded the jobs, by one that was no faster: 29 terms in 26 s. The class is a failure detector with a fixed timeout below what the system needs under load.

A coordinator that is replaced while its term is confirmed and the store answers it has not failed. It now says so to all nodes, which double both timeouts for the next one, up to eight times; each 20 s without a false suspicion halve them. After a kill or a cut nobody says so, and suspicion stays as quick as before.

Ruled out: a longer timeout for all, which delays each takeover after a kill; counting short terms, which also counts kills in series.

Evidence: slowcoordinator_test, 14 terms in 10 s before, none now.

--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -15,10 +15,14 @@
 
 /// Interval between pings of the coordinator.
 constexpr Milliseconds pingInterval{150};
-constexpr Milliseconds pingTimeout{300};
+constexpr Milliseconds basePingTimeout{300};
 /// A coordinator that has not answered for this long, which means four lost pings, is suspected to have failed. A false
 /// suspicion is affordable: a takeover costs a tenth of a second.
-constexpr Milliseconds suspicionTimeout{600};
+constexpr Milliseconds baseSuspicionTimeout{600};
+/// Each false suspicion doubles the timeout, up to this many times ...
+constexpr int maxFalseSuspicions = 3;
+/// ... and after this time without one it is halved again.
+constexpr std::chrono::seconds falseSuspicionMemory{20};
 /// Added to the takeover delay of a node for each other node that is better suited to coordinate.
 constexpr Milliseconds takeoverDelayStep{60};
 /// After this many consecutive failed calls to the store the coordinator reports the loss, and another node may take
@@ -55,6 +59,14 @@
                 respond(answerPing(from, message.body));
             }
         });
+    m_parts.peers->setReceiver(
+        "coordinator-alive",
+        [this, alive](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            if (*alive) {
+                recordFalseSuspicion(message.body.value("term", Term{0}));
+            }
+            respond(PeerMessage{"coordinator-alive", json::object()});
+        });
 }
 
 Election::~Election()
@@ -149,6 +161,7 @@
 
 void Election::monitorCoordinator()
 {
+    forgetFalseSuspicions();
     if (!m_localCoordinator) {
         if (!m_coordinator.empty()) {
             ping();
@@ -167,10 +180,52 @@
 
 bool Election::suspectsCoordinator() const
 {
-    return m_coordinator.empty() || m_parts.loop->now() > m_coordinatorSeenAt + suspicionTimeout
+    return m_coordinator.empty() || m_parts.loop->now() > m_coordinatorSeenAt + suspicionTimeout()
         || coordinatorReportsStoreLoss();
 }
 
+Milliseconds Election::pingTimeout() const
+{
+    return basePingTimeout * (1 << m_falseSuspicions);
+}
+
+Duration Election::suspicionTimeout() const
+{
+    return baseSuspicionTimeout * (1 << m_falseSuspicions);
+}
+
+void Election::recordFalseSuspicion(Term term)
+{
+    if (term <= m_falselySuspectedTerm) {
+        return; // It has been reported already.
+    }
+    m_falselySuspectedTerm = term;
+    m_falseSuspicions = std::min(m_falseSuspicions + 1, maxFalseSuspicions);
+    m_falseSuspicionAt = m_parts.loop->now();
+    m_parts.log->write(LogLine("false_suspicion")
+                           .with("term", static_cast<std::int64_t>(term))
+                           .with("timeout_ms", std::chrono::duration_cast<Milliseconds>(suspicionTimeout())));
+}
+
+void Election::forgetFalseSuspicions()
+{
+    if (m_falseSuspicions > 0 && m_parts.loop->now() > m_falseSuspicionAt + falseSuspicionMemory) {
+        --m_falseSuspicions;
+        m_falseSuspicionAt = m_parts.loop->now();
+    }
+}
+
+void Election::reportFalseSuspicion(Term term)
+{
+    recordFalseSuspicion(term);
+    for (const auto &[name, member] : m_members) {
+        if (name != m_self.name) {
+            m_parts.peers->call(name, PeerMessage{"coordinator-alive", json{{"term", term}}}, pingTimeout(),
+                                [](const PeerResult &) {});
+        }
+    }
+}
+
 bool Election::coordinatorReportsStoreLoss() const
 {
     return m_storeLossSince != TimePoint{} && m_parts.loop->now() >= m_storeLossSince + storeLossTimeout;
@@ -202,7 +257,7 @@
     // directly.
     for (const auto &[name, member] : m_members) {
         if (name != m_self.name) {
-            m_parts.peers->call(name, PeerMessage{"coordinator-ping", pingBody()}, pingTimeout,
+            m_parts.peers->call(name, PeerMessage{"coordinator-ping", pingBody()}, pingTimeout(),
                                 [](const PeerResult &) {});
         }
     }
@@ -215,7 +270,7 @@
     if (m_coordinatorStamp != Milliseconds::zero()) {
         body["answers_ms"] = m_coordinatorStamp.count();
     }
-    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout,
+    m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout(),
                         [this, alive](const PeerResult &result) {
                             if (*alive && !m_localCoordinator) {
                                 onPong(result);
@@ -245,7 +300,7 @@
         }
     } else if (term == m_term) {
         m_coordinatorSeenAt = std::min(
-            m_coordinatorSeenAt, m_parts.loop->now() - suspicionTimeout - pingInterval); // It no longer coordinates.
+            m_coordinatorSeenAt, m_parts.loop->now() - suspicionTimeout() - pingInterval); // It no longer coordinates.
     }
 }
 
@@ -483,6 +538,9 @@
         return;
     }
     m_parts.log->write(LogLine("term_ended").with("term", static_cast<std::int64_t>(m_term)).with("reason", reason));
+    if (maySendOrders() && isStoreResponsive()) {
+        reportFalseSuspicion(m_term); // It has not failed: another node was too impatient.
+    }
     m_localCoordinator.reset();
     m_coordinator.clear();
     m_coordinatorAddress.clear();
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -73,6 +73,13 @@
     void onPong(const PeerResult &result);
     PeerMessage answerPing(const NodeId &from, const nlohmann::json &body);
     bool suspectsCoordinator() const;
+    Milliseconds pingTimeout() const;
+    Duration suspicionTimeout() const;
+    /// Tells all nodes that the coordinator of @p term was working when it was replaced, so they suspect later ones
+    /// less soon. Otherwise nodes that all answer slowly would replace each other without end.
+    void reportFalseSuspicion(Term term);
+    void recordFalseSuspicion(Term term);
+    void forgetFalseSuspicions();
     /// Whether the coordinator answers, but has reported for a while that the store does not answer it.
     bool coordinatorReportsStoreLoss() const;
     bool isStoreResponsive() const;
@@ -105,6 +112,9 @@
     TimePoint m_storeLossSince{};
     TimePoint m_readStartedAt{}; ///< When the last read of the coordinator's row began.
     bool m_reading = false;
+    int m_falseSuspicions = 0; ///< Recent ones; each doubles the timeouts.
+    Term m_falselySuspectedTerm = 0; ///< Term of the last one.
+    TimePoint m_falseSuspicionAt{}; ///< When the last one was recorded or forgotten.
     bool m_resigned = false; ///< This node no longer takes part in elections.
 
     std::unique_ptr<Coordinator> m_localCoordinator;
