--- a/src/include/fescueledge/httpmessages.h
+++ b/src/include/fescueledge/httpmessages.h
@@ -2,6 +2,7 @@
 
 #include "fescueledge/types.h"
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -19,6 +20,9 @@
     std::string body;
     HttpHeaders headers;
     Milliseconds timeout{0}; ///< From the call until the complete answer, including the time to connect.
+    /// If not 0, the call is sent only on this connection, and is NotSent if that is closed or in use. A process that
+    /// was restarted has none of the earlier connections, so it can't receive such a call.
+    std::uint64_t connection = 0;
 };
 
 /// The result of a call at the level of the connection.
@@ -34,6 +38,7 @@
     HttpCallOutcome callOutcome = HttpCallOutcome::NoAnswer;
     int status = 0; ///< 0 unless answered.
     std::string body;
+    std::uint64_t connection = 0; ///< Identifies the connection, for HttpCall::connection.
 };
 
 /// A request received by a listener.
--- a/src/include/fescueledge/workflow/workergateway.h
+++ b/src/include/fescueledge/workflow/workergateway.h
@@ -108,6 +108,7 @@
 {
     Term term = 0;
     std::uint64_t acknowledged = 0; ///< Ended runs up to this number are durable and may be discarded.
+    std::int64_t incarnation = 0; ///< The incarnation that numbered them; no other is told to discard anything.
     WorkerTime leaseUntil{0}; ///< 0 to leave the lease unchanged.
     Milliseconds wait{0}; ///< Maximum time that the worker waits for a run to end before it answers.
 };
@@ -118,6 +119,7 @@
     OrderOutcome outcome = OrderOutcome::NoAnswer;
     WorkerTime workerClock{0};
     std::int64_t incarnation = 0;
+    std::uint64_t acknowledged = 0; ///< ObserveOrder::acknowledged, or 0 if the worker was not told of it.
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended;
 };
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -54,6 +55,7 @@
 
         beast::tcp_stream stream;
         std::string address;
+        std::uint64_t id = 0;
         beast::flat_buffer buffer;
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
@@ -80,18 +82,32 @@
     AsioLoop *m_loop;
     Milliseconds m_connectTimeout;
     std::map<std::string, std::vector<ConnectionPtr>> m_idle;
+    std::uint64_t m_lastConnection = 0;
 };
 
 void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
 {
     std::vector<ConnectionPtr> &idle = m_idle[address];
-    const bool reused = !idle.empty();
+    const auto chosen = call.connection == 0 ? (idle.empty() ? idle.end() : std::prev(idle.end()))
+                                             : std::find_if(idle.begin(), idle.end(), [&call](const ConnectionPtr &it) {
+                                                   return it->id == call.connection;
+                                               });
+    const bool reused = chosen != idle.end();
+    if (!reused && call.connection != 0) {
+        m_loop->post([handler = std::move(handler)] {
+            HttpAnswer answer;
+            answer.callOutcome = HttpCallOutcome::NotSent;
+            handler(answer);
+        });
+        return;
+    }
     ConnectionPtr connection;
     if (reused) {
-        connection = idle.back();
-        idle.pop_back();
+        connection = *chosen;
+        idle.erase(chosen);
     } else {
         connection = std::make_shared<Connection>(m_loop->context(), address);
+        connection->id = ++m_lastConnection;
     }
     connection->deadline = m_loop->now() + call.timeout;
     connection->handler = std::move(handler);
@@ -175,6 +191,7 @@
     HttpAnswer answer;
     answer.callOutcome = HttpCallOutcome::Answered;
     answer.status = connection->parser->get().result_int();
+    answer.connection = connection->id;
     answer.body = std::move(connection->parser->get().body());
     const bool reusable = connection->parser->get().keep_alive();
     connection->parser.reset();
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -85,6 +85,7 @@
     ObserveOrder order;
     order.term = context.term;
     order.acknowledged = worker->endsDurable;
+    order.incarnation = worker->incarnation;
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
     const bool answers = worker->contact == WorkerContact::Adopted && worker->unansweredCalls == 0;
     order.wait = answers && !hasPendingEnds ? context.settings.observeWait : Milliseconds{0};
@@ -96,7 +97,6 @@
         ? context.settings.adoptTimeout
         : order.wait + context.settings.observeTimeout;
     worker->observationPending = true;
-    worker->endsAcknowledged = std::max(worker->endsAcknowledged, order.acknowledged);
     const WorkerId id = worker->id;
     const bool leased = order.leaseUntil.count() > 0;
     const std::shared_ptr<Context> shared = m_context;
@@ -131,6 +131,7 @@
     if (worker->incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
         adopt(worker, answer);
     }
+    worker->endsAcknowledged = std::max(worker->endsAcknowledged, answer.acknowledged);
     if (!worker->earlierRuns.empty()) {
         context.fleet.clearEarlierRuns(worker); // Those that are not over are listed again.
         context.wakeDispatch();
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -280,7 +280,8 @@
     }
     worker.highestTerm = order.term;
     worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
-    acknowledge(&worker, order.acknowledged);
+    result.acknowledged = order.incarnation == worker.entry.incarnation ? order.acknowledged : 0;
+    acknowledge(&worker, result.acknowledged);
     result.outcome = OrderOutcome::Done;
     result.ended = worker.ends;
     for (const auto &[name, index] : worker.active) {
