--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -64,6 +64,9 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    /// Takes connection @p id to @p address, or the one used last if @p id is 0, from the idle ones; nullptr if there
+    /// is none.
+    ConnectionPtr takeIdle(const std::string &address, std::uint64_t id);
     void connect(const ConnectionPtr &connection);
     void send(const ConnectionPtr &connection);
     void receive(const ConnectionPtr &connection);
@@ -85,14 +88,27 @@
     std::uint64_t m_lastConnection = 0;
 };
 
-void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
+AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address, std::uint64_t id)
 {
     std::vector<ConnectionPtr> &idle = m_idle[address];
-    const auto chosen = call.connection == 0 ? (idle.empty() ? idle.end() : std::prev(idle.end()))
-                                             : std::find_if(idle.begin(), idle.end(), [&call](const ConnectionPtr &it) {
-                                                   return it->id == call.connection;
-                                               });
-    const bool reused = chosen != idle.end();
+    auto it = idle.empty() ? idle.end() : std::prev(idle.end());
+    if (id != 0) {
+        it = std::find_if(idle.begin(), idle.end(), [id](const ConnectionPtr &connection) {
+            return connection->id == id;
+        });
+    }
+    if (it == idle.end()) {
+        return nullptr;
+    }
+    ConnectionPtr connection = *it;
+    idle.erase(it);
+    return connection;
+}
+
+void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
+{
+    ConnectionPtr connection = takeIdle(address, call.connection);
+    const bool reused = connection != nullptr;
     if (!reused && call.connection != 0) {
         m_loop->post([handler = std::move(handler)] {
             HttpAnswer answer;
@@ -101,11 +117,7 @@
         });
         return;
     }
-    ConnectionPtr connection;
-    if (reused) {
-        connection = *chosen;
-        idle.erase(chosen);
-    } else {
+    if (!reused) {
         connection = std::make_shared<Connection>(m_loop->context(), address);
         connection->id = ++m_lastConnection;
     }
