Keep the record of workers in bounded parts, and check every write against the store's limits

Cause: the record of workers that may run something was one row. From about 750 workers it was longer than a row of the store, which answered 400. It travelled with everything else the coordinator writes, and a 400 counted as an outage, so the same write was tried for ever: nothing was durable, workers were not recorded, terms could not be confirmed. Ruled out: a tighter encoding alone, which moves the limit; runs on silent workers lengthen the row as well.

Change: the record has 256 parts by a hash of the worker's id, written when they change. TransactionBuilder keeps each transaction within rows, entries and bytes; what does not fit waits for the next one. A 400, or a transaction beyond the limits, is CommitStatus::Rejected: it is split, not retried. A part that can't be read holds up tasks of earlier terms until all leases are over; the row of earlier versions is read and replaced. Checkpoints are left out of a progress row that would be too long. The stand-ins enforce the store's limits; two of their tests wrote more than the store accepts and now write the same rows in transactions that it does. The fake table's rounds of a scan count for whole collections only, as StoreClient has them. After a takeover the term is confirmed by a write even if the record is unchanged.

Tests: fleetsize_test, tablelimits_test, platform_test, standin_store_test.

--- a/src/include/fescueledge/commitresult.h
+++ b/src/include/fescueledge/commitresult.h
@@ -9,6 +9,7 @@
     Committed, ///< All rows were written.
     Conflict, ///< A condition did not hold; nothing was written.
     Unavailable, ///< The store rejected it before doing anything; nothing was written.
+    Rejected, ///< It exceeds a limit of the store or is malformed; nothing was written, and a retry can't succeed.
     Unknown, ///< No answer arrived; the write may have taken effect or may do so later.
 };
 
--- a/src/include/fescueledge/testing/memorytable.h
+++ b/src/include/fescueledge/testing/memorytable.h
@@ -2,10 +2,12 @@
 
 #include "fescueledge/commitresult.h"
 #include "fescueledge/readresult.h"
+#include "fescueledge/tablelimits.h"
 #include "fescueledge/transaction.h"
 #include "fescueledge/watchabletable.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +30,10 @@
     /// Number of rows written.
     std::uint64_t rowsWritten() const;
 
+    /// Limits on transactions; larger ones are rejected. None by default.
+    std::optional<TableLimits> limits;
+    std::uint64_t rejected = 0; ///< Number of rejected transactions.
+
 private:
     RowVersion versionOf(const std::string &key) const;
 
--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "fescueledge/tablelimits.h"
 #include "fescueledge/types.h"
 
 namespace fescueledge::workflow {
 
-/// Times of workflow coordination. All are settings of section `[workflow]`.
+/// Times and limits of workflow coordination. The times and the length of a row are settings of section `[workflow]`.
 struct CoordinatorSettings
 {
     /// Lease in each order to a worker. Longer than a takeover, but short enough to resume work soon after a worker was
@@ -31,6 +32,8 @@
     Milliseconds writeInterval{40};
     /// Maximum time that a watch on the list of workers or jobs waits for a change before it is renewed.
     Milliseconds watchTimeout{1000};
+    /// What the store accepts in one transaction.
+    TableLimits tableLimits;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -202,6 +202,11 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.drainNotice = Milliseconds(value.number);
          }},
+        {{"row-bytes", ValueType::Integer, false, "65536", 4096, 16777216,
+          "Length of the longest value that the store accepts in a row."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.tableLimits.rowBytes = static_cast<std::size_t>(value.number);
+         }},
         {{"status-retention", ValueType::Duration, false, "130s", 1000, 86400000,
           "How long the state of an ended workflow can be asked for."},
          [](WorkflowSettings &target, const SettingValue &value) {
--- a/src/libmember/controlchanges.cpp
+++ b/src/libmember/controlchanges.cpp
@@ -92,6 +92,9 @@
     case CommitStatus::Unavailable:
         proposal->reject(ControlOutcome::Status::StoreUnavailable, 0, "the store does not answer");
         return;
+    case CommitStatus::Rejected:
+        proposal->reject(ControlOutcome::Status::Invalid, 0, "the change is too long to be stored");
+        return;
     case CommitStatus::Unknown:
         proposal->reject(ControlOutcome::Status::StoreOutcomeUnknown, version, "the store's answer was lost");
         return;
--- a/src/libqueue/jobsubmitter.cpp
+++ b/src/libqueue/jobsubmitter.cpp
@@ -148,6 +148,9 @@
     case CommitStatus::Unavailable:
         submission->fail(ErrorKind::StoreUnavailable, "the store refused the write", RunOutcome::NotRun);
         return;
+    case CommitStatus::Rejected:
+        submission->fail(ErrorKind::InvalidArgument, "the job is too long to be stored", RunOutcome::NotRun);
+        return;
     case CommitStatus::Unknown:
         submission->fail(ErrorKind::StoreOutcomeUnknown, "the store did not answer the write; submit with the same key",
                          RunOutcome::Unknown);
--- a/src/librequest/orderlog.cpp
+++ b/src/librequest/orderlog.cpp
@@ -247,6 +247,10 @@
         removeEntry(entry);
         answer(pending, notRun(ErrorKind::StoreUnavailable, "the key can't be recorded: the store does not answer"));
         return;
+    case CommitStatus::Rejected:
+        removeEntry(entry);
+        answer(pending, notRun(ErrorKind::InvalidArgument, "the key's record is too long to be stored"));
+        return;
     case CommitStatus::Unknown:
         // The claim may still be committed, but nothing was sent and this node won't send the request.
         withdrawClaim(entry);
--- a/src/libstore/commitresolver.cpp
+++ b/src/libstore/commitresolver.cpp
@@ -103,10 +103,10 @@
         pending->handler(CommitResult{CommitStatus::Committed, row->version});
         return;
     }
-    if (otherwise == CommitStatus::Conflict) {
-        // The conditions failed and the witness row is not from this transaction: neither this nor an earlier attempt
-        // took effect.
-        pending->handler(CommitResult{CommitStatus::Conflict, 0});
+    if (otherwise == CommitStatus::Conflict || otherwise == CommitStatus::Rejected) {
+        // The conditions failed, or the transaction is not acceptable, and the witness row is not from it: neither this
+        // nor an earlier attempt took effect.
+        pending->handler(CommitResult{otherwise, 0});
         return;
     }
     if (pending->loop->now() >= pending->deadline) {
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -29,11 +29,12 @@
 void FakeTableService::scan(const std::string &prefix, ReadHandler handler)
 {
     MemoryTable *table = m_table;
+    const bool wholeCollection = prefix.find('/') + 1 == prefix.size();
     answerRead(
         [table, prefix] {
             return table->scan(prefix);
         },
-        faults.latency * faults.scanRounds, handler);
+        wholeCollection ? faults.latency * faults.scanRounds : faults.latency, handler);
 }
 
 void FakeTableService::answerRead(const std::function<ReadResult()> &query, Duration latency,
--- a/src/libtesting/memorytable.cpp
+++ b/src/libtesting/memorytable.cpp
@@ -34,6 +34,10 @@
 
 CommitResult MemoryTable::commit(const Transaction &transaction)
 {
+    if (limits && !exceededLimit(transaction, *limits).empty()) {
+        ++rejected;
+        return CommitResult{CommitStatus::Rejected, 0};
+    }
     for (const Transaction::Condition &condition : transaction.conditions) {
         if (versionOf(condition.key) != condition.version) {
             return CommitResult{CommitStatus::Conflict, 0};
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -83,9 +83,10 @@
     m_loader.storeReachable = [this](bool reachable) {
         reportStoreContact(reachable);
     };
-    m_loader.workersRead = [this](const std::string &record) {
-        if (!record.empty() && !m_jobsRead) {
-            m_leaseKeeper.renew(decodeWorkerRecord(record));
+    m_loader.workersRead = [this](const std::vector<Row> &record) {
+        readWorkerRecord(record);
+        if (!m_recordedWorkers.empty() && !m_jobsRead) {
+            m_leaseKeeper.renew(m_recordedWorkers);
         }
     };
     m_loader.start([this](TermState state) {
@@ -281,11 +282,71 @@
     m_earlyFleetUpdates.clear();
 }
 
-void Coordinator::restoreRecordedWorkers(const std::string &record)
+void Coordinator::readWorkerRecord(const std::vector<Row> &record)
+{
+    std::map<std::string, RecordPart *> parts;
+    for (std::size_t i = 0; i < recordPartCount; ++i) {
+        parts[rows::workerRecordPart(i)] = &m_context->fleet.recordParts().at(i);
+    }
+    const TimePoint forgottenAt = m_context->now() + FleetTable::longestLease(longestForeignLease());
+    std::set<WorkerId> known;
+    // The parts sort after the record of an earlier version and are newer.
+    for (auto row = record.rbegin(); row != record.rend(); ++row) {
+        const auto part = parts.find(row->key);
+        try {
+            for (RecordedWorker &recorded : decodeRecordPart(row->value)) {
+                if (known.insert(recorded.entry.id).second) {
+                    m_recordedWorkers.push_back(std::move(recorded));
+                }
+            }
+            if (part != parts.end()) {
+                part->second->written = row->value;
+            }
+        } catch (const nlohmann::json::exception &error) {
+            m_context->log->write(
+                LogLine("worker_record_unreadable").with("row", row->key).with("detail", error.what()));
+            m_unreadableUntil = forgottenAt;
+            if (part != parts.end()) {
+                part->second->keptUntil = forgottenAt;
+            }
+        }
+    }
+}
+
+Milliseconds Coordinator::longestForeignLease() const
+{
+    return m_context->settings.isolationTimeout + m_context->settings.workerLease;
+}
+
+void Coordinator::restoreUnknownWorkers()
+{
+    // Any worker may be one that the unreadable part names. One that is not listed has lost its lease by then.
+    m_observations.setEarlierRunsUnknownUntil(m_unreadableUntil);
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        worker->recordedInEarlierTerm = true;
+    }
+    const std::shared_ptr<Context> shared = m_context;
+    m_context->loop->postAfter(m_unreadableUntil - m_context->now(), [this, shared] {
+        if (!shared->ended) {
+            m_writer.wake();
+            scheduleDispatch();
+        }
+    });
+}
+
+void Coordinator::restoreRecordedWorkers()
 {
     Context &context = *m_context;
     const TimePoint now = context.now();
-    for (const RecordedWorker &recorded : decodeWorkerRecord(record)) {
+    if (m_unreadableUntil > now) {
+        restoreUnknownWorkers();
+    }
+    for (const Row &row : m_state.workerRecord) {
+        if (row.key == rows::wholeWorkerRecord()) {
+            m_writer.replaceWholeRecord();
+        }
+    }
+    for (const RecordedWorker &recorded : m_recordedWorkers) {
         Worker *worker = context.fleet.find(recorded.entry.id);
         if (worker == nullptr) {
             worker = context.fleet.upsert(recorded.entry, now);
@@ -332,8 +393,7 @@
         const bool startsDraining = entry.draining && (isNew || !known->entry.draining);
         Worker *worker = context.fleet.upsert(entry, now);
         if (isNew) {
-            FleetTable::recordForeignLease(worker, context.settings.isolationTimeout + context.settings.workerLease,
-                                           now);
+            FleetTable::recordForeignLease(worker, longestForeignLease(), now);
         }
         if (isNew || startsDraining) {
             context.log->write(LogLine("worker_listed")
@@ -359,12 +419,10 @@
     }
     if (!m_fleetLoaded) {
         m_fleetLoaded = true;
-        if (!m_state.occupiedWorkers.empty()) {
-            restoreRecordedWorkers(m_state.occupiedWorkers);
-        }
+        restoreRecordedWorkers();
+        m_writer.confirmTerm(); // Reading the jobs of a slow store may have taken longer than the right to send orders.
         for (const auto &[id, worker] : context.fleet.all()) {
-            FleetTable::recordForeignLease(worker.get(),
-                                           context.settings.isolationTimeout + context.settings.workerLease, now);
+            FleetTable::recordForeignLease(worker.get(), longestForeignLease(), now);
         }
         tick();
     }
@@ -401,7 +459,7 @@
     reportLoad(context.now());
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
-    if (context.jobs.hasDirty()) {
+    if (m_writer.hasMore()) {
         m_writer.wake();
     }
     const TimePoint now = context.now();
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -72,7 +72,12 @@
     void applyJobRow(const Row &row);
     void cancel(const JobId &id);
     void onJobsLoaded();
-    void restoreRecordedWorkers(const std::string &record);
+    void readWorkerRecord(const std::vector<Row> &record);
+    /// The longest lease that an earlier coordinator can still give, from the moment at which this term was begun.
+    Milliseconds longestForeignLease() const;
+    void restoreRecordedWorkers();
+    /// Makes tasks of earlier terms wait for all workers, because a part of the record can't be read.
+    void restoreUnknownWorkers();
     void onFleetUpdate(const FleetUpdate &update);
     void reportStoreContact(bool reachable);
     void reportTermConfirmed(Duration at);
@@ -98,6 +103,9 @@
     TermLoader m_loader;
     LeaseKeeper m_leaseKeeper;
     TermState m_state; ///< State of earlier terms, until it is applied to the tables.
+    std::vector<RecordedWorker> m_recordedWorkers; ///< Workers on which earlier coordinators may have started runs.
+    /// Until when workers that an unreadable part of the record may name can hold runs; the epoch if all were read.
+    TimePoint m_unreadableUntil{};
     bool m_stateLoaded = false;
     bool m_jobsRead = false;
     std::vector<Row> m_earlyJobRows; ///< Job rows that were read before the state.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -1,6 +1,7 @@
 #include "fleettable_pvt.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fescueledge::workflow {
 
@@ -59,6 +60,20 @@
     }
 }
 
+/// To be called after a change of the runs on @p worker.
+void recordRunsChanged(Worker *worker)
+{
+    if (namesRuns(*worker)) {
+        worker->recordPart->changed = true;
+    }
+}
+
+bool hasSameRecordFields(const WorkerEntry &a, const WorkerEntry &b)
+{
+    return std::tie(a.id, a.address, a.service, a.dataCentre, a.rack)
+        == std::tie(b.id, b.address, b.service, b.dataCentre, b.rack);
+}
+
 Duration atSlowestClock(WorkerTime span)
 {
     return std::chrono::duration_cast<Duration>(span / (1 - clockDrift));
@@ -73,6 +88,11 @@
         slot = std::make_unique<Worker>();
         slot->id = entry.id;
         slot->nextObservationAt = now;
+        slot->recordPart = &m_recordParts.at(recordPartOf(entry.id));
+        slot->recordPart->add(slot.get());
+    }
+    if (!hasSameRecordFields(slot->entry, entry)) {
+        slot->recordPart->changed = true;
     }
     slot->entry = entry;
     slot->listed = true;
@@ -87,7 +107,20 @@
 
 void FleetTable::erase(const WorkerId &id)
 {
-    m_workers.erase(id);
+    const auto it = m_workers.find(id);
+    if (it != m_workers.end()) {
+        it->second->recordPart->remove(it->second.get());
+        m_workers.erase(it);
+    }
+}
+
+void FleetTable::setContact(Worker *worker, WorkerContact contact)
+{
+    const bool named = namesRuns(*worker);
+    worker->contact = contact;
+    if (named || namesRuns(*worker)) {
+        worker->recordPart->changed = true;
+    }
 }
 
 void FleetTable::place(Task *task, Worker *worker)
@@ -95,6 +128,7 @@
     task->worker = worker;
     if (worker->tasks.insert(task).second) {
         addToTotals(worker, *task, 1);
+        recordRunsChanged(worker);
         ++task->step->occurrence->job->placedTasks;
     }
 }
@@ -104,6 +138,7 @@
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
         addToTotals(worker, *task, -1);
+        recordRunsChanged(worker);
         --task->step->occurrence->job->placedTasks;
     }
     task->worker = nullptr;
@@ -128,6 +163,7 @@
     earlier.reserved = step == nullptr ? Resources{} : reservedResources(*step);
     worker->used += earlier.reserved;
     worker->earlierRuns.push_back(earlier);
+    recordRunsChanged(worker);
     ++m_awaited[task];
 }
 
@@ -137,6 +173,9 @@
         worker->used -= earlier.reserved;
         addTo(&m_awaited, earlier.task, -1);
     }
+    if (!worker->earlierRuns.empty()) {
+        recordRunsChanged(worker);
+    }
     worker->earlierRuns.clear();
 }
 
@@ -176,7 +215,12 @@
 
 void FleetTable::recordForeignLease(Worker *worker, Milliseconds lease, TimePoint now)
 {
-    worker->leaseExpiresAt = std::max(worker->leaseExpiresAt, now + atSlowestClock(lease) + leaseMargin);
+    worker->leaseExpiresAt = std::max(worker->leaseExpiresAt, now + longestLease(lease));
+}
+
+Duration FleetTable::longestLease(Milliseconds lease)
+{
+    return atSlowestClock(lease) + leaseMargin;
 }
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "entities_pvt.h"
+#include "recordpart_pvt.h"
+
+#include <array>
 
 namespace fescueledge::workflow {
 
@@ -21,6 +24,7 @@
     Worker *upsert(const WorkerEntry &entry, TimePoint now);
     Worker *find(const WorkerId &id) const;
     void erase(const WorkerId &id);
+    static void setContact(Worker *worker, WorkerContact contact);
 
     /// Assigns @p task to @p worker, whatever its phase; release() undoes it.
     static void place(Task *task, Worker *worker);
@@ -48,6 +52,8 @@
     static void setClock(Worker *worker, WorkerTime clock, TimePoint now);
     /// Estimate of the worker's clock at @p now, or a little less.
     static WorkerTime clockAt(const Worker &worker, TimePoint now);
+    /// Time after which a lease of length @p lease that was given now has certainly expired.
+    static Duration longestLease(Milliseconds lease);
     /// Records that an order with lease end @p leaseUntil is sent.
     static void recordLease(Worker *worker, WorkerTime leaseUntil);
     /// Records that another coordinator may have sent a lease of length @p lease at any time until @p now.
@@ -58,8 +64,15 @@
         return m_workers;
     }
 
+    /// The parts of the durable record of workers, in which each worker has a fixed place.
+    std::array<RecordPart, recordPartCount> &recordParts()
+    {
+        return m_recordParts;
+    }
+
 private:
     std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
+    std::array<RecordPart, recordPartCount> m_recordParts;
     std::map<TaskKey, int> m_awaited; ///< Number of earlier runs of a task, on all workers.
 };
 
--- a/src/libworkflow/frontanswers.cpp
+++ b/src/libworkflow/frontanswers.cpp
@@ -35,6 +35,8 @@
         return "known";
     case CommitStatus::Unavailable:
         return "refused";
+    case CommitStatus::Rejected:
+        return "rejected";
     case CommitStatus::Unknown:
         return "unknown";
     }
@@ -74,6 +76,8 @@
         return outcomeAnswer(CallerOutcome::Ok);
     case CommitStatus::Unavailable:
         return unavailable("the store refused the write");
+    case CommitStatus::Rejected:
+        return outcomeAnswer(CallerOutcome::Invalid, "the job is too long to be stored");
     case CommitStatus::Unknown:
         break;
     }
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -18,7 +18,7 @@
 }
 
 /// Progress of one step: which tasks are done, failures and checkpoints of the others.
-json stepProgress(const Step &step)
+json stepProgress(const Step &step, JobTable::Checkpoints with)
 {
     json done = json::array();
     json failures = json::array();
@@ -31,7 +31,7 @@
         if (!task.failedRuns.empty()) {
             failures.push_back({task.index, task.failedRuns});
         }
-        if (!task.checkpoint.empty()) {
+        if (!task.checkpoint.empty() && with == JobTable::Checkpoints::Included) {
             checkpoints.push_back({task.index, task.checkpoint});
         }
     }
@@ -350,7 +350,7 @@
     return out;
 }
 
-std::string JobTable::encodeProgress(const Job &job)
+std::string JobTable::encodeProgress(const Job &job, Checkpoints with)
 {
     json out{{"phase", static_cast<int>(job.phase)}};
     if (!job.ended()) {
@@ -361,7 +361,7 @@
             }
             json steps = json::array();
             for (const Step &step : occurrence->steps) {
-                steps.push_back(stepProgress(step));
+                steps.push_back(stepProgress(step, with));
             }
             occurrences.push_back({number, steps});
         }
--- a/src/libworkflow/jobtable_pvt.h
+++ b/src/libworkflow/jobtable_pvt.h
@@ -52,8 +52,10 @@
         return !m_dirty.empty();
     }
 
+    /// Whether a progress row names the checkpoints. Without them, tasks start again from their beginning.
+    enum class Checkpoints { Included, LeftOut };
     /// The progress of @p job as the value of its row, and back.
-    static std::string encodeProgress(const Job &job);
+    static std::string encodeProgress(const Job &job, Checkpoints with = Checkpoints::Included);
     /// Applies a row's value to a newly added job. @throws nlohmann::json::exception if it can't be read.
     void applyProgress(Job *job, const std::string &value, TimePoint now, WallTime wall);
 
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -53,7 +53,7 @@
         if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->leaseExpiresAt
             && worker->contact != WorkerContact::Adopted) {
             m_orders->markTasksLost(worker.get(), "lease-over");
-            worker->contact = WorkerContact::Lost;
+            FleetTable::setContact(worker.get(), WorkerContact::Lost);
             m_context->wakeDispatch();
         }
         observe(worker.get());
@@ -62,6 +62,9 @@
 
 bool ObservationSystem::knowsEarlierRuns() const
 {
+    if (m_context->now() < m_earlierRunsUnknownUntil) {
+        return false;
+    }
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     return std::none_of(workers.begin(), workers.end(), [](const auto &entry) {
         const Worker &worker = *entry.second;
@@ -164,13 +167,13 @@
     if (outcome == OrderOutcome::OtherIncarnation) {
         // Another incarnation uses its address, so this one has ended with all its runs.
         m_orders->markTasksLost(worker, "other-life");
-        worker->contact = WorkerContact::Lost;
+        FleetTable::setContact(worker, WorkerContact::Lost);
     } else if (worker->contact == WorkerContact::Adopted) {
         context.log->write(LogLine("worker_silent")
                                .with("worker", worker->id)
                                .with("outcome", orderOutcomeName(outcome))
                                .with("runs", static_cast<std::int64_t>(worker->tasks.size())));
-        worker->contact = WorkerContact::Silent;
+        FleetTable::setContact(worker, WorkerContact::Silent);
     }
     // An order to a healthy worker may be lost, so the first retries of an adoption are immediate.
     const int delays = worker->contact == WorkerContact::Unadopted ? worker->unansweredCalls - immediateAdoptionRetries
@@ -200,7 +203,7 @@
                            .with("active", static_cast<std::int64_t>(answer.active.size()))
                            .with("ended", static_cast<std::int64_t>(answer.ended.size())));
     worker->incarnation = answer.incarnation;
-    worker->contact = WorkerContact::Adopted;
+    FleetTable::setContact(worker, WorkerContact::Adopted);
     FleetTable::recordForeignLease(worker, context.settings.workerLease, context.now());
     context.wakeDispatch();
 }
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -19,6 +19,11 @@
     /// True if every worker that may hold tasks of earlier terms has answered, can hold none any more, or has its runs
     /// named in the record.
     bool knowsEarlierRuns() const;
+    /// Until @p time, workers that are not known may hold tasks of earlier terms.
+    void setEarlierRunsUnknownUntil(TimePoint time)
+    {
+        m_earlierRunsUnknownUntil = time;
+    }
 
     /// Called after an observation has been applied.
     std::function<void(Worker *)> observed;
@@ -45,6 +50,7 @@
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
+    TimePoint m_earlierRunsUnknownUntil{};
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -152,7 +152,7 @@
         break;
     case OrderOutcome::OtherIncarnation:
         markTasksLost(worker, "other-life");
-        worker->contact = WorkerContact::Lost;
+        FleetTable::setContact(worker, WorkerContact::Lost);
         break;
     default:
         blockStarts(worker, context.settings.orderRetryDelay);
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -5,15 +5,20 @@
 #include "workerrecord_pvt.h"
 
 #include <algorithm>
+#include <array>
 
 namespace fescueledge::workflow {
 
 namespace {
 
-/// Limits on the rows of one transaction: together with the fixed ones they stay below the store's limit of 100
-/// entries.
+/// Limits on the rows of one kind in a transaction, so that no kind has to wait for all rows of another.
+constexpr std::size_t maxPartsPerWrite = 48;
 constexpr std::size_t maxJobsPerWrite = 60;
 constexpr std::size_t maxRemovalsPerWrite = 30;
+/// Rows for the interference model and what else is written along.
+constexpr std::size_t spareEntries = 2;
+/// Room in a row of the record for the write id.
+constexpr std::size_t writeIdBytes = 64;
 /// How long the outcome of a write is looked up before the term ends.
 constexpr Milliseconds commitTimeout{60000};
 /// The interference model is written along with other rows, at most this often.
@@ -29,9 +34,16 @@
     , m_random(seed)
     , m_chainVersion(chainVersion)
     , m_chainValue(std::move(chainValue))
+    , m_maxRows(m_context->settings.tableLimits.entries)
 {
 }
 
+void ProgressWriter::replaceWholeRecord()
+{
+    m_removeWholeRecord = true;
+    wake();
+}
+
 void ProgressWriter::removeJob(Job *job)
 {
     if (job->removing) {
@@ -64,6 +76,12 @@
     wake();
 }
 
+void ProgressWriter::confirmTerm()
+{
+    m_confirmTerm = true;
+    wake();
+}
+
 Duration ProgressWriter::pendingWriteAge() const
 {
     return m_inFlight ? m_context->now() - m_lastWriteAt : Duration::zero();
@@ -86,88 +104,203 @@
     });
 }
 
-bool ProgressWriter::fillRecord(Transaction *transaction, Batch *batch)
+bool ProgressWriter::fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch)
 {
-    const std::string record = encodeWorkerRecord(m_context->fleet);
-    if (record == m_recordWritten) {
+    RecordPart &part = m_context->fleet.recordParts().at(index);
+    const std::size_t maxBytes = m_context->settings.tableLimits.rowBytes - writeIdBytes;
+    const EncodedRecordPart encoded = encodeRecordPart(part, maxBytes);
+    const bool tooLong = encoded.value.empty() || !encoded.withoutRuns.empty();
+    if (tooLong && !m_partTooLong.test(index)) {
+        m_context->log->write(LogLine("record_part_too_long")
+                                  .with("part", static_cast<std::int64_t>(index))
+                                  .with("workers", static_cast<std::int64_t>(part.workers.size()))
+                                  .with("without_runs", static_cast<std::int64_t>(encoded.withoutRuns.size()))
+                                  .with("outcome", encoded.value.empty() ? "kept as it was" : "written without runs"));
+    }
+    m_partTooLong.set(index, tooLong);
+    // A row that can't be written stays: it names every worker that has ever got a start.
+    if (encoded.value.empty() || encoded.value == part.written) {
+        part.changed = false;
+        return true;
+    }
+    if (transaction->addPut(rows::workerRecordPart(index), encoded.value) != TransactionBuilder::Added::Yes) {
         return false;
     }
-    transaction->puts.push_back({rows::occupiedWorkers(), record});
-    for (const auto &[id, worker] : m_context->fleet.all()) {
-        batch->recorded[id] = namesRuns(*worker);
+    part.written = encoded.value;
+    part.changed = false;
+    for (Worker *worker : part.workers) {
+        batch->recorded[worker->id] = namesRuns(*worker) && encoded.withoutRuns.count(worker->id) == 0;
         // Blocks starts from the moment that the record may be written.
         worker->recordNamesRuns = worker->recordNamesRuns || namesRuns(*worker);
     }
-    batch->hasRecord = true;
-    m_recordWritten = record;
+    batch->parts.push_back(index);
+    ++batch->rows;
     return true;
 }
 
-void ProgressWriter::fillModel(Transaction *transaction)
+void ProgressWriter::fillRecord(TransactionBuilder *transaction, Batch *batch)
+{
+    const std::array<RecordPart, recordPartCount> &parts = m_context->fleet.recordParts();
+    const TimePoint now = m_context->now();
+    for (std::size_t i = 0; i < parts.size() && batch->parts.size() < maxPartsPerWrite && batch->rows < m_maxRows;
+         ++i) {
+        if (parts.at(i).isDue(now) && !fillRecordPart(i, transaction, batch)) {
+            return;
+        }
+    }
+    const bool complete = std::none_of(parts.begin(), parts.end(), [](const RecordPart &part) {
+        return part.changed;
+    });
+    // In a transaction of its own, because the parts have to be durable before.
+    if (m_removeWholeRecord && complete && batch->parts.empty()) {
+        transaction->addRemoval(rows::wholeWorkerRecord());
+        batch->wholeRecordRemoved = true;
+    }
+}
+
+void ProgressWriter::fillModel(TransactionBuilder *transaction)
 {
     if (m_context->now() < m_modelAt + modelInterval) {
         return;
     }
     m_modelAt = m_context->now();
     const std::string model = m_context->interference.encode();
-    if (model != m_modelWritten) {
-        transaction->puts.push_back({rows::interference(), model});
-        m_modelWritten = model;
+    if (model == m_modelWritten) {
+        return;
+    }
+    m_modelWritten = model;
+    if (transaction->addPut(rows::interference(), model) == TransactionBuilder::Added::RowTooLong) {
+        m_context->log->write(LogLine("row_too_long")
+                                  .with("row", rows::interference())
+                                  .with("bytes", static_cast<std::int64_t>(model.size()))
+                                  .with("outcome", "kept as it was"));
     }
 }
 
-bool ProgressWriter::fillTransaction(Transaction *transaction, Batch *batch)
+TransactionBuilder::Added ProgressWriter::addProgress(const Job &job, TransactionBuilder *transaction) const
 {
-    Context &context = *m_context;
-    bool any = fillRecord(transaction, batch);
-    for (Job *job : context.jobs.takeDirty(maxJobsPerWrite)) {
-        transaction->puts.push_back({rows::progress(job->id), JobTable::encodeProgress(*job)});
-        batch->written.push_back(job->id);
-        if (job->ended()) {
-            batch->ended.push_back(job->id);
-        }
-        any = true;
+    const std::string key = rows::progress(job.id);
+    const std::string whole = JobTable::encodeProgress(job);
+    TransactionBuilder::Added added = transaction->addPut(key, whole);
+    if (added != TransactionBuilder::Added::RowTooLong) {
+        return added;
     }
-    if (!context.jobs.hasDirty()) {
-        for (const auto &[id, worker] : context.fleet.all()) {
-            if (worker->endsApplied > worker->endsDurable) {
-                batch->ends[id] = worker->endsApplied;
+    added = transaction->addPut(key, JobTable::encodeProgress(job, JobTable::Checkpoints::LeftOut));
+    m_context->log->write(
+        LogLine("row_too_long")
+            .with("row", key)
+            .with("job", job.id)
+            .with("bytes", static_cast<std::int64_t>(whole.size()))
+            .with("outcome",
+                  added == TransactionBuilder::Added::RowTooLong ? "kept as it was" : "written without checkpoints"));
+    return added;
+}
+
+void ProgressWriter::fillProgress(TransactionBuilder *transaction, Batch *batch)
+{
+    const std::size_t room = transaction->entriesLeft() - std::min(transaction->entriesLeft(), spareEntries);
+    const std::size_t rowsLeft = m_maxRows - std::min(m_maxRows, batch->rows);
+    for (Job *job : m_context->jobs.takeDirty(std::min({maxJobsPerWrite, room, rowsLeft}))) {
+        switch (addProgress(*job, transaction)) {
+        case TransactionBuilder::Added::Yes:
+            m_unwritten.erase(job->id);
+            batch->written.push_back(job->id);
+            ++batch->rows;
+            if (job->ended()) {
+                batch->ended.push_back(job->id);
             }
+            break;
+        case TransactionBuilder::Added::TransactionFull:
+            m_context->jobs.markDirty(job);
+            break;
+        case TransactionBuilder::Added::RowTooLong:
+            m_unwritten.insert(job->id);
+            break;
         }
     }
-    while (!m_removals.empty() && batch->removed.size() < maxRemovalsPerWrite) {
+}
+
+void ProgressWriter::collectEnds(Batch *batch) const
+{
+    // The end of a run may be acknowledged only if the progress of its job is durable.
+    if (m_context->jobs.hasDirty() || !m_unwritten.empty()) {
+        return;
+    }
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        if (worker->endsApplied > worker->endsDurable) {
+            batch->ends[id] = worker->endsApplied;
+        }
+    }
+}
+
+void ProgressWriter::fillRemovals(TransactionBuilder *transaction, Batch *batch)
+{
+    while (!m_removals.empty() && batch->removed.size() < maxRemovalsPerWrite && batch->rows < m_maxRows) {
         const JobId id = m_removals.back();
+        if (transaction->addRemoval(rows::progress(id)) != TransactionBuilder::Added::Yes) {
+            return;
+        }
         m_removals.pop_back();
-        transaction->removals.push_back(rows::progress(id));
         batch->removed.push_back(id);
-        any = true;
+        ++batch->rows;
     }
-    return any;
+}
+
+bool ProgressWriter::fillTransaction(TransactionBuilder *transaction, Batch *batch)
+{
+    fillRecord(transaction, batch);
+    fillProgress(transaction, batch);
+    collectEnds(batch);
+    fillRemovals(transaction, batch);
+    return batch->rows > 0 || batch->wholeRecordRemoved;
 }
 
 void ProgressWriter::flush()
 {
     const std::shared_ptr<Batch> batch = std::make_shared<Batch>();
-    Transaction transaction;
-    transaction.writeId = m_random.uniqueId();
-    transaction.conditions.push_back({rows::coordinator(), m_chainVersion});
-    transaction.puts.push_back({rows::coordinator(), m_chainValue});
-    if (!fillTransaction(&transaction, batch.get())) {
+    TransactionBuilder transaction(m_context->settings.tableLimits, m_random.uniqueId());
+    transaction.addCondition(rows::coordinator(), m_chainVersion);
+    transaction.addPut(rows::coordinator(), m_chainValue);
+    if (!fillTransaction(&transaction, batch.get()) && !m_confirmTerm) {
         applyCommitted(*batch); // Run ends that change no durable state can be acknowledged without a write.
         return;
     }
+    m_confirmTerm = false;
     fillModel(&transaction);
     m_inFlight = true;
     m_lastWriteAt = m_context->now();
     m_lastWriteSentAt = m_context->sinceBoot();
     const std::shared_ptr<Context> shared = m_context;
-    m_resolver.commit(transaction, commitTimeout, [this, shared, batch](const CommitResult &result) {
+    m_resolver.commit(transaction.transaction(), commitTimeout, [this, shared, batch](const CommitResult &result) {
         if (!shared->ended) {
             onCommit(batch, result);
         }
     });
 }
 
+bool ProgressWriter::hasMore() const
+{
+    const std::array<RecordPart, recordPartCount> &parts = m_context->fleet.recordParts();
+    return m_context->jobs.hasDirty() || !m_removals.empty() || m_removeWholeRecord
+        || std::any_of(parts.begin(), parts.end(), [now = m_context->now()](const RecordPart &part) {
+               return part.isDue(now);
+           });
+}
+
+void ProgressWriter::onRejected(const Batch &batch)
+{
+    m_context->log->write(LogLine("progress_rejected")
+                              .with("rows", static_cast<std::int64_t>(batch.rows))
+                              .with("outcome", batch.rows > 1 ? "split" : "kept as it was"));
+    if (batch.rows > 1) {
+        m_maxRows = batch.rows / 2;
+        requeue(batch);
+    } else {
+        m_unwritten.insert(batch.written.begin(), batch.written.end());
+        m_maxRows = m_context->settings.tableLimits.entries;
+    }
+}
+
 void ProgressWriter::onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result)
 {
     m_inFlight = false;
@@ -176,15 +309,22 @@
         ++commits;
         storeReachable(true);
         termConfirmed(m_lastWriteSentAt);
+        if (batch->wholeRecordRemoved) {
+            m_removeWholeRecord = false;
+        }
         applyCommitted(*batch);
-        if (m_context->jobs.hasDirty() || !m_removals.empty()) {
+        if (hasMore()) {
             wake();
         }
         return;
     }
-    if (result.status == CommitStatus::Unavailable) {
-        storeReachable(false);
-        requeue(*batch);
+    if (result.status == CommitStatus::Unavailable || result.status == CommitStatus::Rejected) {
+        storeReachable(result.status == CommitStatus::Rejected);
+        if (result.status == CommitStatus::Rejected) {
+            onRejected(*batch);
+        } else {
+            requeue(*batch);
+        }
         const std::shared_ptr<Context> shared = m_context;
         m_context->loop->postAfter(m_context->settings.orderRetryDelay, [this, shared] {
             if (!shared->ended) {
@@ -221,6 +361,7 @@
         }
     }
     for (const JobId &id : batch.removed) {
+        m_unwritten.erase(id);
         context.jobs.erase(id);
     }
     for (const auto &[id, number] : batch.ends) {
@@ -250,8 +391,10 @@
         }
     }
     m_removals.insert(m_removals.end(), batch.removed.begin(), batch.removed.end());
-    if (batch.hasRecord) {
-        m_recordWritten.clear();
+    for (const std::size_t index : batch.parts) {
+        RecordPart &part = m_context->fleet.recordParts().at(index);
+        part.changed = true;
+        part.written.clear(); // So it is written again whatever it holds.
     }
 }
 
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -3,8 +3,11 @@
 #include "context_pvt.h"
 #include "fescueledge/commitresolver.h"
 #include "fescueledge/random.h"
+#include "fescueledge/transactionbuilder.h"
 
+#include <bitset>
 #include <map>
+#include <set>
 
 namespace fescueledge {
 class TableService;
@@ -26,11 +29,18 @@
 
     /// Schedules a write, which is skipped if there is nothing to write.
     void wake();
+    /// Writes the coordinator's row even if there is nothing else to write, to confirm that the term is the latest.
+    void confirmTerm();
+    /// Whether there is state that is not in the store and not in the pending write.
+    bool hasMore() const;
     /// Removes the rows of an ended job, and then the job from the tables.
     void removeJob(Job *job);
     /// Removes the progress row of a job whose own row has been removed.
     void removeProgress(const JobId &id);
 
+    /// Removes the record of an earlier version once the record that replaces it has been written.
+    void replaceWholeRecord();
+
     /// How long the pending write has been waiting for its answer; zero if there is none.
     Duration pendingWriteAge() const;
 
@@ -52,13 +62,26 @@
         std::vector<JobId> written;
         std::map<WorkerId, std::uint64_t> ends;
         std::map<WorkerId, bool> recorded; ///< Whether the record names their runs.
-        bool hasRecord = false;
+        std::vector<std::size_t> parts; ///< Of the record of workers.
+        bool wholeRecordRemoved = false;
+        std::size_t rows = 0; ///< Number of rows besides the coordinator's.
     };
 
     void flush();
-    bool fillTransaction(Transaction *transaction, Batch *batch);
-    void fillModel(Transaction *transaction);
-    bool fillRecord(Transaction *transaction, Batch *batch);
+    /// Fills in what is out of date and fits; returns whether that is anything.
+    bool fillTransaction(TransactionBuilder *transaction, Batch *batch);
+    void fillModel(TransactionBuilder *transaction);
+    void fillRecord(TransactionBuilder *transaction, Batch *batch);
+    /// Fills in part @p index of the record; returns false if the transaction is full.
+    bool fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch);
+    void fillProgress(TransactionBuilder *transaction, Batch *batch);
+    TransactionBuilder::Added addProgress(const Job &job, TransactionBuilder *transaction) const;
+    /// Takes note of the run ends that are durable once the transaction is committed.
+    void collectEnds(Batch *batch) const;
+    void fillRemovals(TransactionBuilder *transaction, Batch *batch);
+    /// Halves the number of rows a transaction may have, as one of them is not acceptable to the store. A single row
+    /// that is rejected is not tried again before it changes.
+    void onRejected(const Batch &batch);
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void applyCommitted(const Batch &batch);
     void logEnd(const Job &job) const;
@@ -70,7 +93,11 @@
     Random m_random;
     RowVersion m_chainVersion;
     std::string m_chainValue;
-    std::string m_recordWritten;
+    bool m_removeWholeRecord = false;
+    bool m_confirmTerm = false;
+    std::set<JobId> m_unwritten; ///< Jobs whose progress is too long for a row, even without checkpoints.
+    std::bitset<recordPartCount> m_partTooLong; ///< Logged as too long.
+    std::size_t m_maxRows; ///< Of a transaction.
     std::string m_modelWritten;
     TimePoint m_modelAt{};
     std::vector<JobId> m_removals;
--- /dev/null
+++ b/src/libworkflow/recordpart.cpp
@@ -0,0 +1,36 @@
+#include "recordpart_pvt.h"
+
+#include "entities_pvt.h"
+#include "fescueledge/digest.h"
+
+#include <algorithm>
+
+namespace fescueledge::workflow {
+
+std::size_t recordPartOf(const WorkerId &id)
+{
+    return fastHash(id) % recordPartCount;
+}
+
+bool namesRuns(const Worker &worker)
+{
+    return worker.contact == WorkerContact::Silent
+        || (worker.contact == WorkerContact::Unadopted && worker.recordNamesRuns);
+}
+
+void RecordPart::add(Worker *worker)
+{
+    const auto it = std::lower_bound(workers.begin(), workers.end(), worker, [](const Worker *a, const Worker *b) {
+        return a->id < b->id;
+    });
+    workers.insert(it, worker);
+    changed = true;
+}
+
+void RecordPart::remove(Worker *worker)
+{
+    workers.erase(std::remove(workers.begin(), workers.end(), worker), workers.end());
+    changed = true;
+}
+
+} // namespace fescueledge::workflow
--- /dev/null
+++ b/src/libworkflow/recordpart_pvt.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "fescueledge/types.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace fescueledge::workflow {
+
+struct Worker;
+
+/// Number of rows that the record of workers is divided into. A part of a fleet of 10,000 workers has about 40 of them.
+constexpr std::size_t recordPartCount = 256;
+
+/// The part that names the worker @p id, in all terms.
+std::size_t recordPartOf(const WorkerId &id);
+/// Whether the record names the runs of @p worker. If so, the worker gets no starts until the record is written without
+/// them.
+bool namesRuns(const Worker &worker);
+
+/// The workers of one row of the durable record of workers.
+struct RecordPart
+{
+    void add(Worker *worker);
+    void remove(Worker *worker);
+    /// Whether the row is to be written at @p now.
+    bool isDue(TimePoint now) const
+    {
+        return changed && now >= keptUntil;
+    }
+
+    bool changed = false; ///< The row may be out of date.
+    TimePoint keptUntil{}; ///< An unreadable row stays until then: it may name workers that still hold runs.
+    std::vector<Worker *> workers; ///< Ordered by id.
+    std::string
+        written; ///< The value last sent to the store, or read from it; empty if there is none or if it is unknown.
+};
+
+} // namespace fescueledge::workflow
--- a/src/libworkflow/rows_pvt.h
+++ b/src/libworkflow/rows_pvt.h
@@ -39,12 +39,19 @@
     return "progress/" + id;
 }
 
-/// The workers that may run something.
-inline std::string occupiedWorkers()
+/// The workers that may run something, as versions before 0.5 wrote them: all in one row.
+inline std::string wholeWorkerRecord()
 {
     return "occupied/workers";
 }
 
+/// Part @p part of the record of workers that may run something; all parts sort after wholeWorkerRecord().
+inline std::string workerRecordPart(std::size_t part)
+{
+    constexpr const char *digits = "0123456789abcdef";
+    return wholeWorkerRecord() + "." + digits[part / 16] + digits[part % 16];
+}
+
 /// The interference model: how fillers affect serving tasks.
 inline std::string interference()
 {
--- a/src/libworkflow/termloader.cpp
+++ b/src/libworkflow/termloader.cpp
@@ -16,9 +16,10 @@
 void TermLoader::start(LoadedHandler loaded)
 {
     m_loaded = std::move(loaded);
-    m_pendingReads = 2;
+    m_pendingReads = 3;
     readProgress();
-    readRecords();
+    readWorkerRecord();
+    readModel();
 }
 
 void TermLoader::readProgress()
@@ -35,18 +36,28 @@
     });
 }
 
-void TermLoader::readRecords()
+void TermLoader::readWorkerRecord()
 {
     const std::shared_ptr<Context> context = m_context;
-    m_table->read({rows::occupiedWorkers(), rows::interference()}, [this, context](const ReadResult &result) {
-        if (context->ended || !checkAvailable(result, &TermLoader::readRecords)) {
+    m_table->scan(rows::wholeWorkerRecord(), [this, context](const ReadResult &result) {
+        if (context->ended || !checkAvailable(result, &TermLoader::readWorkerRecord)) {
+            return;
+        }
+        m_state.workerRecord = result.rows;
+        workersRead(m_state.workerRecord);
+        onReadDone();
+    });
+}
+
+void TermLoader::readModel()
+{
+    const std::shared_ptr<Context> context = m_context;
+    m_table->read({rows::interference()}, [this, context](const ReadResult &result) {
+        if (context->ended || !checkAvailable(result, &TermLoader::readModel)) {
             return;
         }
-        const Row *occupied = result.find(rows::occupiedWorkers());
         const Row *model = result.find(rows::interference());
-        m_state.occupiedWorkers = occupied == nullptr ? std::string() : occupied->value;
         m_state.interference = model == nullptr ? std::string() : model->value;
-        workersRead(m_state.occupiedWorkers);
         onReadDone();
     });
 }
--- a/src/libworkflow/termloader_pvt.h
+++ b/src/libworkflow/termloader_pvt.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "fescueledge/row.h"
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace fescueledge {
 class TableService;
@@ -18,7 +20,7 @@
 struct TermState
 {
     std::map<JobId, std::string> progress; ///< Progress rows by job.
-    std::string occupiedWorkers; ///< Row of the workers that may run something; empty if there is none.
+    std::vector<Row> workerRecord; ///< Rows of the record of workers that may run something.
     std::string interference; ///< Row of the interference model; empty if there is none.
 };
 
@@ -33,8 +35,8 @@
 
     /// Calls @p loaded once everything is read; reads are retried until they succeed.
     void start(LoadedHandler loaded);
-    /// Called with the row of the workers that may run something, as soon as it is read.
-    std::function<void(const std::string &)> workersRead;
+    /// Called with the record of workers that may run something, as soon as it is read.
+    std::function<void(const std::vector<Row> &)> workersRead;
     /// Called after each read, with whether the store answered.
     std::function<void(bool)> storeReachable;
 
@@ -42,7 +44,8 @@
     using Reader = void (TermLoader::*)();
 
     void readProgress();
-    void readRecords();
+    void readWorkerRecord();
+    void readModel();
     /// Returns whether @p result can be used; if not, schedules @p again.
     bool checkAvailable(const ReadResult &result, Reader again);
     void onReadDone();
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -6,58 +6,107 @@
 
 using nlohmann::json;
 
-bool namesRuns(const Worker &worker)
+namespace {
+
+/// Positions in an encoded worker.
+enum Field { IdField, AddressField, ServiceField, DataCentreField, RackField, RunsField };
+
+json encodeRuns(const Worker &worker)
 {
-    return worker.contact == WorkerContact::Silent
-        || (worker.contact == WorkerContact::Unadopted && worker.recordNamesRuns);
+    json runs = json::array();
+    for (const Task *task : worker.tasks) {
+        const TaskKey key = keyOf(*task);
+        runs.push_back({key.job, key.occurrence, key.step, key.index, task->run});
+    }
+    for (const EarlierRun &earlier : worker.earlierRuns) {
+        const TaskKey &key = earlier.task;
+        runs.push_back({key.job, key.occurrence, key.step, key.index, earlier.run});
+    }
+    return runs;
 }
 
-std::string encodeWorkerRecord(const FleetTable &fleet)
+json encodeWorker(const Worker &worker)
 {
-    json out = json::array();
-    for (const auto &[id, worker] : fleet.all()) {
-        json entry{{"id", id},
-                   {"address", worker->entry.address},
-                   {"service", worker->entry.service},
-                   {"dataCentre", worker->entry.dataCentre},
-                   {"rack", worker->entry.rack}};
-        if (namesRuns(*worker)) {
-            json runs = json::array();
-            for (const Task *task : worker->tasks) {
-                const TaskKey key = keyOf(*task);
-                runs.push_back({key.job, key.occurrence, key.step, key.index, task->run});
-            }
-            for (const EarlierRun &earlier : worker->earlierRuns) {
-                const TaskKey &key = earlier.task;
-                runs.push_back({key.job, key.occurrence, key.step, key.index, earlier.run});
-            }
-            entry["runs"] = runs;
-        }
-        out.push_back(entry);
+    const WorkerEntry &entry = worker.entry;
+    json out = json::array({worker.id, entry.address, entry.service, entry.dataCentre, entry.rack});
+    if (namesRuns(worker)) {
+        out.push_back(encodeRuns(worker));
     }
-    const std::vector<std::uint8_t> bytes = json::to_cbor(out);
+    return out;
+}
+
+std::string toText(const json &value)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(value);
     return std::string(bytes.begin(), bytes.end());
 }
 
-std::vector<RecordedWorker> decodeWorkerRecord(const std::string &value)
+/// Leaves out the longest list of runs in @p workers. Returns whose it was; empty if there is none.
+WorkerId dropLongestRuns(json *workers)
 {
-    std::vector<RecordedWorker> out;
-    for (const json &entry : json::from_cbor(value)) {
-        RecordedWorker worker;
-        worker.entry.id = entry.at("id").get<std::string>();
-        worker.entry.address = entry.at("address").get<std::string>();
-        worker.entry.service = entry.at("service").get<std::string>();
-        worker.entry.dataCentre = entry.at("dataCentre").get<std::string>();
-        worker.entry.rack = entry.at("rack").get<std::string>();
-        worker.namesRuns = entry.contains("runs");
-        if (worker.namesRuns) {
-            for (const json &run : entry.at("runs")) {
-                const TaskKey key{run.at(0).get<std::string>(), run.at(1).get<std::uint32_t>(),
-                                  run.at(2).get<std::uint32_t>(), run.at(3).get<std::uint32_t>()};
-                worker.runs.emplace_back(key, run.at(4).get<RunNumber>());
-            }
+    json *longest = nullptr;
+    for (json &worker : *workers) {
+        if (worker.size() > RunsField
+            && (longest == nullptr || worker.at(RunsField).size() > longest->at(RunsField).size())) {
+            longest = &worker;
         }
-        out.push_back(std::move(worker));
+    }
+    if (longest == nullptr) {
+        return WorkerId();
+    }
+    longest->erase(RunsField);
+    return longest->at(IdField).get<std::string>();
+}
+
+RecordedWorker decodeWorker(const json &in)
+{
+    const bool named = in.is_object(); // As versions before 0.5 wrote it.
+    const auto text = [&in, named](const char *name, Field field) {
+        return (named ? in.at(name) : in.at(field)).get<std::string>();
+    };
+    RecordedWorker worker;
+    worker.entry.id = text("id", IdField);
+    worker.entry.address = text("address", AddressField);
+    worker.entry.service = text("service", ServiceField);
+    worker.entry.dataCentre = text("dataCentre", DataCentreField);
+    worker.entry.rack = text("rack", RackField);
+    worker.namesRuns = named ? in.contains("runs") : in.size() > RunsField;
+    if (worker.namesRuns) {
+        for (const json &run : named ? in.at("runs") : in.at(RunsField)) {
+            const TaskKey key{run.at(0).get<std::string>(), run.at(1).get<std::uint32_t>(),
+                              run.at(2).get<std::uint32_t>(), run.at(3).get<std::uint32_t>()};
+            worker.runs.emplace_back(key, run.at(4).get<RunNumber>());
+        }
+    }
+    return worker;
+}
+
+} // namespace
+
+EncodedRecordPart encodeRecordPart(const RecordPart &part, std::size_t maxBytes)
+{
+    json workers = json::array();
+    for (const Worker *worker : part.workers) {
+        workers.push_back(encodeWorker(*worker));
+    }
+    EncodedRecordPart out;
+    out.value = toText(workers);
+    while (out.value.size() > maxBytes) {
+        const WorkerId shortened = dropLongestRuns(&workers);
+        if (shortened.empty()) {
+            return EncodedRecordPart{};
+        }
+        out.withoutRuns.insert(shortened);
+        out.value = toText(workers);
+    }
+    return out;
+}
+
+std::vector<RecordedWorker> decodeRecordPart(const std::string &value)
+{
+    std::vector<RecordedWorker> out;
+    for (const json &worker : json::from_cbor(value)) {
+        out.push_back(decodeWorker(worker));
     }
     return out;
 }
--- a/src/libworkflow/workerrecord_pvt.h
+++ b/src/libworkflow/workerrecord_pvt.h
@@ -18,11 +18,18 @@
     std::vector<std::pair<TaskKey, RunNumber>> runs;
 };
 
-/// Whether the record names the runs of @p worker. If so, the worker gets no starts until the record is written without
-/// them.
-bool namesRuns(const Worker &worker);
-std::string encodeWorkerRecord(const FleetTable &fleet);
+/// A part of the record as the value of a row.
+struct EncodedRecordPart
+{
+    std::string value; ///< Empty if it can't be made short enough.
+    std::set<WorkerId> withoutRuns; ///< Workers whose runs were left out for want of room.
+};
+
+/// Encodes the record of the workers in @p part in at most @p maxBytes. The runs of workers for which there is no room
+/// are left out: the next coordinator then waits for these workers, or for the end of their leases.
+EncodedRecordPart encodeRecordPart(const RecordPart &part, std::size_t maxBytes);
+/// Decodes a part, or the record of all workers as versions before 0.5 wrote it.
 /// @throws nlohmann::json::exception if @p value can't be read.
-std::vector<RecordedWorker> decodeWorkerRecord(const std::string &value);
+std::vector<RecordedWorker> decodeRecordPart(const std::string &value);
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -352,6 +352,7 @@
     , catalog(defaultCatalog())
     , m_seed(seed)
 {
+    rows.limits = TableLimits{};
     for (int i = 0; i < nodes; ++i) {
         m_processes.push_back(nullptr);
         startNode(i);
