--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -87,15 +87,19 @@
     return out.dump();
 }
 
-Election::CoordinatorRow Election::decode(const std::string &value)
-{
-    const json in = json::parse(value);
-    CoordinatorRow row;
-    row.term = in.at("term").get<Term>();
-    row.node = in.at("node").get<std::string>();
-    row.address = in.at("address").get<std::string>();
-    row.resigned = in.at("resigned").get<bool>();
-    return row;
+std::optional<Election::CoordinatorRow> Election::decode(const std::string &value)
+{
+    try {
+        const json in = json::parse(value);
+        CoordinatorRow row;
+        row.term = in.at("term").get<Term>();
+        row.node = in.at("node").get<std::string>();
+        row.address = in.at("address").get<std::string>();
+        row.resigned = in.at("resigned").get<bool>();
+        return row;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
 }
 
 void Election::start()
@@ -142,10 +146,12 @@
 void Election::applyMemberRows(const std::vector<Row> &rows)
 {
     for (const Row &row : rows) {
-        const json value = json::parse(row.value, nullptr, false);
-        if (value.is_object() && value.contains("address")) {
+        try {
+            const json value = json::parse(row.value);
             m_members[row.key.substr(row.key.find('/') + 1)] =
-                Member{value.value("address", std::string()), value.value("cores", 0.0), row.version};
+                Member{value.at("address").get<std::string>(), value.value("cores", 0.0), row.version};
+        } catch (const json::exception &error) {
+            m_parts.log->write(LogLine("node_row_unreadable").with("row", row.key).with("detail", error.what()));
         }
     }
 }
@@ -346,11 +352,45 @@
     if (!result.available || m_localCoordinator || m_resigned) {
         return;
     }
+    const Row *row = result.find(rows::coordinator());
+    if (row == nullptr) {
+        handleCoordinator(CoordinatorRow{}, 0);
+        return;
+    }
+    const std::optional<CoordinatorRow> current = decode(row->value);
+    if (current) {
+        handleCoordinator(*current, row->version);
+    } else {
+        recoverCoordinatorRow(row->version);
+    }
+}
+
+void Election::recoverCoordinatorRow(RowVersion version)
+{
+    m_parts.log->write(LogLine("coordinator_row_unreadable").with("version", static_cast<std::int64_t>(version)));
+    m_reading = true;
+    const std::shared_ptr<bool> alive = m_alive;
+    m_parts.table->read({rows::termMarker()}, [this, alive, version](const ReadResult &result) {
+        if (!*alive) {
+            return;
+        }
+        m_reading = false;
+        if (!result.available || m_localCoordinator || m_resigned) {
+            return;
+        }
+        const Row *marker = result.find(rows::termMarker());
+        CoordinatorRow current;
+        current.term =
+            std::max(m_term, marker == nullptr ? Term{0} : static_cast<Term>(std::atoll(marker->value.c_str())));
+        current.resigned = true; // Nobody is known to coordinate.
+        handleCoordinator(current, version);
+    });
+}
+
+void Election::handleCoordinator(const CoordinatorRow &current, RowVersion version)
+{
     // Without a catalog this node would not know where nothing may start.
     const bool mayCoordinate = m_catalog != nullptr;
-    const Row *row = result.find(rows::coordinator());
-    const CoordinatorRow current = row == nullptr ? CoordinatorRow{} : decode(row->value);
-    const RowVersion version = row == nullptr ? 0 : row->version;
     if (current.term > m_term) {
         adoptCoordinator(current);
         // If the row names this node, an earlier process of the same name wrote it.
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -62,7 +62,8 @@
     };
 
     static std::string encode(const CoordinatorRow &row);
-    static CoordinatorRow decode(const std::string &value);
+    /// Empty if @p value can't be read.
+    static std::optional<CoordinatorRow> decode(const std::string &value);
 
     void registerSelf();
     void applyMemberRows(const std::vector<Row> &rows);
@@ -85,6 +86,10 @@
     bool isStoreResponsive() const;
     void readCoordinator();
     void onCoordinatorRow(const ReadResult &result);
+    /// Replaces the unreadable coordinator's row of @p version by one with the term of the marker among the jobs.
+    void recoverCoordinatorRow(RowVersion version);
+    /// Takes over from @p current, or adopts it. @p version is that of its row, 0 if there is none.
+    void handleCoordinator(const CoordinatorRow &current, RowVersion version);
     void takeOver(const CoordinatorRow &current, RowVersion version);
     /// @p confirmedAt is when the write that began the term was sent, since boot.
     void beginTerm(const CoordinatorRow &row, RowVersion version, Duration confirmedAt);
