Let few nodes watch the coordinator closely

Cause: every node pinged the coordinator each 150 ms, about 1,000 pings a second of 147 nodes to one of them.

Change: the twelve nodes that are best suited to replace it do; the others ping each 450 ms, so that several of their pings fall into the time for which a confirmation of the term holds, and suspect the coordinator that much later. Ruled out: a majority of the watchers alone as confirmation, which changes what a cut of a zone can do; it is the next step for fleets whose pings load the coordinator even so.

Test: fleetsize_test, 3,540 messages in nine seconds before on 60 nodes, below 1,826 now; takeover within a second, and leases are renewed through an outage of the store.

--- a/src/include/fescueledge/testing/fakenetwork.h
+++ b/src/include/fescueledge/testing/fakenetwork.h
@@ -30,6 +30,7 @@
     bool connected(const NodeId &from, const NodeId &to) const;
 
     std::chrono::microseconds latency{1000}; ///< One-way latency.
+    std::map<NodeId, std::uint64_t> sentTo; ///< Number of messages sent so far, by receiver.
     double loss = 0; ///< Probability that a message is lost.
 
 private:
--- a/src/libtesting/fakenetwork.cpp
+++ b/src/libtesting/fakenetwork.cpp
@@ -56,6 +56,7 @@
 
 void FakeNetwork::carry(const NodeId &from, const NodeId &to, std::function<void()> deliver)
 {
+    ++sentTo[to];
     if (!connected(from, to) || (from != to && m_random.chance(loss))) {
         return;
     }
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -13,8 +13,14 @@
 
 namespace {
 
-/// Interval between pings of the coordinator.
+/// Interval between pings of the coordinator by the nodes that are best suited to replace it ...
 constexpr Milliseconds pingInterval{150};
+/// ... which are this many, so that pings load the coordinator of a large fleet little more than that of a small one
+/// ...
+constexpr int watcherCount = 12;
+/// ... and by the other nodes. Their pings confirm the term of a coordinator that does not reach the store, so several
+/// have to fit into the time for which a confirmation holds.
+constexpr Milliseconds slowPingInterval{450};
 constexpr Milliseconds basePingTimeout{300};
 /// A coordinator that has not answered for this long, which means four lost pings, is suspected to have failed. A false
 /// suspicion is affordable: a takeover costs a tenth of a second.
@@ -169,7 +175,7 @@
 {
     forgetFalseSuspicions();
     if (!m_localCoordinator) {
-        if (!m_coordinator.empty()) {
+        if (!m_coordinator.empty() && m_parts.loop->now() >= m_pingedAt + pingIntervalOfSelf()) {
             ping();
         }
         if (suspectsCoordinator() && !m_resigned) {
@@ -190,6 +196,11 @@
         || coordinatorReportsStoreLoss();
 }
 
+Milliseconds Election::pingIntervalOfSelf() const
+{
+    return betterNodes() < watcherCount ? pingInterval : slowPingInterval;
+}
+
 Milliseconds Election::pingTimeout() const
 {
     return basePingTimeout * (1 << m_falseSuspicions);
@@ -197,7 +208,7 @@
 
 Duration Election::suspicionTimeout() const
 {
-    return baseSuspicionTimeout * (1 << m_falseSuspicions);
+    return baseSuspicionTimeout * (1 << m_falseSuspicions) + (pingIntervalOfSelf() - pingInterval);
 }
 
 void Election::recordFalseSuspicion(Term term)
@@ -272,6 +283,7 @@
 void Election::ping()
 {
     const std::shared_ptr<bool> alive = m_alive;
+    m_pingedAt = m_parts.loop->now();
     json body = pingBody();
     if (m_coordinatorStamp != Milliseconds::zero()) {
         body["answers_ms"] = m_coordinatorStamp.count();
@@ -434,7 +446,7 @@
         LogLine("coordinator_known").with("node", row.node).with("term", static_cast<std::int64_t>(row.term)));
 }
 
-Duration Election::takeoverDelay() const
+int Election::betterNodes() const
 {
     // Among nodes of equal size the one that started last goes first: in a rolling restart it has already been
     // restarted.
@@ -449,7 +461,12 @@
             ++better;
         }
     }
-    return better * takeoverDelayStep;
+    return better;
+}
+
+Duration Election::takeoverDelay() const
+{
+    return betterNodes() * takeoverDelayStep;
 }
 
 void Election::takeOver(const CoordinatorRow &current, RowVersion version)
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -96,7 +96,10 @@
     void stepDown(const char *reason);
     bool maySendOrders() const;
     void recordStoreContact(bool answered);
+    /// Number of other nodes that are better suited to coordinate; the present coordinator does not count.
+    int betterNodes() const;
     Duration takeoverDelay() const;
+    Milliseconds pingIntervalOfSelf() const;
     void adoptCoordinator(const CoordinatorRow &row);
 
     NodeDependencies m_parts;
@@ -115,6 +118,7 @@
     TimePoint m_coordinatorSeenAt{}; ///< When the coordinator last answered without reporting a loss of the store.
     /// Since when the coordinator has reported that the store does not answer it; the epoch if it has not.
     TimePoint m_storeLossSince{};
+    TimePoint m_pingedAt{}; ///< When the coordinator was last pinged.
     TimePoint m_readStartedAt{}; ///< When the last read of the coordinator's row began.
     bool m_reading = false;
     int m_falseSuspicions = 0; ///< Recent ones; each doubles the timeouts.
--- a/src/libworkflow/fleetsize_test.cpp
+++ b/src/libworkflow/fleetsize_test.cpp
@@ -148,6 +148,43 @@
     CHECK(world->log(other).count("failed") == 0);
 }
 
+// Guards against pings whose number grows with the nodes, all to one of them.
+TEST_CASE("few of 60 nodes watch the coordinator closely, and replace it within a second")
+{
+    constexpr int nodes = 60;
+    constexpr int closely = 12;
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 4, cores);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(60000), false);
+    };
+    world->submit(0, job, workflowOf({simpleStep(8)}));
+    const int old = world->coordinator();
+    std::uint64_t &received = world->network.sentTo["node-" + std::to_string(old)];
+    const std::uint64_t before = received;
+    world->run(std::chrono::seconds(9));
+    const std::uint64_t inNineSeconds = closely * 60 + (nodes - 1 - closely) * 20;
+    CHECK(received - before <= inNineSeconds * 11 / 10);
+    world->kill(old);
+    CHECK(world->runUntil(
+        [&world] {
+            return world->coordinator() >= 0;
+        },
+        std::chrono::seconds(1)));
+    // Without the store, the other nodes' pings confirm the term.
+    world->run(std::chrono::seconds(1));
+    REQUIRE(world->workers.runsOf(job).size() == 8);
+    for (int i = 0; i < nodes; ++i) {
+        world->storeFaults(i).down = true;
+    }
+    const int coordinator = world->coordinator();
+    // Tasks that last keep their leases only while the coordinator may send orders.
+    world->run(std::chrono::seconds(8));
+    CHECK(world->coordinator() == coordinator);
+    for (const SimWorkers::RunRecord &run : world->workers.runsOf(job)) {
+        CHECK(run.ended == TimePoint{});
+    }
+}
+
 TEST_CASE("the record of an earlier version is read, and replaced by its parts")
 {
     constexpr int nodes = 2;
