Show that a slow reader gets whole log lines

Some lines of the coordinator are cut on the large deployment, with the next line behind. Whether the product or the reader does that was open. Test: 6,000 lines through a pipe of 4 KB that is read in pieces of 777 bytes arrive whole and in order, so a short write is continued where it was cut. The writer now takes a descriptor, so that it can be tested.

--- a/src/include/fescueledge/stdoutlog.h
+++ b/src/include/fescueledge/stdoutlog.h
@@ -48,6 +48,8 @@
     std::shared_ptr<State> m_state;
 };
 
+/// A Writer for @p descriptor; makes it non-blocking.
+StdoutLog::Writer fileWriter(int descriptor);
 /// A Writer for standard output; makes it non-blocking.
 StdoutLog::Writer standardOutput();
 
--- a/src/libtelemetry/telemetry_test.cpp
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -4,7 +4,12 @@
 #include "fescueledge/testing/simworld.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <fcntl.h>
+#include <sstream>
+#include <unistd.h>
 
 using namespace fescueledge;
 
@@ -90,3 +95,60 @@
     CHECK(page.find("fescueledge_event_seconds_bucket{event=\"job_submit\",le=\"0.05\"} 3") != std::string::npos);
     CHECK(page.find("fescueledge_coordinates 1") != std::string::npos);
 }
+
+// A line that was written in part has to be continued where it was cut, however slowly the other end reads.
+TEST_CASE("lines that a slow reader takes in small pieces arrive whole and in order")
+{
+    SimWorld world;
+    SimLoop loop(&world);
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    fcntl(ends[1], F_SETPIPE_SZ, 4096);
+    StdoutLog::Limits limits;
+    limits.linesPerSecond = 1000000;
+    StdoutLog log(
+        &loop, "n1",
+        [] {
+            return std::int64_t{5};
+        },
+        fileWriter(ends[1]), limits);
+    std::string read;
+    std::array<char, 777> piece{};
+    const auto readPiece = [&] {
+        const ssize_t n = ::read(ends[0], piece.data(), piece.size());
+        read.append(piece.data(), n > 0 ? static_cast<std::size_t>(n) : 0);
+        return n > 0;
+    };
+    int lines = 0;
+    for (int round = 0; round < 300; ++round) {
+        for (int i = 0; i < 20; ++i) {
+            log.write(LogLine("run_start").with("job", std::to_string(lines++)).with("worker", "w1"));
+        }
+        world.runFor(Milliseconds(20));
+        readPiece();
+    }
+    for (int round = 0; round < 1000; ++round) {
+        world.runFor(Milliseconds(100));
+        while (readPiece()) {
+        }
+    }
+    close(ends[0]);
+    close(ends[1]);
+    std::istringstream in(read);
+    std::string line;
+    int last = -1;
+    int seen = 0;
+    while (std::getline(in, line)) {
+        if (line.find("event=log_suppressed") != std::string::npos) {
+            continue;
+        }
+        int number = -1;
+        CAPTURE(line);
+        REQUIRE(std::sscanf(line.c_str(), "ts_ms=5 node=n1 event=run_start job=%d worker=w1", &number) == 1);
+        REQUIRE(number > last);
+        last = number;
+        ++seen;
+    }
+    CHECK(seen + static_cast<int>(log.suppressed()) == lines);
+}
--- a/src/libutil/stdoutlog.cpp
+++ b/src/libutil/stdoutlog.cpp
@@ -136,16 +136,21 @@
     return m_state->suppressed;
 }
 
-StdoutLog::Writer standardOutput()
+StdoutLog::Writer fileWriter(int descriptor)
 {
-    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    const int flags = fcntl(descriptor, F_GETFL);
     if (flags >= 0) {
-        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
     }
-    return [](const std::string &text) {
-        const ssize_t n = ::write(STDOUT_FILENO, text.data(), text.size());
+    return [descriptor](const std::string &text) {
+        const ssize_t n = ::write(descriptor, text.data(), text.size());
         return n > 0 ? static_cast<std::size_t>(n) : std::size_t{0};
     };
 }
 
+StdoutLog::Writer standardOutput()
+{
+    return fileWriter(STDOUT_FILENO);
+}
+
 } // namespace fescueledge
