Order no more starts than the processor handles within the timeout of an order

Ruled out: late starts of an earlier term, since all runs were of one term; log and loop delay, since ticks were 20 to 70 ms late only.

Change: StartWindow bounds the start orders without an answer. It shrinks while the median latency is above 200 ms and grows while it is below 100 ms and the window is full, so tasks wait before they are ordered instead of after.

Test: overload_test. Without the window 1,006 orders get no answer, workers count as silent 220 times, and 1,000 tasks have 1,304 runs; with it ten orders at most, none and 1,000.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -449,6 +449,7 @@
                               .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(m_freshness.workersAge()))
                               .with("loop_delay_ms", std::chrono::duration_cast<Milliseconds>(m_longestTickDelay))
                               .with("workers", static_cast<std::int64_t>(m_context->fleet.all().size()))
+                              .with("start_window", static_cast<std::int64_t>(m_orders.window.size()))
                               .with("starts", static_cast<std::int64_t>(m_orders.startsSent)));
     m_longestTickDelay = Duration::zero();
 }
@@ -533,6 +534,9 @@
     if (!m_freshness.areCurrent()) {
         return; // A worker may have announced its shutdown, or its data centre be evacuated. The next tick tries again.
     }
+    if (m_orders.window.room() == 0) {
+        return; // The answers to earlier orders wake the dispatch.
+    }
     const TimePoint begun = m_context->now();
     const bool more = m_dispatch.run(m_dispatchBudget.startsPerRun());
     m_lastDispatchDuration = m_context->now() - begun;
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -105,7 +105,7 @@
     m_unplaceable.clear();
     m_unplaceableOverdue.clear();
     m_placement->dropStaleHeadroom();
-    const std::uint64_t limit = m_orders->startsSent + maxStarts;
+    const std::uint64_t limit = m_orders->startsSent + std::min(maxStarts, m_orders->window.room());
     for (const std::pair<Rank, Step *> &entry : ranked) {
         if (m_orders->startsSent >= limit) {
             return true;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -52,6 +52,7 @@
     order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
     order.term = context.term;
     FleetTable::recordLease(worker, order.leaseUntil);
+    window.recordSent();
     ++startsSent;
     const RunRef ref{order.task, order.run, worker->id};
     const std::shared_ptr<Context> shared = m_context;
@@ -84,6 +85,11 @@
                            .with("term", static_cast<std::int64_t>(context.term))
                            .with("outcome", orderOutcomeName(result.outcome))
                            .with("took_ms", std::chrono::duration_cast<Milliseconds>(now - sentAt)));
+    const bool wasFull = window.room() == 0;
+    window.recordAnswer(now - sentAt, now);
+    if (wasFull && window.room() > 0) {
+        context.wakeDispatch();
+    }
     Worker *worker = context.fleet.find(ref.worker);
     if (worker != nullptr && result.workerClock.count() > 0 && result.outcome != OrderOutcome::OtherIncarnation) {
         FleetTable::setClock(worker, result.workerClock, now);
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "startwindow_pvt.h"
 
 namespace fescueledge::workflow {
 
@@ -30,6 +31,7 @@
     /// Called when a worker should be observed at once.
     std::function<void(Worker *)> wakeObservation;
 
+    StartWindow window;
     std::uint64_t startsSent = 0;
     std::uint64_t startsRefused = 0;
 
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -78,13 +78,15 @@
             });
             return;
         }
-        m_world->after(latency, [this, worker, order, handler] {
-            observeUntil(worker, order, m_world->now() + order.wait, handler);
+        const TimePoint deadline = m_world->now() + timeout;
+        m_world->after(latency, [this, worker, order, deadline, handler] {
+            observeUntil(worker, order, m_world->now() + order.wait, deadline, handler);
         });
     }
 
     Duration startDelay{0};
     Duration paceDelay{0};
+    Duration answerTime{0}; ///< Processor time that each answer takes; one is handled after the other.
     int stopsToLose = 0; ///< This many following stop orders are not delivered.
     int dropEvery = 0; ///< Every observation with a multiple of this number gets no answer; 0 for none.
 
@@ -109,16 +111,33 @@
             answerWithTimeout(timeout, handler);
             return;
         }
-        Loop *loop = m_loop;
-        m_world->after(latency, [loop, handler, order] {
+        const TimePoint deadline = m_world->now() + timeout;
+        m_world->after(latency, [this, deadline, handler, order] {
             const OrderResult result = order();
-            loop->postAfter(latency, [handler, result] {
-                handler(result);
-            });
+            answerBy(
+                deadline,
+                [handler, result] {
+                    handler(result);
+                },
+                [handler] {
+                    handler(OrderResult{});
+                });
         });
     }
 
-    void observeUntil(const WorkerRef &worker, const ObserveOrder &order, TimePoint until,
+    /// Runs @p answer once the processor has got to it, or @p timeout if that is after @p deadline.
+    void answerBy(TimePoint deadline, const std::function<void()> &answer, const std::function<void()> &timeout)
+    {
+        const TimePoint now = m_world->now();
+        m_busyUntil = std::max(m_busyUntil, now + latency) + answerTime;
+        if (m_busyUntil > deadline) {
+            m_loop->postAfter(std::max<Duration>(deadline - now, Duration::zero()), timeout);
+        } else {
+            m_loop->postAfter(m_busyUntil - now, answer);
+        }
+    }
+
+    void observeUntil(const WorkerRef &worker, const ObserveOrder &order, TimePoint until, TimePoint deadline,
                       const ObserveHandler &handler)
     {
         Loop *loop = m_loop;
@@ -130,13 +149,18 @@
         }
         const Observation seen = m_workers->observe(worker.id, order);
         if (seen.outcome != OrderOutcome::Done || !seen.ended.empty() || m_world->now() >= until) {
-            loop->postAfter(latency, [handler, seen] {
-                handler(seen);
-            });
+            answerBy(
+                deadline,
+                [handler, seen] {
+                    handler(seen);
+                },
+                [handler] {
+                    handler(Observation{});
+                });
             return;
         }
-        m_world->after(observePoll, [this, worker, order, until, handler] {
-            observeUntil(worker, order, until, handler);
+        m_world->after(observePoll, [this, worker, order, until, deadline, handler] {
+            observeUntil(worker, order, until, deadline, handler);
         });
     }
 
@@ -144,6 +168,7 @@
     Loop *m_loop;
     SimWorkers *m_workers;
     NodeId m_self;
+    TimePoint m_busyUntil{};
     int m_observations = 0;
 };
 
@@ -431,6 +456,11 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.startDelay = delay;
 }
 
+void WorkflowWorld::setAnswerTime(int index, Duration time)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.answerTime = time;
+}
+
 void WorkflowWorld::loseStops(int index, int count)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.stopsToLose = count;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -64,6 +64,10 @@
     /// The same for pace orders.
     void delayPaces(int index, Duration delay);
 
+    /// Makes node @p index spend @p time on each answer of a worker, one after the other; an answer that it gets to
+    /// after its timeout is lost.
+    void setAnswerTime(int index, Duration time);
+
     /// Loses the following @p count stop orders of node @p index.
     void loseStops(int index, int count);
 
