Tell no older state of a job after a coordinator was replaced during a short pause

Cause: a coordinator told states from its tables whether it was still the latest or not. Ruled out: the right to send orders as the condition, which holds for 1.5 s, longer than a takeover takes.

Change: states that are no ends are told from the tables if the store has confirmed the term within 300 ms; otherwise the store is read, and its answer counts if it names an end. Without the store the tables count, as before: nobody can have taken over.

Test: takeover_test, in_progress before, complete now.

--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -41,6 +41,11 @@
     {
         return m_localCoordinator.get();
     }
+    /// Whether the store has confirmed the newest term of the local coordinator within @p span.
+    bool isTermConfirmedSince(Duration span) const
+    {
+        return m_localCoordinator != nullptr && m_parts.sinceBoot() < m_confirmedByStore + span;
+    }
     /// Peer address of @p node; empty if it is not known.
     std::string addressOf(const NodeId &node) const;
 
--- a/src/libworkflow/takeover_test.cpp
+++ b/src/libworkflow/takeover_test.cpp
@@ -395,3 +395,33 @@
     CHECK(world->workers.runsOf(jobA).size() > 12);
     CHECK(world->workers.tasksRunTwice().empty());
 }
+
+// Guards against a state that goes back: a caller who was told of a job's end must not be told later that it still
+// runs.
+TEST_CASE("a coordinator that was replaced during a short pause tells no older state of a job")
+{
+    constexpr int nodes = 3;
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 2, 8);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(500), false);
+    };
+    const int old = world->coordinator();
+    const int other = otherThan(old, nodes);
+    world->storeFaults(old).watchesSilent = true;
+    world->run(Milliseconds(1200)); // Until the last watch has been answered.
+    world->submit(old, jobA, workflowOf({simpleStep(4)}));
+    world->run(Milliseconds(100));
+    REQUIRE(world->workers.runsOf(jobA).size() == 4);
+    // It gets no news of its replacement, and the pause is shorter than the time for which it may act.
+    const NodeId oldName = "node-" + std::to_string(old);
+    for (int i = 0; i < nodes; ++i) {
+        world->network.setCut("node-" + std::to_string(i), oldName, true);
+    }
+    for (const char *worker : {"w0", "w1"}) {
+        world->workers.find(worker)->cutFrom.insert(oldName);
+    }
+    world->pause(old);
+    REQUIRE(reachesState(*world, other, jobA, "complete", Milliseconds(1300)));
+    world->resume(old);
+    CHECK(world->state(old, jobA) == "complete");
+}
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -28,6 +28,9 @@
 constexpr Milliseconds storeBackoff{150};
 /// Timeout of calls to the coordinator; after that the store is read.
 constexpr Milliseconds peerTimeout{300};
+/// A coordinator whose term the store has confirmed within this time tells states from its tables. A replaced one is
+/// silent for longer before another takes over and ends a job.
+constexpr Milliseconds statusFreshness{300};
 
 Milliseconds commitTimeoutFor(Milliseconds callerTimeout)
 {
@@ -80,7 +83,10 @@
     void onAcceptedNotice(const json &body);
     void onJobWritten(const Submission &submission, const CommitResult &result);
     void notifyCoordinator(const char *kind, const json &body);
-    void statusFromStore(const JobId &id, const AnswerHandler &handler);
+    /// Whether a state that the local coordinator has for a job can be told without a look at the store.
+    bool isConfirmed(JobPhase phase) const;
+    /// @p otherwise is told unless the store has an end of the job; empty if nothing is known.
+    void statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler);
     void onCancelRows(const JobId &id, Milliseconds callerTimeout, const ReadResult &result,
                       const AnswerHandler &handler);
     void logSubmission(const JobId &id, const std::string &queue, CommitStatus status, TimePoint since);
@@ -128,6 +134,7 @@
                 const std::optional<JobPhase> phase =
                     self->m_election.localCoordinator()->status(message.body.value("id", JobId()));
                 if (phase) {
+                    body["confirmed"] = self->isConfirmed(*phase);
                     body["state"] = phaseName(*phase);
                 }
             }
@@ -278,15 +285,15 @@
 {
     if (m_election.localCoordinator() != nullptr) {
         const std::optional<JobPhase> phase = m_election.localCoordinator()->status(id);
-        if (phase) {
+        if (phase && isConfirmed(*phase)) {
             handler(stateAnswer(phaseName(*phase)));
             return;
         }
-        statusFromStore(id, handler);
+        statusFromStore(id, phase ? phaseName(*phase) : std::string(), handler);
         return;
     }
     if (m_election.coordinator().empty()) {
-        statusFromStore(id, handler);
+        statusFromStore(id, std::string(), handler);
         return;
     }
     const std::shared_ptr<Impl> self = shared_from_this();
@@ -294,20 +301,28 @@
                         [self, id, handler](const PeerResult &result) {
                             const std::string state =
                                 result.answered ? result.reply.body.value("state", std::string()) : std::string();
-                            if (state.empty()) {
-                                self->statusFromStore(id, handler);
+                            if (state.empty() || !result.reply.body.value("confirmed", true)) {
+                                self->statusFromStore(id, state, handler);
                             } else {
                                 handler(stateAnswer(state));
                             }
                         });
 }
 
-void WorkflowNode::Impl::statusFromStore(const JobId &id, const AnswerHandler &handler)
+bool WorkflowNode::Impl::isConfirmed(JobPhase phase) const
+{
+    // A coordinator that was replaced without knowing it may have missed the end of a job, but ends are final.
+    const bool ended = phase != JobPhase::Queued && phase != JobPhase::InProgress;
+    return ended || m_election.isTermConfirmedSince(statusFreshness);
+}
+
+void WorkflowNode::Impl::statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler)
 {
     const std::vector<std::string> keys{rows::job(id), rows::cancellation(id), rows::progress(id)};
-    m_parts.table->read(keys, [id, handler](const ReadResult &result) {
+    m_parts.table->read(keys, [id, otherwise, handler](const ReadResult &result) {
         if (!result.available) {
-            handler(unavailable("neither the coordinator nor the store answers"));
+            handler(otherwise.empty() ? unavailable("neither the coordinator nor the store answers")
+                                      : stateAnswer(otherwise));
             return;
         }
         if (result.find(rows::job(id)) == nullptr) {
@@ -324,7 +339,8 @@
         if (!ended && result.find(rows::cancellation(id)) != nullptr) {
             phase = JobPhase::Cancelled;
         }
-        handler(stateAnswer(phaseName(phase)));
+        const bool final = ended || phase == JobPhase::Cancelled;
+        handler(stateAnswer(final || otherwise.empty() ? phaseName(phase) : otherwise));
     });
 }
 
