--- a/src/cmake/install-deps.sh
+++ b/src/cmake/install-deps.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="g++ make cmake ninja-build pkg-config clang-format clang-tidy libtbb-dev libwebsocketpp-dev libasio-dev
 nlohmann-json3-dev prometheus-cpp-dev libcpp-httplib-dev libinih-dev libgoogle-glog-dev catch2
-libtrompeloeil-cpp-dev librapidcheck-dev libxxhash-dev libssl-dev libboost-dev ccache curl"
+libtrompeloeil-cpp-dev librapidcheck-dev libxxhash-dev libssl-dev libboost-dev libmimalloc-dev ccache curl"
 missing=""
 for package in $packages; do
     dpkg -s "$package" > /dev/null 2>&1 || missing="$missing $package"
