--- a/src/libtelemetry/telemetry_test.cpp
+++ b/src/libtelemetry/telemetry_test.cpp
@@ -130,8 +130,7 @@
     }
     for (int round = 0; round < 1000; ++round) {
         world.runFor(Milliseconds(100));
-        while (readPiece()) {
-        }
+        while (readPiece()) { }
     }
     close(ends[0]);
     close(ends[1]);
