--- a/src/libworkflow/rows_pvt.h
+++ b/src/libworkflow/rows_pvt.h
@@ -39,7 +39,7 @@
     return "progress/" + id;
 }
 
-/// The workers that may run something, as versions before 0.5 wrote them: all in one row.
+/// The workers that may run something, as earlier versions wrote them: all in one row.
 inline std::string wholeWorkerRecord()
 {
     return "occupied/workers";
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -60,7 +60,7 @@
 
 RecordedWorker decodeWorker(const json &in)
 {
-    const bool named = in.is_object(); // As versions before 0.5 wrote it.
+    const bool named = in.is_object(); // As earlier versions wrote it.
     const auto text = [&in, named](const char *name, Field field) {
         return (named ? in.at(name) : in.at(field)).get<std::string>();
     };
--- a/src/libworkflow/workerrecord_pvt.h
+++ b/src/libworkflow/workerrecord_pvt.h
@@ -28,7 +28,7 @@
 /// Encodes the record of the workers in @p part in at most @p maxBytes. The runs of workers for which there is no room
 /// are left out: the next coordinator then waits for these workers, or for the end of their leases.
 EncodedRecordPart encodeRecordPart(const RecordPart &part, std::size_t maxBytes);
-/// Decodes a part, or the record of all workers as versions before 0.5 wrote it.
+/// Decodes a part, or the record of all workers as earlier versions wrote it.
 /// @throws nlohmann::json::exception if @p value can't be read.
 std::vector<RecordedWorker> decodeRecordPart(const std::string &value);
 
