Tell no end of a job that can still become another, and none later than others read it

Change: a coordinator that waits for the write of an end reads the store before it tells a state. A cancellation in the store is told as cancelled only if no coordinator answers; one that does decides. What remains: without a coordinator that answers, a node tells cancelled from the row alone, as before.

Tests: takeover_test, two cases; before, in_progress instead of complete, and cancelled instead of in_progress.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -594,6 +594,12 @@
     return job->phaseDurable ? job->phase : JobPhase::InProgress;
 }
 
+bool Coordinator::isEnding(const JobId &id) const
+{
+    const Job *job = m_context->jobs.find(id);
+    return job != nullptr && job->ended() && !job->phaseDurable;
+}
+
 std::optional<std::size_t> Coordinator::pending(const std::string &queue) const
 {
     if (!m_jobsLoaded) {
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -40,6 +40,8 @@
 
     /// Phase of job @p id as reported to callers, which is always durable. Empty if the job is not (yet) known.
     std::optional<JobPhase> status(const JobId &id) const;
+    /// Whether job @p id has ended but the end is not known to be durable. The store may have it already.
+    bool isEnding(const JobId &id) const;
     /// Number of pending jobs of @p queue; empty until all accepted jobs are loaded.
     std::optional<std::size_t> pending(const std::string &queue) const;
     void setCatalog(const Catalog *catalog);
--- a/src/libworkflow/takeover_test.cpp
+++ b/src/libworkflow/takeover_test.cpp
@@ -1,5 +1,6 @@
 // Coordinators that are lost, replaced, or cut off, and stores that are down, silent or slow, in virtual time.
 #include "readyworld_pvt.h"
+#include "rows_pvt.h"
 #include "workflowworld_pvt.h"
 
 #include <algorithm>
@@ -425,3 +426,37 @@
     world->resume(old);
     CHECK(world->state(old, jobA) == "complete");
 }
+
+// Guards against a state that goes back: another node reads the end of a job in the store before the coordinator, whose
+// answer to the write is lost, knows that it is there.
+TEST_CASE("a coordinator that lost the answer to the write of an end tells the end that others read in the store")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 2, 8);
+    const int coordinator = world->coordinator();
+    const JobId earlier = "b000000000000001";
+    world->workers.workOf = [&earlier](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job == earlier ? 100 : 250), false);
+    };
+    world->submit(coordinator, jobA, workflowOf({simpleStep(1)}));
+    world->submit(coordinator, earlier, workflowOf({simpleStep(1)}));
+    world->run(Milliseconds(180)); // The write of the end of the earlier job has just confirmed the term.
+    world->storeFaults(coordinator).loseAnswer = 1;
+    world->storeFaults(coordinator).timeout = Milliseconds(3000);
+    world->run(Milliseconds(160));
+    REQUIRE(world->rows.read({rows::progress(jobA)}).rows.size() == 1);
+    CHECK(world->state(coordinator, jobA) == "complete");
+}
+
+TEST_CASE("a job that is done when its cancellation arrives is not told as cancelled by its coordinator")
+{
+    constexpr int nodes = 3;
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 2, 8);
+    const int coordinator = world->coordinator();
+    world->submit(coordinator, jobA, workflowOf({simpleStep(4)}));
+    world->storeFaults(coordinator).loseRequest = 1; // The end can't be written.
+    world->run(Milliseconds(300));
+    world->cancel(otherThan(coordinator, nodes), jobA);
+    CHECK(world->state(coordinator, jobA) == "in_progress");
+    world->storeFaults(coordinator).loseRequest = 0;
+    CHECK(reachesState(*world, coordinator, jobA, "complete", std::chrono::seconds(3)));
+}
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -83,9 +83,10 @@
     void onAcceptedNotice(const json &body);
     void onJobWritten(const Submission &submission, const CommitResult &result);
     void notifyCoordinator(const char *kind, const json &body);
-    /// Whether a state that the local coordinator has for a job can be told without a look at the store.
-    bool isConfirmed(JobPhase phase) const;
-    /// @p otherwise is told unless the store has an end of the job; empty if nothing is known.
+    /// Whether state @p phase, which the local coordinator has for job @p id, can be told without a look at the store.
+    bool isConfirmed(const JobId &id, JobPhase phase) const;
+    /// @p otherwise, the state that the coordinator tells, is told unless the store has an end of the job; empty if
+    /// no coordinator answers.
     void statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler);
     void onCancelRows(const JobId &id, Milliseconds callerTimeout, const ReadResult &result,
                       const AnswerHandler &handler);
@@ -134,7 +135,7 @@
                 const std::optional<JobPhase> phase =
                     self->m_election.localCoordinator()->status(message.body.value("id", JobId()));
                 if (phase) {
-                    body["confirmed"] = self->isConfirmed(*phase);
+                    body["confirmed"] = self->isConfirmed(message.body.value("id", JobId()), *phase);
                     body["state"] = phaseName(*phase);
                 }
             }
@@ -285,7 +286,7 @@
 {
     if (m_election.localCoordinator() != nullptr) {
         const std::optional<JobPhase> phase = m_election.localCoordinator()->status(id);
-        if (phase && isConfirmed(*phase)) {
+        if (phase && isConfirmed(id, *phase)) {
             handler(stateAnswer(phaseName(*phase)));
             return;
         }
@@ -309,11 +310,12 @@
                         });
 }
 
-bool WorkflowNode::Impl::isConfirmed(JobPhase phase) const
+bool WorkflowNode::Impl::isConfirmed(const JobId &id, JobPhase phase) const
 {
-    // A coordinator that was replaced without knowing it may have missed the end of a job, but ends are final.
+    // A coordinator that was replaced without knowing it, or that waits for the answer to the write of an end, may not
+    // know what others have read in the store. Ends that it knows are final.
     const bool ended = phase != JobPhase::Queued && phase != JobPhase::InProgress;
-    return ended || m_election.isTermConfirmedSince(statusFreshness);
+    return ended || (m_election.isTermConfirmedSince(statusFreshness) && !m_election.localCoordinator()->isEnding(id));
 }
 
 void WorkflowNode::Impl::statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler)
@@ -339,8 +341,8 @@
         if (!ended && result.find(rows::cancellation(id)) != nullptr) {
             phase = JobPhase::Cancelled;
         }
-        const bool final = ended || phase == JobPhase::Cancelled;
-        handler(stateAnswer(final || otherwise.empty() ? phaseName(phase) : otherwise));
+        // The coordinator may have completed the job before it sees the cancellation.
+        handler(stateAnswer(ended || otherwise.empty() ? phaseName(phase) : otherwise));
     });
 }
 
