Count a worker as recorded when the row that names it is up to date

Its part of the record was the same as the row in the store, so it was not written, and the new entry of the worker never counted as recorded: not_ready=1 for 20 s and longer, and a task that lasts had no room. The fault came with the record in parts.

Change: if a part need not be written, its workers count as recorded as the row says.

--- a/src/libworkflow/fleetsize_test.cpp
+++ b/src/libworkflow/fleetsize_test.cpp
@@ -209,6 +209,37 @@
     CHECK(recordRows(*world) >= 1);
 }
 
+// Guards against a worker that never counts as recorded: the row that names it stays as it is, so it is not written.
+TEST_CASE("a worker that is listed again right after it was forgotten gets tasks")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, cores);
+    world->run(std::chrono::seconds(8)); // Until the leases that an earlier coordinator may have given are over.
+    world->workers.unlist("w1");
+    // A write is under way nearly all the time, so the worker is forgotten and listed between two of them.
+    world->storeFaults(0).latency = Milliseconds(300);
+    for (int i = 0; i < 100 && world->log(0).count("worker_forgotten") == 0; ++i) {
+        world->submitLater(0, "b0000000000000" + std::to_string(100 + i), workflowOf({simpleStep(1)}),
+                           [](const CallerAnswer &) {});
+        world->runUntil(
+            [&world] {
+                return world->log(0).count("worker_forgotten") == 1;
+            },
+            Milliseconds(100));
+    }
+    REQUIRE(world->log(0).count("worker_forgotten") == 1);
+    world->workers.list("w1");
+    world->run(std::chrono::seconds(3));
+    world->storeFaults(0).latency = Milliseconds(5);
+    world->run(std::chrono::seconds(7));
+    StepSpec step = simpleStep(2);
+    step.maxPerWorker = 1;
+    world->submit(0, job, workflowOf({step}));
+    CHECK(reachesState(*world, 0, job, "complete", std::chrono::seconds(5)));
+    const std::vector<SimWorkers::RunRecord> runs = world->workers.runsOf(job);
+    REQUIRE(runs.size() == 2);
+    CHECK(runs[0].worker != runs[1].worker);
+}
+
 TEST_CASE("runs for which a part of the record has no room are left out, the longest list first")
 {
     FleetTable fleet;
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -119,10 +119,18 @@
     }
     m_partTooLong.set(index, tooLong);
     // A row that can't be written stays: it names every worker that has ever got a start.
-    if (encoded.value.empty() || encoded.value == part.written) {
+    if (encoded.value.empty()) {
         part.changed = false;
         return true;
     }
+    if (encoded.value == part.written) {
+        part.changed = false;
+        for (Worker *worker : part.workers) { // One may have been forgotten and listed again since the row was written.
+            worker->recorded = true;
+            worker->recordNamesRuns = namesRuns(*worker) && encoded.withoutRuns.count(worker->id) == 0;
+        }
+        return true;
+    }
     if (transaction->addPut(rows::workerRecordPart(index), encoded.value) != TransactionBuilder::Added::Yes) {
         return false;
     }
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -91,6 +91,12 @@
     }
 }
 
+void SimWorkers::list(const WorkerId &id)
+{
+    m_unlisted.erase(id);
+    announce(m_workers.at(id).entry);
+}
+
 void SimWorkers::setDraining(const WorkerId &id)
 {
     m_workers.at(id).entry.draining = true;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -67,6 +67,8 @@
     /// Restarts a crashed worker as a new incarnation.
     void restart(const WorkerId &id);
     void unlist(const WorkerId &id);
+    /// Lists a worker again.
+    void list(const WorkerId &id);
     void setDraining(const WorkerId &id);
 
     OrderResult start(const WorkerId &id, const StartOrder &order);
