Forget the value of a part of the record that the store has rejected

Cause, found by reading the change: a single row that the store rejects was kept in memory as the row's value. When the worker was forgotten and listed again with the same entry, the part counted as up to date and the worker as recorded, so tasks started there of which the next coordinator would know nothing. Not possible while the row limit in the settings is the store's: such a part is not sent.

Change: the value is forgotten, so the part is sent again when it changes, and its workers count as unrecorded.

Test: fleetsize_test, a part that the store rejects; a task started there before, none now. The two tests that list a worker again share their set-up. Unit tests run: fleetsize_test and workflow_test.

--- a/src/libworkflow/fleetsize_test.cpp
+++ b/src/libworkflow/fleetsize_test.cpp
@@ -37,6 +37,27 @@
     REQUIRE(world->rows.commit(transaction).status == CommitStatus::Committed);
 }
 
+/// Unlists worker @p id until the coordinator has forgotten it, and lists it again between two writes of the progress.
+void forgetAndListAgain(WorkflowWorld *world, const WorkerId &id)
+{
+    world->run(std::chrono::seconds(8)); // Until the leases that an earlier coordinator may have given are over.
+    world->workers.unlist(id);
+    const auto forgotten = [world] {
+        return world->log(0).count("worker_forgotten") == 1;
+    };
+    world->storeFaults(0).latency = Milliseconds(300); // A write is under way nearly all the time.
+    for (int i = 0; i < 100 && !forgotten(); ++i) {
+        world->submitLater(0, "b0000000000000" + std::to_string(100 + i), workflowOf({simpleStep(1)}),
+                           [](const CallerAnswer &) {});
+        world->runUntil(forgotten, Milliseconds(100));
+    }
+    REQUIRE(forgotten());
+    world->workers.list(id);
+    world->run(std::chrono::seconds(3));
+    world->storeFaults(0).latency = Milliseconds(5);
+    world->run(std::chrono::seconds(7));
+}
+
 void replaceCoordinator(WorkflowWorld *world)
 {
     const int old = world->coordinator();
@@ -213,24 +234,7 @@
 TEST_CASE("a worker that is listed again right after it was forgotten gets tasks")
 {
     const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, cores);
-    world->run(std::chrono::seconds(8)); // Until the leases that an earlier coordinator may have given are over.
-    world->workers.unlist("w1");
-    // A write is under way nearly all the time, so the worker is forgotten and listed between two of them.
-    world->storeFaults(0).latency = Milliseconds(300);
-    for (int i = 0; i < 100 && world->log(0).count("worker_forgotten") == 0; ++i) {
-        world->submitLater(0, "b0000000000000" + std::to_string(100 + i), workflowOf({simpleStep(1)}),
-                           [](const CallerAnswer &) {});
-        world->runUntil(
-            [&world] {
-                return world->log(0).count("worker_forgotten") == 1;
-            },
-            Milliseconds(100));
-    }
-    REQUIRE(world->log(0).count("worker_forgotten") == 1);
-    world->workers.list("w1");
-    world->run(std::chrono::seconds(3));
-    world->storeFaults(0).latency = Milliseconds(5);
-    world->run(std::chrono::seconds(7));
+    forgetAndListAgain(world.get(), "w1");
     StepSpec step = simpleStep(2);
     step.maxPerWorker = 1;
     world->submit(0, job, workflowOf({step}));
@@ -240,6 +244,26 @@
     CHECK(runs[0].worker != runs[1].worker);
 }
 
+// Guards against starts that the next coordinator knows nothing of: the store has rejected the row of the worker.
+TEST_CASE("a worker whose part of the record the store has rejected gets no tasks, also when it is listed again")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, cores);
+    world->rows.limits->rowBytes = 600;
+    Resources capacity;
+    capacity.milliCores = cores * 1000;
+    capacity.memoryMb = 100000;
+    world->workers.add("rejected", "dc-a", "alone", capacity)->entry.address = std::string(800, 'x');
+    world->workers.list("rejected");
+    world->run(std::chrono::seconds(1));
+    REQUIRE(world->rows.rejected > 0);
+    forgetAndListAgain(world.get(), "rejected");
+    StepSpec step = simpleStep(1);
+    step.requiredLabel = "alone";
+    world->submit(0, job, workflowOf({step}));
+    world->run(std::chrono::seconds(3));
+    CHECK(world->workers.runsOf(job).empty());
+}
+
 TEST_CASE("runs for which a part of the record has no room are left out, the longest list first")
 {
     FleetTable fleet;
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -305,6 +305,9 @@
         requeue(batch);
     } else {
         m_unwritten.insert(batch.written.begin(), batch.written.end());
+        for (const std::size_t index : batch.parts) {
+            m_context->fleet.recordParts().at(index).written.clear(); // The store has an earlier value or none.
+        }
         m_maxRows = m_context->settings.tableLimits.entries;
     }
 }
