Say for which worker tasks of earlier terms wait, and why a worker is not ready

It now names a worker that is waited for and the time until its lease has passed, and counts unadopted, silent, unrecorded and runs_named apart; earlier_runs_known says how long the wait after a takeover took.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -530,7 +530,13 @@
 
 void Coordinator::dispatch()
 {
-    m_earlierRunsKnown = m_earlierRunsKnown || m_observations.knowsEarlierRuns();
+    if (!m_earlierRunsKnown && m_observations.knowsEarlierRuns()) {
+        m_earlierRunsKnown = true;
+        m_context->log->write(
+            LogLine("earlier_runs_known")
+                .with("term", static_cast<std::int64_t>(m_context->term))
+                .with("took_ms", std::chrono::duration_cast<Milliseconds>(m_context->now() - m_context->tookOverAt)));
+    }
     if (!m_freshness.areCurrent()) {
         return; // A worker may have announced its shutdown, or its data centre be evacuated. The next tick tries again.
     }
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -62,14 +62,17 @@
 
 bool ObservationSystem::knowsEarlierRuns() const
 {
-    if (m_context->now() < m_earlierRunsUnknownUntil) {
-        return false;
-    }
+    return m_context->now() >= m_earlierRunsUnknownUntil && awaitedWorker() == nullptr;
+}
+
+const Worker *ObservationSystem::awaitedWorker() const
+{
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
-    return std::none_of(workers.begin(), workers.end(), [](const auto &entry) {
+    const auto it = std::find_if(workers.begin(), workers.end(), [](const auto &entry) {
         const Worker &worker = *entry.second;
         return worker.recordedInEarlierTerm && worker.contact == WorkerContact::Unadopted && !worker.recordNamesRuns;
     });
+    return it == workers.end() ? nullptr : it->second.get();
 }
 
 void ObservationSystem::observe(Worker *worker)
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -19,6 +19,8 @@
     /// True if every worker that may hold tasks of earlier terms has answered, can hold none any more, or has its runs
     /// named in the record.
     bool knowsEarlierRuns() const;
+    /// A worker whose answer, or the end of whose lease, knowsEarlierRuns() waits for; nullptr if there is none.
+    const Worker *awaitedWorker() const;
     /// Until @p time, workers that are not known may hold tasks of earlier terms.
     void setEarlierRunsUnknownUntil(TimePoint time)
     {
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -78,8 +78,9 @@
 const char *placeVerdictName(PlaceVerdict verdict)
 {
     static constexpr std::array<const char *, placeVerdictCount> names{
-        "fits",      "unlisted", "draining", "not_ready",        "blocked",   "other_service",
-        "evacuated", "label",    "room",     "per_worker_limit", "processor", "headroom"};
+        "fits",       "unlisted",   "draining",         "unadopted",     "silent",
+        "unrecorded", "runs_named", "blocked",          "other_service", "evacuated",
+        "label",      "room",       "per_worker_limit", "processor",     "headroom"};
     return names.at(static_cast<std::size_t>(verdict));
 }
 
@@ -120,8 +121,11 @@
     if (worker.entry.draining) {
         return PlaceVerdict::Draining;
     }
-    if (worker.contact != WorkerContact::Adopted || !worker.recorded || worker.recordNamesRuns) {
-        return PlaceVerdict::NotReady;
+    if (worker.contact != WorkerContact::Adopted) {
+        return worker.contact == WorkerContact::Unadopted ? PlaceVerdict::Unadopted : PlaceVerdict::Silent;
+    }
+    if (!worker.recorded || worker.recordNamesRuns) {
+        return worker.recorded ? PlaceVerdict::RunsNamed : PlaceVerdict::Unrecorded;
     }
     if (worker.blockedUntil > m_context->now()) {
         return PlaceVerdict::Blocked;
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -14,7 +14,10 @@
     Fits,
     Unlisted, ///< It is no longer in the list of workers.
     Draining,
-    NotReady, ///< It has not answered in this term, or is not in the durable list yet.
+    Unadopted, ///< It has not answered in this term.
+    Silent, ///< It does not answer at present.
+    Unrecorded, ///< It is not in the durable record of workers yet.
+    RunsNamed, ///< The record names its runs, and has to be written without them before it gets starts.
     Blocked, ///< It gets no starts at present, because it failed, refused or did not answer.
     OtherService,
     Evacuated,
@@ -24,7 +27,7 @@
     Processor, ///< Too little idle processor time for a filler.
     Headroom, ///< A serving task there would have too little headroom beside a filler.
 };
-constexpr std::size_t placeVerdictCount = 12;
+constexpr std::size_t placeVerdictCount = 15;
 
 /// The name of @p verdict in logs.
 const char *placeVerdictName(PlaceVerdict verdict);
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -85,6 +85,11 @@
               held                              ? "earlier_runs_unknown"
                   : awaiting == step->idleTasks ? "earlier_run"
                                                 : placeVerdictName(reason));
+    const Worker *awaited = held ? m_observations->awaitedWorker() : nullptr;
+    if (awaited != nullptr) {
+        line.with("awaits_worker", awaited->id)
+            .with("awaits_ms", std::chrono::duration_cast<Milliseconds>(awaited->leaseExpiresAt - now));
+    }
     if (awaiting > 0) {
         line.with("earlier_run", static_cast<std::int64_t>(awaiting));
     }
