Name in the record the runs of workers that get no starts, and wait for nothing else after a takeover

Cause: the record of workers named the runs of silent workers only. A worker that drains, that is no longer listed, or whose lease is over gets no starts either, so what it may run is known, but the record said only that it may run something.

Now the record names the runs of every worker that gets no starts, and a worker that gets them again is recorded without them first. Runs whose ends are applied and not yet durable are named too: their worker may be the only one that knows how they ended.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -350,8 +350,7 @@
         Worker *worker = context.fleet.find(recorded.entry.id);
         if (worker == nullptr) {
             worker = context.fleet.upsert(recorded.entry, now);
-            worker->listed = false;
-            worker->unlistedAt = now;
+            FleetTable::setUnlisted(worker, now);
         }
         worker->recorded = true;
         worker->recordedInEarlierTerm = true;
@@ -405,15 +404,13 @@
     }
     for (const auto &[id, worker] : context.fleet.all()) {
         if (update.complete && worker->listed && present.count(id) == 0) {
-            worker->listed = false;
-            worker->unlistedAt = now;
+            FleetTable::setUnlisted(worker.get(), now);
         }
     }
     for (const WorkerId &id : update.removed) {
         Worker *worker = context.fleet.find(id);
         if (worker != nullptr && worker->listed) {
-            worker->listed = false;
-            worker->unlistedAt = now;
+            FleetTable::setUnlisted(worker, now);
             context.log->write(LogLine("worker_unlisted").with("worker", id));
         }
     }
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -146,6 +146,14 @@
     Resources reserved; ///< What it keeps reserved on the worker.
 };
 
+/// A run whose end has been applied to the tables and is not durable yet.
+struct PendingEnd
+{
+    std::uint64_t number = 0; ///< EndedRun::number.
+    TaskKey task;
+    RunNumber run = 0;
+};
+
 /// One worker, by id.
 struct Worker
 {
@@ -170,6 +178,9 @@
     std::vector<EarlierRun> earlierRuns;
     std::uint64_t endsApplied = 0; ///< Number of the last run end that was applied to the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
+    /// Runs that ended after endsDurable. The record names them with the runs at work: the next coordinator may have to
+    /// learn of their ends from the worker.
+    std::vector<PendingEnd> pendingEnds;
     std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
     bool observationPending = false; ///< An observation has been sent and not yet answered.
     TimePoint observedAt{}; ///< When the last observation was answered or timed out.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -94,12 +94,14 @@
         slot->candidates = &m_candidates;
         m_candidates.add(slot.get());
     }
-    if (!hasSameRecordFields(slot->entry, entry)) {
+    const bool named = namesRuns(*slot);
+    const bool sameFields = hasSameRecordFields(slot->entry, entry);
+    slot->entry = entry;
+    slot->listed = true;
+    if (!sameFields || named != namesRuns(*slot)) {
         slot->recordPart->changed = true;
     }
-    slot->entry = entry;
     m_candidates.update(slot.get());
-    slot->listed = true;
     return slot.get();
 }
 
@@ -128,6 +130,41 @@
     }
 }
 
+void FleetTable::setUnlisted(Worker *worker, TimePoint now)
+{
+    worker->listed = false;
+    worker->unlistedAt = now;
+    recordRunsChanged(worker);
+}
+
+void FleetTable::addPendingEnd(Worker *worker, const EndedRun &end)
+{
+    worker->pendingEnds.push_back(PendingEnd{end.number, end.task, end.run});
+    recordRunsChanged(worker);
+}
+
+void FleetTable::setEndsDurable(Worker *worker, std::uint64_t number)
+{
+    worker->endsDurable = std::max(worker->endsDurable, number);
+    std::vector<PendingEnd> &pending = worker->pendingEnds;
+    const auto durable = std::remove_if(pending.begin(), pending.end(), [worker](const PendingEnd &end) {
+        return end.number <= worker->endsDurable;
+    });
+    if (durable != pending.end()) {
+        pending.erase(durable, pending.end());
+        recordRunsChanged(worker);
+    }
+}
+
+void FleetTable::resetEnds(Worker *worker)
+{
+    worker->endsApplied = 0;
+    worker->endsDurable = 0;
+    worker->endsAcknowledged = 0;
+    worker->pendingEnds.clear();
+    recordRunsChanged(worker);
+}
+
 void FleetTable::place(Task *task, Worker *worker)
 {
     task->worker = worker;
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -26,6 +26,14 @@
     Worker *find(const WorkerId &id) const;
     void erase(const WorkerId &id);
     static void setContact(Worker *worker, WorkerContact contact);
+    /// Records that @p worker is no longer in the list of workers.
+    static void setUnlisted(Worker *worker, TimePoint now);
+    /// Records that @p end of a run on @p worker has been applied to the tables, and is not durable yet.
+    static void addPendingEnd(Worker *worker, const EndedRun &end);
+    /// Records that the ends on @p worker up to number @p number are durable.
+    static void setEndsDurable(Worker *worker, std::uint64_t number);
+    /// Resets what is known of the ends on @p worker, because it began another incarnation.
+    static void resetEnds(Worker *worker);
 
     /// Assigns @p task to @p worker, whatever its phase; release() undoes it.
     static void place(Task *task, Worker *worker);
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -192,9 +192,7 @@
         if (worker->incarnation != 0) {
             m_orders->markTasksLost(worker, "new-life");
         }
-        worker->endsApplied = 0;
-        worker->endsDurable = 0;
-        worker->endsAcknowledged = 0;
+        FleetTable::resetEnds(worker);
         worker->consecutiveFailures = 0;
         worker->failedJobs.clear();
         worker->latestLeaseUntil = WorkerTime{0};
@@ -296,6 +294,7 @@
         return;
     }
     updateQuarantine(worker, *task, end.how);
+    FleetTable::addPendingEnd(worker, end);
     task->run = std::max(task->run, end.run);
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -378,7 +378,7 @@
     for (const auto &[id, number] : batch.ends) {
         Worker *worker = context.fleet.find(id);
         if (worker != nullptr && number <= worker->endsApplied) {
-            worker->endsDurable = std::max(worker->endsDurable, number);
+            FleetTable::setEndsDurable(worker, number);
         }
     }
     for (const auto &[id, runsNamed] : batch.recorded) {
--- a/src/libworkflow/recordpart.cpp
+++ b/src/libworkflow/recordpart.cpp
@@ -14,8 +14,16 @@
 
 bool namesRuns(const Worker &worker)
 {
-    return worker.contact == WorkerContact::Silent
-        || (worker.contact == WorkerContact::Unadopted && worker.recordNamesRuns);
+    switch (worker.contact) {
+    case WorkerContact::Unadopted:
+        return worker.recordNamesRuns;
+    case WorkerContact::Adopted:
+        return worker.entry.draining || !worker.listed;
+    case WorkerContact::Silent:
+    case WorkerContact::Lost:
+        break;
+    }
+    return true;
 }
 
 void RecordPart::add(Worker *worker)
--- a/src/libworkflow/recordpart_pvt.h
+++ b/src/libworkflow/recordpart_pvt.h
@@ -15,7 +15,8 @@
 
 /// The part that names the worker @p id, in all terms.
 std::size_t recordPartOf(const WorkerId &id);
-/// Whether the record names the runs of @p worker. If so, the worker gets no starts until the record is written without
+/// Whether the record names the runs of @p worker, which it does if the worker gets no starts. The next coordinator
+/// then has to wait for the tasks of these runs only. The worker gets no starts until the record is written without
 /// them.
 bool namesRuns(const Worker &worker);
 
