Carry the end of the lease of a worker that has left over to the next terms

Callers saw a long-running task without a run for 9.8 s, with room for it (LOST): its worker had left as announced, and the coordinator was replaced by a rolling restart before the lease was over.

Cause: a coordinator does not know when an earlier one last gave a lease, so each term waits for a whole lease and the time in which its predecessor may still have sent orders, 5.6 s from its own beginning, for each worker that does not answer. With a takeover every four seconds the wait never ends. That is the class of fault: a wait that is begun anew.

Now the record names, for a worker that leaves or has left and does not answer, when its lease has certainly expired, on the table service's steady clock, which outlives coordinators. From the moment that this may be written the lease is not extended before the record is written without it; later terms take the time over instead of waiting from their beginning.

Evidence: leavingworkers_test, before 10158 ms (bound 5700) for one takeover and 13997 ms (bound 9000) for four; the third test fails if leases are extended all the same.

--- a/src/include/fescueledge/commitresult.h
+++ b/src/include/fescueledge/commitresult.h
@@ -18,6 +18,7 @@
 {
     CommitStatus status = CommitStatus::Unknown;
     RowVersion version = 0; ///< The version of every row written, when committed.
+    Milliseconds serviceTime{0}; ///< The service's steady clock when it answered; zero if unknown.
 };
 
 } // namespace fescueledge
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -8,6 +8,15 @@
 
 namespace fescueledge {
 
+namespace {
+
+Milliseconds serviceTimeOf(const SimWorld &world)
+{
+    return std::chrono::duration_cast<Milliseconds>(world.now().time_since_epoch());
+}
+
+} // namespace
+
 FakeTableService::FakeTableService(SimWorld *world, Loop *loop, MemoryTable *table, std::uint64_t seed)
     : m_world(world)
     , m_loop(loop)
@@ -48,8 +57,9 @@
         return;
     }
     const Duration half = latency / 2;
-    m_world->after(half, [loop, half, query, handler] {
-        const ReadResult result = query();
+    m_world->after(half, [loop, half, query, handler, world = m_world] {
+        ReadResult result = query();
+        result.serviceTime = serviceTimeOf(*world);
         loop->postAfter(half, [handler, result] {
             handler(result);
         });
@@ -69,8 +79,9 @@
     const bool answerLost = m_random.chance(faults.loseAnswer);
     const Duration half = faults.latency / 2;
     MemoryTable *table = m_table;
-    m_world->after(half, [loop, half, table, transaction, handler, answerLost, timeout] {
-        const CommitResult result = table->commit(transaction);
+    m_world->after(half, [loop, half, table, transaction, handler, answerLost, timeout, world = m_world] {
+        CommitResult result = table->commit(transaction);
+        result.serviceTime = serviceTimeOf(*world);
         if (answerLost) {
             loop->postAfter(timeout, [handler] {
                 handler(CommitResult{CommitStatus::Unknown, 0});
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -6,6 +6,7 @@
 #include "fleettable_pvt.h"
 #include "interferencemodel_pvt.h"
 #include "jobtable_pvt.h"
+#include "serviceclock_pvt.h"
 
 namespace fescueledge::workflow {
 
@@ -29,6 +30,7 @@
     JobTable jobs;
     FleetTable fleet;
     InterferenceModel interference;
+    ServiceClock serviceClock;
 
     std::function<void()> wakeDispatch; ///< Called when a task may have become startable.
     std::function<void()> wakeWriter; ///< Called when there is state to be written to the store.
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -334,6 +334,18 @@
     });
 }
 
+void Coordinator::restoreLeaseEnd(Worker *worker, Milliseconds leaseEnd)
+{
+    const ServiceClock &clock = m_context->serviceClock;
+    if (leaseEnd == Milliseconds::zero() || !clock.isKnown()) {
+        return;
+    }
+    const Duration left = std::max(Duration::zero(), Duration(leaseEnd - clock.earliest(m_context->sinceBoot())));
+    worker->leaseEndForRecord = leaseEnd;
+    worker->recordNamesLeaseEnd = true;
+    worker->leaseExpiresAt = m_context->now() + std::chrono::duration_cast<Duration>(left * (1 + clockDrift));
+}
+
 void Coordinator::restoreRecordedWorkers()
 {
     Context &context = *m_context;
@@ -355,6 +367,7 @@
         worker->recorded = true;
         worker->recordedInEarlierTerm = true;
         worker->recordNamesRuns = recorded.namesRuns;
+        restoreLeaseEnd(worker, recorded.leaseEnd);
         for (const auto &[key, run] : recorded.runs) {
             Task *task = context.jobs.findTask(key);
             if (task == nullptr || task->phase == TaskPhase::Done) {
@@ -419,7 +432,9 @@
         restoreRecordedWorkers();
         m_writer.confirmTerm(); // Reading the jobs of a slow store may have taken longer than the right to send orders.
         for (const auto &[id, worker] : context.fleet.all()) {
-            FleetTable::recordForeignLease(worker.get(), longestForeignLease(), now);
+            if (!worker->recordNamesLeaseEnd) {
+                FleetTable::recordForeignLease(worker.get(), longestForeignLease(), now);
+            }
         }
         tick();
     }
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -78,6 +78,8 @@
     /// The longest lease that an earlier coordinator can still give, from the moment at which this term was begun.
     Milliseconds longestForeignLease() const;
     void restoreRecordedWorkers();
+    /// Takes over the end of the lease of @p worker from the record; zero if that does not name it.
+    void restoreLeaseEnd(Worker *worker, Milliseconds leaseEnd);
     /// Makes tasks of earlier terms wait for all workers, because a part of the record can't be read.
     void restoreUnknownWorkers();
     void onFleetUpdate(const FleetUpdate &update);
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -190,6 +190,10 @@
     /// It was in that list when this term began. Earlier coordinators start runs on no other workers.
     bool recordedInEarlierTerm = false;
     bool recordNamesRuns = false; ///< That list names all runs that it may have; it has got no starts since.
+    /// When its lease has certainly expired, on the table service's clock; zero unless namesLeaseEnd() holds.
+    Milliseconds leaseEndForRecord{0};
+    /// The record names that time, so its lease is not extended.
+    bool recordNamesLeaseEnd = false;
     TimePoint nextObservationAt{}; ///< No observation before this time.
     TimePoint blockedUntil{}; ///< No starts before this time.
     int consecutiveFailures = 0; ///< Failed runs since the last successful one.
--- a/src/libworkflow/leasekeeper.cpp
+++ b/src/libworkflow/leasekeeper.cpp
@@ -15,7 +15,8 @@
                               .with("term", static_cast<std::int64_t>(m_context->term))
                               .with("workers", static_cast<std::int64_t>(workers.size())));
     for (const RecordedWorker &worker : workers) {
-        if (m_context->maySendOrders()) {
+        // An earlier coordinator has recorded when the lease of a worker that has left ends.
+        if (worker.leaseEnd == Milliseconds::zero() && m_context->maySendOrders()) {
             queryClock(WorkerRef{worker.entry.id, worker.entry.address});
         }
     }
--- a/src/libworkflow/leavingworkers_test.cpp
+++ b/src/libworkflow/leavingworkers_test.cpp
@@ -62,6 +62,39 @@
     return capacity;
 }
 
+/// By the users' definition, a long-running task is lost if it does not run for this long while there is room for it.
+constexpr Milliseconds maxLastingIdleTime{9000};
+/// A little before the lease of a worker that has left expires.
+constexpr Milliseconds almostLease{3700};
+constexpr Milliseconds takeoverTime{2000};
+
+/// The worker of the lasting job drains and leaves, while there is room for its task elsewhere.
+void leaveWithRoomElsewhere(WorkflowWorld *world)
+{
+    const WorkerId leaving = workerOfLastingJob(*world);
+    world->workers.setDraining(leaving);
+    world->run(recordTime);
+    world->workers.add("spare", "dc-a", "r8", cores(4));
+    world->run(recordTime);
+    world->workers.unlist(leaving);
+    world->workers.crash(leaving);
+}
+
+/// For how many milliseconds the task of the lasting job was on no worker.
+Milliseconds::rep lastingTaskIdleTime(WorkflowWorld *world)
+{
+    const auto runs = [world] {
+        return world->workers.runsOf(lastingJob);
+    };
+    world->runUntil(
+        [&runs] {
+            return runs().size() > 1;
+        },
+        waitingTime);
+    REQUIRE(runs().size() > 1);
+    return std::chrono::duration_cast<Milliseconds>(runs().at(1).began - runs().at(0).ended).count();
+}
+
 /// Kills the coordinator and then adds a worker with room. Returns for how many milliseconds jobA waits from then on.
 Milliseconds::rep waitAfterTakeover(WorkflowWorld *world)
 {
@@ -153,3 +186,57 @@
     world->run(recordTime);
     CHECK(world->workers.runsOf(next).size() == 1);
 }
+
+// Guards against LOST: a long-running task does not run, with room for it, because the lease of the worker that it was
+// on, which has left, begins anew with the next term.
+TEST_CASE("the lease of a worker that has left does not begin anew when the coordinator is replaced")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
+    leaveWithRoomElsewhere(world.get());
+    world->run(almostLease);
+    world->kill(world->coordinator());
+    CHECK(lastingTaskIdleTime(world.get()) < (almostLease + takeoverTime).count());
+}
+
+// Guards against the same when coordinators are replaced one after the other, as in a rolling restart.
+TEST_CASE("takeovers that follow each other within a lease do not keep a task of a worker that has left from running")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
+    leaveWithRoomElsewhere(world.get());
+    for (int i = 0; i < 4; ++i) {
+        world->run(almostLease / 2);
+        const int killed = world->coordinator();
+        REQUIRE(killed >= 0);
+        world->kill(killed);
+        world->run(Milliseconds(200));
+        world->startNode(killed);
+        world->runUntil(
+            [&world] {
+                return world->coordinator() >= 0;
+            },
+            takeoverTime);
+    }
+    CHECK(lastingTaskIdleTime(world.get()) < maxLastingIdleTime.count());
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+// Guards against TWICE: a coordinator that reaches a leaving worker again extends its lease beyond the recorded end.
+TEST_CASE("the lease of a worker is not extended while the record names its end")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
+    const WorkerId leaving = workerOfLastingJob(*world);
+    world->workers.add("spare", "dc-a", "r8", cores(4));
+    world->workers.unlist(leaving);
+    world->run(recordTime);
+    cutFromAll(world.get(), leaving);
+    world->run(recordTime + Milliseconds(1500)); // The pending observation has timed out, and the record is written.
+    const int old = world->coordinator();
+    const std::string oldName = "node-" + std::to_string(old);
+    world->storeFaults(old).down = true;
+    world->workers.find(leaving)->cutFrom.erase(oldName);
+    world->run(Milliseconds(1200));
+    world->pause(old);
+    world->run(Milliseconds(8000));
+    CHECK(world->workers.runsOf(lastingJob).size() == 2);
+    CHECK(world->workers.tasksRunTwice().empty());
+}
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -95,7 +95,7 @@
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
     const bool answers = worker->contact == WorkerContact::Adopted && worker->unansweredCalls == 0;
     order.wait = answers && !hasPendingEnds ? context.settings.observeWait : Milliseconds{0};
-    if (answers && worker->clock.count() > 0 && !worker->tasks.empty()) {
+    if (answers && !worker->recordNamesLeaseEnd && worker->clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
     }
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -104,11 +104,39 @@
     });
 }
 
+void ProgressWriter::setRecorded(Worker *worker, const RecordedState &state)
+{
+    worker->recorded = true;
+    worker->recordNamesRuns = state.runs;
+    worker->recordNamesLeaseEnd = state.leaseEnd;
+}
+
+void ProgressWriter::updateLeaseEnds(RecordPart *part) const
+{
+    const Context &context = *m_context;
+    for (Worker *worker : part->workers) {
+        if (!namesLeaseEnd(*worker)) {
+            worker->leaseEndForRecord = Milliseconds::zero();
+        } else if (worker->leaseEndForRecord == Milliseconds::zero() && context.serviceClock.isKnown()) {
+            const Duration left = std::max(Duration::zero(), worker->leaseExpiresAt - context.now());
+            worker->leaseEndForRecord = context.serviceClock.latest(context.sinceBoot())
+                + std::chrono::ceil<Milliseconds>(left * (1 + clockDrift));
+        }
+    }
+}
+
 bool ProgressWriter::fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch)
 {
     RecordPart &part = m_context->fleet.recordParts().at(index);
     const std::size_t maxBytes = m_context->settings.tableLimits.rowBytes - writeIdBytes;
+    updateLeaseEnds(&part);
     const EncodedRecordPart encoded = encodeRecordPart(part, maxBytes);
+    const auto stateOf = [&encoded](const Worker &worker) {
+        RecordedState state;
+        state.runs = namesRuns(worker) && encoded.withoutRuns.count(worker.id) == 0;
+        state.leaseEnd = state.runs && worker.leaseEndForRecord != Milliseconds::zero();
+        return state;
+    };
     const bool tooLong = encoded.value.empty() || !encoded.withoutRuns.empty();
     if (tooLong && !m_partTooLong.test(index)) {
         m_context->log->write(LogLine("record_part_too_long")
@@ -126,8 +154,7 @@
     if (encoded.value == part.written) {
         part.changed = false;
         for (Worker *worker : part.workers) { // One may have been forgotten and listed again since the row was written.
-            worker->recorded = true;
-            worker->recordNamesRuns = namesRuns(*worker) && encoded.withoutRuns.count(worker->id) == 0;
+            setRecorded(worker, stateOf(*worker));
         }
         return true;
     }
@@ -137,9 +164,11 @@
     part.written = encoded.value;
     part.changed = false;
     for (Worker *worker : part.workers) {
-        batch->recorded[worker->id] = namesRuns(*worker) && encoded.withoutRuns.count(worker->id) == 0;
-        // Blocks starts from the moment that the record may be written.
+        const RecordedState state = stateOf(*worker);
+        batch->recorded[worker->id] = state;
+        // Blocks starts and leases from the moment that the record may be written.
         worker->recordNamesRuns = worker->recordNamesRuns || namesRuns(*worker);
+        worker->recordNamesLeaseEnd = worker->recordNamesLeaseEnd || state.leaseEnd;
     }
     batch->parts.push_back(index);
     ++batch->rows;
@@ -318,6 +347,7 @@
     if (result.status == CommitStatus::Committed) {
         m_chainVersion = result.version;
         ++commits;
+        m_context->serviceClock.record(result.serviceTime, m_lastWriteSentAt, m_context->sinceBoot());
         storeReachable(true);
         termConfirmed(m_lastWriteSentAt);
         if (batch->wholeRecordRemoved) {
@@ -381,11 +411,10 @@
             FleetTable::setEndsDurable(worker, number);
         }
     }
-    for (const auto &[id, runsNamed] : batch.recorded) {
+    for (const auto &[id, state] : batch.recorded) {
         Worker *worker = context.fleet.find(id);
         if (worker != nullptr) {
-            worker->recorded = true;
-            worker->recordNamesRuns = runsNamed;
+            setRecorded(worker, state);
         }
     }
     if (committed) {
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -54,6 +54,13 @@
     std::uint64_t commits = 0;
 
 private:
+    /// What the record names of a worker.
+    struct RecordedState
+    {
+        bool runs = false;
+        bool leaseEnd = false;
+    };
+
     /// What a transaction in flight makes durable.
     struct Batch
     {
@@ -61,7 +68,7 @@
         std::vector<JobId> removed;
         std::vector<JobId> written;
         std::map<WorkerId, std::uint64_t> ends;
-        std::map<WorkerId, bool> recorded; ///< Whether the record names their runs.
+        std::map<WorkerId, RecordedState> recorded;
         std::vector<std::size_t> parts; ///< Of the record of workers.
         bool wholeRecordRemoved = false;
         std::size_t rows = 0; ///< Number of rows besides the coordinator's.
@@ -74,6 +81,8 @@
     void fillRecord(TransactionBuilder *transaction, Batch *batch);
     /// Fills in part @p index of the record; returns false if the transaction is full.
     bool fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch);
+    /// Computes the end of the lease of each worker in @p part of which the record is to name it.
+    void updateLeaseEnds(RecordPart *part) const;
     void fillProgress(TransactionBuilder *transaction, Batch *batch);
     TransactionBuilder::Added addProgress(const Job &job, TransactionBuilder *transaction) const;
     /// Takes note of the run ends that are durable once the transaction is committed.
@@ -84,6 +93,7 @@
     void onRejected(const Batch &batch);
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void applyCommitted(const Batch &batch);
+    static void setRecorded(Worker *worker, const RecordedState &state);
     void logEnd(const Job &job) const;
     void requeue(const Batch &batch);
 
--- a/src/libworkflow/recordpart.cpp
+++ b/src/libworkflow/recordpart.cpp
@@ -26,6 +26,13 @@
     return true;
 }
 
+bool namesLeaseEnd(const Worker &worker)
+{
+    const bool leaves = worker.entry.draining || !worker.listed;
+    return (worker.contact == WorkerContact::Silent && leaves)
+        || (worker.contact == WorkerContact::Unadopted && worker.recordNamesLeaseEnd);
+}
+
 void RecordPart::add(Worker *worker)
 {
     const auto it = std::lower_bound(workers.begin(), workers.end(), worker, [](const Worker *a, const Worker *b) {
--- a/src/libworkflow/recordpart_pvt.h
+++ b/src/libworkflow/recordpart_pvt.h
@@ -20,6 +20,10 @@
 /// them.
 bool namesRuns(const Worker &worker);
 
+/// Whether the record names the end of the lease of @p worker, because it leaves, or has left, and does not answer. Its
+/// lease is not extended before the record is written without, so that later coordinators need not wait for longer.
+bool namesLeaseEnd(const Worker &worker);
+
 /// The workers of one row of the durable record of workers.
 struct RecordPart
 {
--- a/src/libworkflow/termloader.cpp
+++ b/src/libworkflow/termloader.cpp
@@ -39,10 +39,12 @@
 void TermLoader::readWorkerRecord()
 {
     const std::shared_ptr<Context> context = m_context;
-    m_table->scan(rows::wholeWorkerRecord(), [this, context](const ReadResult &result) {
+    const Duration sentAt = context->sinceBoot();
+    m_table->scan(rows::wholeWorkerRecord(), [this, context, sentAt](const ReadResult &result) {
         if (context->ended || !checkAvailable(result, &TermLoader::readWorkerRecord)) {
             return;
         }
+        context->serviceClock.record(result.serviceTime, sentAt, context->sinceBoot());
         m_state.workerRecord = result.rows;
         workersRead(m_state.workerRecord);
         onReadDone();
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Positions in an encoded worker.
-enum Field { IdField, AddressField, ServiceField, DataCentreField, RackField, RunsField };
+enum Field { IdField, AddressField, ServiceField, DataCentreField, RackField, RunsField, LeaseEndField };
 
 json encodeRuns(const Worker &worker)
 {
@@ -35,6 +35,9 @@
     json out = json::array({worker.id, entry.address, entry.service, entry.dataCentre, entry.rack});
     if (namesRuns(worker)) {
         out.push_back(encodeRuns(worker));
+        if (worker.leaseEndForRecord != Milliseconds::zero()) {
+            out.push_back(worker.leaseEndForRecord.count());
+        }
     }
     return out;
 }
@@ -58,6 +61,9 @@
     if (longest == nullptr) {
         return WorkerId();
     }
+    if (longest->size() > LeaseEndField) {
+        longest->erase(LeaseEndField);
+    }
     longest->erase(RunsField);
     return longest->at(IdField).get<std::string>();
 }
@@ -82,6 +88,9 @@
             worker.runs.emplace_back(key, run.at(4).get<RunNumber>());
         }
     }
+    if (!named && in.size() > LeaseEndField) {
+        worker.leaseEnd = Milliseconds(in.at(LeaseEndField).get<std::int64_t>());
+    }
     return worker;
 }
 
--- a/src/libworkflow/workerrecord_pvt.h
+++ b/src/libworkflow/workerrecord_pvt.h
@@ -16,6 +16,8 @@
     WorkerEntry entry; ///< Id, address, service and location only.
     bool namesRuns = false;
     std::vector<std::pair<TaskKey, RunNumber>> runs;
+    /// When its lease has certainly expired, on the table service's clock; zero if the record does not tell.
+    Milliseconds leaseEnd{0};
 };
 
 /// A part of the record as the value of a row.
