Carry over the end of the lease of a worker that leaves while the coordinator is replaced

Callers saw long-running tasks without a run for 12 s and more (LOST) if their workers left just when a coordinator was replaced and others followed: the worker has never been silent to a coordinator, so none had recorded when its lease ends, and each term waited from its own beginning again.

Now a coordinator also records the end of the lease of a worker that has not answered in its term, that an earlier term recorded, and that leaves or has left: it has given such a worker no lease, and has counted with the latest that its predecessor can have given.

--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -61,14 +61,6 @@
     worker->candidates->update(worker);
 }
 
-/// To be called after a change of the runs on @p worker.
-void recordRunsChanged(Worker *worker)
-{
-    if (namesRuns(*worker)) {
-        worker->recordPart->changed = true;
-    }
-}
-
 bool hasSameRecordFields(const WorkerEntry &a, const WorkerEntry &b)
 {
     return std::tie(a.id, a.address, a.service, a.dataCentre, a.rack)
@@ -130,17 +122,24 @@
     }
 }
 
+void FleetTable::markRecordChanged(Worker *worker)
+{
+    if (namesRuns(*worker) || namesLeaseEnd(*worker)) {
+        worker->recordPart->changed = true;
+    }
+}
+
 void FleetTable::setUnlisted(Worker *worker, TimePoint now)
 {
     worker->listed = false;
     worker->unlistedAt = now;
-    recordRunsChanged(worker);
+    markRecordChanged(worker);
 }
 
 void FleetTable::addPendingEnd(Worker *worker, const EndedRun &end)
 {
     worker->pendingEnds.push_back(PendingEnd{end.number, end.task, end.run});
-    recordRunsChanged(worker);
+    markRecordChanged(worker);
 }
 
 void FleetTable::setEndsDurable(Worker *worker, std::uint64_t number)
@@ -152,7 +151,7 @@
     });
     if (durable != pending.end()) {
         pending.erase(durable, pending.end());
-        recordRunsChanged(worker);
+        markRecordChanged(worker);
     }
 }
 
@@ -162,7 +161,7 @@
     worker->endsDurable = 0;
     worker->endsAcknowledged = 0;
     worker->pendingEnds.clear();
-    recordRunsChanged(worker);
+    markRecordChanged(worker);
 }
 
 void FleetTable::place(Task *task, Worker *worker)
@@ -170,7 +169,7 @@
     task->worker = worker;
     if (worker->tasks.insert(task).second) {
         addToTotals(worker, *task, 1);
-        recordRunsChanged(worker);
+        markRecordChanged(worker);
         ++task->step->occurrence->job->placedTasks;
     }
 }
@@ -180,7 +179,7 @@
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
         addToTotals(worker, *task, -1);
-        recordRunsChanged(worker);
+        markRecordChanged(worker);
         --task->step->occurrence->job->placedTasks;
     }
     task->worker = nullptr;
@@ -206,7 +205,7 @@
     worker->used += earlier.reserved;
     worker->candidates->update(worker);
     worker->earlierRuns.push_back(earlier);
-    recordRunsChanged(worker);
+    markRecordChanged(worker);
     ++m_awaited[task];
 }
 
@@ -217,7 +216,7 @@
         addTo(&m_awaited, earlier.task, -1);
     }
     if (!worker->earlierRuns.empty()) {
-        recordRunsChanged(worker);
+        markRecordChanged(worker);
         worker->candidates->update(worker);
     }
     worker->earlierRuns.clear();
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -26,6 +26,8 @@
     Worker *find(const WorkerId &id) const;
     void erase(const WorkerId &id);
     static void setContact(Worker *worker, WorkerContact contact);
+    /// To be called after a change of what the record names of @p worker.
+    static void markRecordChanged(Worker *worker);
     /// Records that @p worker is no longer in the list of workers.
     static void setUnlisted(Worker *worker, TimePoint now);
     /// Records that @p end of a run on @p worker has been applied to the tables, and is not durable yet.
--- a/src/libworkflow/leavingworkers_test.cpp
+++ b/src/libworkflow/leavingworkers_test.cpp
@@ -80,6 +80,24 @@
     world->workers.crash(leaving);
 }
 
+/// Replaces the coordinator four times, each time before a lease has expired.
+void replaceCoordinators(WorkflowWorld *world)
+{
+    for (int i = 0; i < 4; ++i) {
+        const int killed = world->coordinator();
+        REQUIRE(killed >= 0);
+        world->kill(killed);
+        world->run(Milliseconds(200));
+        world->startNode(killed);
+        world->runUntil(
+            [world] {
+                return world->coordinator() >= 0;
+            },
+            takeoverTime);
+        world->run(almostLease / 2);
+    }
+}
+
 /// For how many milliseconds the task of the lasting job was on no worker.
 Milliseconds::rep lastingTaskIdleTime(WorkflowWorld *world)
 {
@@ -203,19 +221,18 @@
 {
     const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
     leaveWithRoomElsewhere(world.get());
-    for (int i = 0; i < 4; ++i) {
-        world->run(almostLease / 2);
-        const int killed = world->coordinator();
-        REQUIRE(killed >= 0);
-        world->kill(killed);
-        world->run(Milliseconds(200));
-        world->startNode(killed);
-        world->runUntil(
-            [&world] {
-                return world->coordinator() >= 0;
-            },
-            takeoverTime);
-    }
+    world->run(almostLease / 2);
+    replaceCoordinators(world.get());
+    CHECK(lastingTaskIdleTime(world.get()) < maxLastingIdleTime.count());
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
+// Guards against the same if no coordinator has noticed that the worker does not answer before the first takeover.
+TEST_CASE("takeovers that follow each other do not keep a task from running whose worker leaves during the first one")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
+    leaveWithRoomElsewhere(world.get());
+    replaceCoordinators(world.get());
     CHECK(lastingTaskIdleTime(world.get()) < maxLastingIdleTime.count());
     CHECK(world->workers.tasksRunTwice().empty());
 }
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -167,6 +167,7 @@
     Context &context = *m_context;
     const TimePoint now = context.now();
     ++worker->unansweredCalls;
+    FleetTable::markRecordChanged(worker);
     if (outcome == OrderOutcome::OtherIncarnation) {
         // Another incarnation uses its address, so this one has ended with all its runs.
         m_orders->markTasksLost(worker, "other-life");
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -134,7 +134,7 @@
     const auto stateOf = [&encoded](const Worker &worker) {
         RecordedState state;
         state.runs = namesRuns(worker) && encoded.withoutRuns.count(worker.id) == 0;
-        state.leaseEnd = state.runs && worker.leaseEndForRecord != Milliseconds::zero();
+        state.leaseEnd = worker.leaseEndForRecord != Milliseconds::zero();
         return state;
     };
     const bool tooLong = encoded.value.empty() || !encoded.withoutRuns.empty();
--- a/src/libworkflow/recordpart.cpp
+++ b/src/libworkflow/recordpart.cpp
@@ -29,8 +29,16 @@
 bool namesLeaseEnd(const Worker &worker)
 {
     const bool leaves = worker.entry.draining || !worker.listed;
-    return (worker.contact == WorkerContact::Silent && leaves)
-        || (worker.contact == WorkerContact::Unadopted && worker.recordNamesLeaseEnd);
+    switch (worker.contact) {
+    case WorkerContact::Unadopted:
+        return worker.recordNamesLeaseEnd || (worker.recordedInEarlierTerm && leaves && worker.unansweredCalls > 0);
+    case WorkerContact::Silent:
+        return leaves;
+    case WorkerContact::Adopted:
+    case WorkerContact::Lost:
+        break;
+    }
+    return false;
 }
 
 void RecordPart::add(Worker *worker)
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -33,11 +33,12 @@
 {
     const WorkerEntry &entry = worker.entry;
     json out = json::array({worker.id, entry.address, entry.service, entry.dataCentre, entry.rack});
-    if (namesRuns(worker)) {
-        out.push_back(encodeRuns(worker));
-        if (worker.leaseEndForRecord != Milliseconds::zero()) {
-            out.push_back(worker.leaseEndForRecord.count());
-        }
+    const bool leaseEnd = worker.leaseEndForRecord != Milliseconds::zero();
+    if (namesRuns(worker) || leaseEnd) {
+        out.push_back(namesRuns(worker) ? encodeRuns(worker) : json());
+    }
+    if (leaseEnd) {
+        out.push_back(worker.leaseEndForRecord.count());
     }
     return out;
 }
@@ -53,7 +54,7 @@
 {
     json *longest = nullptr;
     for (json &worker : *workers) {
-        if (worker.size() > RunsField
+        if (worker.size() > RunsField && worker.at(RunsField).is_array()
             && (longest == nullptr || worker.at(RunsField).size() > longest->at(RunsField).size())) {
             longest = &worker;
         }
@@ -62,9 +63,10 @@
         return WorkerId();
     }
     if (longest->size() > LeaseEndField) {
-        longest->erase(LeaseEndField);
+        longest->at(RunsField) = json();
+    } else {
+        longest->erase(RunsField);
     }
-    longest->erase(RunsField);
     return longest->at(IdField).get<std::string>();
 }
 
@@ -80,7 +82,7 @@
     worker.entry.service = text("service", ServiceField);
     worker.entry.dataCentre = text("dataCentre", DataCentreField);
     worker.entry.rack = text("rack", RackField);
-    worker.namesRuns = named ? in.contains("runs") : in.size() > RunsField;
+    worker.namesRuns = named ? in.contains("runs") : in.size() > RunsField && in.at(RunsField).is_array();
     if (worker.namesRuns) {
         for (const json &run : named ? in.at("runs") : in.at(RunsField)) {
             const TaskKey key{run.at(0).get<std::string>(), run.at(1).get<std::uint32_t>(),
