Refuse addresses whose port is out of range

An entry in the list of workers with port 70000 made the coordinator send orders to port 4464 of that machine: the port was read with atoi() and narrowed to 16 bits, and text after it was ignored. The entry's address was not checked at all.

--- a/src/libhttp/asynchttp_test.cpp
+++ b/src/libhttp/asynchttp_test.cpp
@@ -103,3 +103,32 @@
     CHECK(got.body == std::to_string(body.size()));
     CHECK(busy.passes() < fewPasses);
 }
+
+// Guards against a call to somebody else: a port of 85108 was narrowed to 19572, and text after a port was ignored.
+TEST_CASE("a call to a port out of range is not sent")
+{
+    int received = 0;
+    for (const char *address : {"127.0.0.1:85108", "127.0.0.1:19572x", "127.0.0.1: 19572", "127.0.0.1:4294986868",
+                                "127.0.0.1:0", "127.0.0.1:", "127.0.0.1"}) {
+        AsioLoop loop;
+        const AsyncHttpServer server(&loop, "127.0.0.1:19572",
+                                     [&received](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+                                         ++received;
+                                         respond(replyOf(""));
+                                     });
+        AsyncHttpClient client(&loop, Milliseconds(300));
+        HttpCall call;
+        call.method = "GET";
+        call.target = "/";
+        call.timeout = Milliseconds(1000);
+        HttpAnswer got;
+        client.call(address, std::move(call), [&loop, &got](const HttpAnswer &answer) {
+            got = answer;
+            loop.stop();
+        });
+        loop.run();
+        CAPTURE(address);
+        CHECK(got.callOutcome == HttpCallOutcome::NotSent);
+    }
+    CHECK(received == 0);
+}
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -1,6 +1,7 @@
 #include "fescueledge/asynchttpclient.h"
 
 #include "fescueledge/asioloop.h"
+#include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 #include <boost/beast/http.hpp>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace fescueledge {
@@ -145,11 +147,8 @@
 
 void AsyncHttpClient::Impl::connect(const ConnectionPtr &connection)
 {
-    const std::size_t colon = connection->address.rfind(':');
-    boost::system::error_code ec;
-    const asio::ip::address ip = asio::ip::make_address(connection->address.substr(0, colon), ec);
-    const int port = colon == std::string::npos ? 0 : std::atoi(connection->address.c_str() + colon + 1);
-    if (ec || port <= 0) {
+    const std::optional<SocketAddress> address = parseSocketAddress(connection->address);
+    if (!address || address->port == 0) {
         m_loop->post([connection] {
             fail(connection, HttpCallOutcome::NotSent);
         });
@@ -157,7 +156,7 @@
     }
     connection->stream.expires_at(std::min(connection->deadline, m_loop->now() + m_connectTimeout));
     const std::shared_ptr<Impl> self = shared_from_this();
-    connection->stream.async_connect(asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port)),
+    connection->stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(address->ip), address->port),
                                      [self, connection](const beast::error_code &error) {
                                          if (error) {
                                              fail(connection, HttpCallOutcome::NotSent);
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "fescueledge/asioloop.h"
 #include "fescueledge/error.h"
+#include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 
 #include <boost/asio/io_context.hpp>
@@ -85,14 +86,11 @@
 
 void AsyncHttpServer::Impl::listen(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    boost::system::error_code ec;
-    const asio::ip::address ip = asio::ip::make_address(address.substr(0, colon), ec);
-    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-    if (ec || port < 0) {
+    const std::optional<SocketAddress> parsed = parseSocketAddress(address);
+    if (!parsed) {
         throw Error(ErrorKind::InvalidSettings, "address '" + address + "' is not of the form ip:port");
     }
-    const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
+    const tcp::endpoint endpoint(asio::ip::make_address(parsed->ip), parsed->port);
     try {
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
