Don't send calls with control characters in their head

The id of a worker is the key of its entry, and goes into X-Expect-Instance of each order as it stands. A key with line breaks, from another writer, ended the head of the order there, and what followed was a call of its own.

--- a/src/include/fescueledge/asynchttpclient.h
+++ b/src/include/fescueledge/asynchttpclient.h
@@ -24,7 +24,8 @@
     AsyncHttpClient(const AsyncHttpClient &) = delete;
     AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
 
-    /// Sends @p call to @p address (`ip:port`). The handler runs on the loop, exactly once.
+    /// Sends @p call to @p address (`ip:port`). The handler runs on the loop, exactly once. A call to anything else, or
+    /// with control characters in its target or headers, is NotSent.
     void call(const std::string &address, HttpCall call, Handler handler);
     /// Closes the idle connections to @p address.
     void forget(const std::string &address);
--- a/src/libhttp/asynchttp_test.cpp
+++ b/src/libhttp/asynchttp_test.cpp
@@ -132,3 +132,36 @@
     }
     CHECK(received == 0);
 }
+
+// Guards against a call that carries another: a header value with line breaks, such as the id of a worker from another
+// writer, was sent as it stands.
+TEST_CASE("a call with control characters in its head is not sent")
+{
+    const std::string injection = "w\r\nContent-Length: 0\r\n\r\nGET /injected HTTP/1.1\r\nHost: x";
+    std::vector<std::string> received;
+    for (const bool inTarget : {false, true}) {
+        AsioLoop loop;
+        const AsyncHttpServer server(
+            &loop, "127.0.0.1:19572",
+            [&received](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
+                received.push_back(request.target);
+                respond(replyOf(""));
+            });
+        AsyncHttpClient client(&loop, Milliseconds(300));
+        HttpCall call;
+        call.method = "POST";
+        call.target = inTarget ? "/ HTTP/1.1\r\nX: " + injection : "/";
+        call.headers.emplace_back("X-Expect-Instance", inTarget ? "w" : injection);
+        call.timeout = Milliseconds(1000);
+        HttpAnswer got;
+        client.call("127.0.0.1:19572", std::move(call), [&loop, &got](const HttpAnswer &answer) {
+            got = answer;
+            loop.postAfter(Milliseconds(50), [&loop] {
+                loop.stop();
+            });
+        });
+        loop.run();
+        CHECK(got.callOutcome == HttpCallOutcome::NotSent);
+    }
+    CHECK(received.empty());
+}
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -27,6 +27,31 @@
 constexpr std::uint64_t maxResponseBytes = 16U << 20U; ///< A page of rows holds 1 MB, less than 2 MB in base64.
 constexpr std::size_t maxIdlePerAddress = 8; ///< More than the concurrent calls to one worker in any test.
 
+bool hasControlCharacter(const std::string &text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        return static_cast<unsigned char>(c) < 0x20 || c == 0x7F;
+    });
+}
+
+/// Whether the head of @p call would contain line breaks, and so another call.
+bool isMalformed(const HttpCall &call)
+{
+    return call.target.find(' ') != std::string::npos || hasControlCharacter(call.target)
+        || std::any_of(call.headers.begin(), call.headers.end(), [](const std::pair<std::string, std::string> &header) {
+               return hasControlCharacter(header.first) || hasControlCharacter(header.second);
+           });
+}
+
+void postNotSent(AsioLoop *loop, AsyncHttpClient::Handler handler)
+{
+    loop->post([handler = std::move(handler)] {
+        HttpAnswer answer;
+        answer.callOutcome = HttpCallOutcome::NotSent;
+        handler(answer);
+    });
+}
+
 } // namespace
 
 class AsyncHttpClient::Impl : public std::enable_shared_from_this<AsyncHttpClient::Impl>
@@ -109,14 +134,14 @@
 
 void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
 {
+    if (isMalformed(call)) {
+        postNotSent(m_loop, std::move(handler));
+        return;
+    }
     ConnectionPtr connection = takeIdle(address, call.connection);
     const bool reused = connection != nullptr;
     if (!reused && call.connection != 0) {
-        m_loop->post([handler = std::move(handler)] {
-            HttpAnswer answer;
-            answer.callOutcome = HttpCallOutcome::NotSent;
-            handler(answer);
-        });
+        postNotSent(m_loop, std::move(handler));
         return;
     }
     if (!reused) {
