Let the filler load of a worker follow its capacity

The load of fillers is kept as a share of the worker's processors. A filler's share was added under the capacity at its start and subtracted under the one at its end, so a worker that shrank or grew in between kept a load that no filler causes, for good, or lost one that is there: placement and pacing then saw less headroom, or more, than there was.

FleetTable::upsert() now scales the load by the old capacity over the new one.

--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -35,6 +35,12 @@
     }
 }
 
+/// The processor time of a worker, in thousandths of a core; its shares refer to it.
+double processorTime(const WorkerEntry &entry)
+{
+    return static_cast<double>(std::max<std::int64_t>(1, entry.capacity.milliCores));
+}
+
 /// Adds @p task to the worker's totals (@p sign 1), or subtracts it (-1).
 void addToTotals(Worker *worker, const Task &task, int sign)
 {
@@ -48,8 +54,7 @@
     const double milliCores = static_cast<double>(step.perTask.milliCores) * expectedPace(task) / fullPace;
     worker->busyMilliCores += sign * milliCores * (serves ? servingUtilization : step.filler ? fillerUtilization : 1);
     if (step.filler) {
-        const double capacity = static_cast<double>(std::max<std::int64_t>(1, worker->entry.capacity.milliCores));
-        worker->fillerLoad[step.image] += sign * milliCores / capacity;
+        worker->fillerLoad[step.image] += sign * milliCores / processorTime(worker->entry);
         if (worker->fillerLoad[step.image] < negligibleLoad) {
             worker->fillerLoad.erase(step.image);
         }
@@ -97,6 +102,10 @@
     if (!hasSameRecordFields(slot->entry, entry)) {
         slot->recordPart->changed = true;
     }
+    const double scale = processorTime(slot->entry) / processorTime(entry);
+    for (auto &[image, share] : slot->fillerLoad) {
+        share *= scale;
+    }
     slot->entry = entry;
     m_candidates.update(slot.get());
     slot->listed = true;
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -103,6 +103,12 @@
     announce(m_workers.at(id).entry);
 }
 
+void SimWorkers::setCapacity(const WorkerId &id, const Resources &capacity)
+{
+    m_workers.at(id).entry.capacity = capacity;
+    announce(m_workers.at(id).entry);
+}
+
 std::vector<WorkerEntry> SimWorkers::listed() const
 {
     std::vector<WorkerEntry> out;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -70,6 +70,8 @@
     /// Lists a worker again.
     void list(const WorkerId &id);
     void setDraining(const WorkerId &id);
+    /// Changes the capacity of a running worker; its runs go on.
+    void setCapacity(const WorkerId &id, const Resources &capacity);
 
     OrderResult start(const WorkerId &id, const StartOrder &order);
     OrderResult stop(const WorkerId &id, const TaskKey &task, RunNumber run, Term term);
