Ask a worker without room more and more rarely

A worker that refused starts for lack of room, because its capacity had shrunk or something ran there that the list doesn't show, was sent starts again every 150 ms, all that the tables had room for, for as long as it refused.

The wait now doubles with each refusal after a wait, up to 2.4 s, and ends with one start at a time. It is over when the worker's capacity changes, a run on it ends, or a start succeeds. Other workers are used meanwhile. Log line worker_without_room.

The worker is used again within three seconds after it takes starts.

--- a/src/libworkflow/capacitychange_test.cpp
+++ b/src/libworkflow/capacitychange_test.cpp
@@ -116,6 +116,25 @@
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
+// Guards against a refused start that is repeated every 150 ms for as long as the worker has no room.
+TEST_CASE("a worker that goes on refusing starts for lack of room is asked more and more rarely, and others are used")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 2, 4);
+    const std::shared_ptr<int> refused = refuseStarts(*world, "w0");
+    runForever(*world);
+    world->submit(0, jobA, workflowOf({simpleStep(8)}));
+    world->run(listDelay);
+    CHECK(activeOn(*world, "w1") == 4);
+    *refused = 0;
+    world->run(longSpan);
+    CHECK(*refused > 0);
+    CHECK(*refused <= 20);
+    world->workers.lacksRoom = nullptr;
+    world->run(std::chrono::seconds(3));
+    CHECK(activeOn(*world, "w0") == 4);
+    CHECK(world->workers.tasksRunTwice().empty());
+}
+
 // Guards against a worker that stays out of use after its capacity has grown or a run on it has ended.
 TEST_CASE("a worker that refused starts is asked again at once when its entry changes or a run on it ends")
 {
@@ -148,3 +167,17 @@
     }
     CHECK(world->workers.runsOf(jobB).size() == 2);
 }
+
+// Guards against a wait that is forgotten with each attempt to place a gang.
+TEST_CASE("a gang that finds no place does not end the wait of a worker that refuses starts")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, 1, 4);
+    const std::shared_ptr<int> refused = refuseStarts(*world, "w0");
+    StepSpec gang = simpleStep(6);
+    gang.gang = true;
+    world->submit(0, jobA, workflowOf({gang}));
+    world->submit(0, jobB, workflowOf({simpleStep(4)}));
+    world->run(longSpan);
+    CHECK(*refused > 0);
+    CHECK(*refused <= 20);
+}
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -146,6 +146,14 @@
     Resources reserved; ///< What it keeps reserved on the worker.
 };
 
+/// Wait of a worker that refuses starts for lack of room although the tables show room. After the wait it gets one
+/// start at a time. It is over when the worker's capacity changes, a run on it ends, or a start succeeds there.
+struct RoomBackoff
+{
+    int refusals = 0; ///< Refusals since, not counting those of starts that were sent before the wait began.
+    TimePoint until{}; ///< No starts before this time.
+};
+
 /// One worker, by id.
 struct Worker
 {
@@ -181,6 +189,7 @@
     bool recordNamesRuns = false; ///< That list names all runs that it may have; it has got no starts since.
     TimePoint nextObservationAt{}; ///< No observation before this time.
     TimePoint blockedUntil{}; ///< No starts before this time.
+    RoomBackoff roomBackoff;
     int consecutiveFailures = 0; ///< Failed runs since the last successful one.
     int unansweredCalls = 0;
     std::set<JobId> failedJobs; ///< Jobs of the consecutive failures.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -106,6 +106,9 @@
     for (auto &[image, share] : slot->fillerLoad) {
         share *= scale;
     }
+    if (slot->entry.capacity != entry.capacity) {
+        slot->roomBackoff = RoomBackoff();
+    }
     slot->entry = entry;
     m_candidates.update(slot.get());
     slot->listed = true;
@@ -151,6 +154,9 @@
 {
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
+        if (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping) {
+            worker->roomBackoff = RoomBackoff();
+        }
         addToTotals(worker, *task, -1);
         recordRunsChanged(worker);
         --task->step->occurrence->job->placedTasks;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -8,8 +8,9 @@
 
 /// Run numbers that one term may use for a task; runs of a later term are always higher.
 constexpr RunNumber runsPerTerm = 1000;
-/// After a refusal for lack of room; the next observation shows what runs there.
+/// After a refusal for lack of room; the next observation shows what runs there. Doubled with each further refusal.
 constexpr Milliseconds noRoomBackoff{150};
+constexpr int maxNoRoomDoublings = 4; ///< 2.4 s, less than a task may wait while a worker has room for it.
 /// An order that was not answered may still take effect within this time, even after newer ones.
 constexpr std::chrono::seconds lateOrderWindow{10};
 /// After a worker reported itself unhealthy or could not be reached.
@@ -103,6 +104,7 @@
         return;
     }
     if (result.outcome == OrderOutcome::Done) {
+        worker->roomBackoff = RoomBackoff();
         markRunning(task);
         if (task->step->occurrence->job->ended()) {
             stop(task);
@@ -132,6 +134,26 @@
     worker->blockedUntil = std::max(worker->blockedUntil, m_context->now() + Duration(backoff));
 }
 
+void OrderSystem::waitForRoom(Worker *worker) const
+{
+    const TimePoint now = m_context->now();
+    RoomBackoff &backoff = worker->roomBackoff;
+    if (now < backoff.until) {
+        return; // The start was sent before the wait began.
+    }
+    const Milliseconds wait = noRoomBackoff * (1 << std::min(backoff.refusals, maxNoRoomDoublings));
+    backoff.until = now + Duration(wait);
+    ++backoff.refusals;
+    m_context->log->write(
+        LogLine("worker_without_room")
+            .with("worker", worker->id)
+            .with("refusals", backoff.refusals)
+            .with("used", worker->used.milliCores)
+            .with("capacity", worker->entry.capacity.milliCores)
+            .with("observed_ago_ms", std::chrono::duration_cast<Milliseconds>(now - worker->observedAt))
+            .with("wait_ms", wait));
+}
+
 void OrderSystem::onRefused(Task *task, Worker *worker, OrderOutcome outcome)
 {
     Context &context = *m_context;
@@ -141,7 +163,7 @@
     context.jobs.setIdle(task);
     switch (outcome) {
     case OrderOutcome::InsufficientCapacity:
-        blockStarts(worker, noRoomBackoff);
+        waitForRoom(worker);
         break;
     case OrderOutcome::Rejected:
         context.jobs.countFailure(task, task->run, now);
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -48,6 +48,8 @@
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
     void onRefused(Task *task, Worker *worker, OrderOutcome outcome);
     /// Sends no starts to @p worker for at least @p backoff.
+    /// Sends @p worker no starts for a while, because it refused one for lack of room; longer with each refusal.
+    void waitForRoom(Worker *worker) const;
     void blockStarts(Worker *worker, Milliseconds backoff) const;
     void sendStop(const RunRef &ref);
     void sendPace(Task *task);
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -73,6 +73,15 @@
     });
 }
 
+/// Whether a worker that has refused starts for lack of room has yet to answer the one that was sent after the wait.
+bool isProbedForRoom(const Worker &worker)
+{
+    return worker.roomBackoff.refusals > 0
+        && std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task *task) {
+               return task->phase == TaskPhase::Starting;
+           });
+}
+
 } // namespace
 
 const char *placeVerdictName(PlaceVerdict verdict)
@@ -123,7 +132,7 @@
     if (worker.contact != WorkerContact::Adopted || !worker.recorded || worker.recordNamesRuns) {
         return PlaceVerdict::NotReady;
     }
-    if (worker.blockedUntil > m_context->now()) {
+    if (std::max(worker.blockedUntil, worker.roomBackoff.until) > m_context->now() || isProbedForRoom(worker)) {
         return PlaceVerdict::Blocked;
     }
     if (m_context->catalog->evacuated.count(worker.entry.dataCentre) > 0) {
