Refuse a workflow with a number out of range

The numbers of a submitted workflow were converted whatever their size: a step of 2^32+1 tasks became one of 1 task, and a task that needs 2^63-1 thousandths of a core was accepted; with what is in use on a worker its need adds up to a negative sum, which fits anywhere. Estimates and intervals were unbounded, and their sums and conversions overflow.

--- a/src/libworkflow/workflowspec.cpp
+++ b/src/libworkflow/workflowspec.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::uint32_t maxTasks = 16384; ///< Tasks of one occurrence; bounds the memory that one request can claim.
+/// Resources of one task: small enough that a sum over the tasks on a worker fits into 64 bits.
+constexpr std::int64_t maxResource = 1'000'000'000'000;
+constexpr Milliseconds maxSpan{10'000'000'000}; ///< Four months; spans are added up, and converted to finer units.
 constexpr std::uint32_t maxOccurrences = 100000; ///< Bounds the work of finding due occurrences.
 
 void require(bool holds, const std::string &what)
@@ -69,6 +72,7 @@
 {
     require(!spec.steps.empty(), "a workflow needs at least one step");
     require(spec.occurrences <= maxOccurrences, "too many occurrences");
+    require(spec.interval <= maxSpan, "the interval is too long");
     require(spec.occurrences < 2 || spec.interval.count() > 0, "occurrences need an interval");
     std::uint64_t tasks = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
@@ -76,12 +80,17 @@
         require(step.count > 0, "a step needs at least one task");
         require(step.perTask.milliCores >= 0 && step.perTask.memoryMb >= 0 && step.perTask.accelerators >= 0,
                 "a task's resources can't be negative");
+        require(step.perTask.fitsIn(Resources{maxResource, maxResource, maxResource}),
+                "a task's resources are too large");
+        require(step.estimate.count() >= 0 && step.estimate <= maxSpan, "an estimate is out of range");
+        require(step.tailTarget.count() >= 0 && step.tailTarget <= maxSpan, "a target is out of range");
         for (const std::uint32_t earlier : step.dependsOn) {
             require(earlier < i, "a step may depend on earlier steps only");
         }
         tasks += step.count;
     }
     require(tasks <= maxTasks, "too many tasks");
+    require(criticalPath(spec) <= maxSpan, "the estimates add up to too long a time");
 }
 
 void to_json(nlohmann::json &json, const StepSpec &step)
