--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -1,6 +1,7 @@
 #include "fescueledge/asynchttpclient.h"
 
 #include "fescueledge/asioloop.h"
+#include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 #include <boost/beast/http.hpp>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace fescueledge {
@@ -25,6 +27,31 @@
 constexpr std::uint64_t maxResponseBytes = 16U << 20U; ///< A page of rows holds 1 MB, less than 2 MB in base64.
 constexpr std::size_t maxIdlePerAddress = 8; ///< More than the concurrent calls to one worker in any test.
 
+bool hasControlCharacter(const std::string &text)
+{
+    return std::any_of(text.begin(), text.end(), [](char c) {
+        return static_cast<unsigned char>(c) < 0x20 || c == 0x7F;
+    });
+}
+
+/// Whether the head of @p call would contain line breaks, and so another call.
+bool isMalformed(const HttpCall &call)
+{
+    return call.target.find(' ') != std::string::npos || hasControlCharacter(call.target)
+        || std::any_of(call.headers.begin(), call.headers.end(), [](const std::pair<std::string, std::string> &header) {
+               return hasControlCharacter(header.first) || hasControlCharacter(header.second);
+           });
+}
+
+void postNotSent(AsioLoop *loop, AsyncHttpClient::Handler handler)
+{
+    loop->post([handler = std::move(handler)] {
+        HttpAnswer answer;
+        answer.callOutcome = HttpCallOutcome::NotSent;
+        handler(answer);
+    });
+}
+
 } // namespace
 
 class AsyncHttpClient::Impl : public std::enable_shared_from_this<AsyncHttpClient::Impl>
@@ -107,14 +134,14 @@
 
 void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
 {
+    if (isMalformed(call)) {
+        postNotSent(m_loop, std::move(handler));
+        return;
+    }
     ConnectionPtr connection = takeIdle(address, call.connection);
     const bool reused = connection != nullptr;
     if (!reused && call.connection != 0) {
-        m_loop->post([handler = std::move(handler)] {
-            HttpAnswer answer;
-            answer.callOutcome = HttpCallOutcome::NotSent;
-            handler(answer);
-        });
+        postNotSent(m_loop, std::move(handler));
         return;
     }
     if (!reused) {
@@ -145,11 +172,8 @@
 
 void AsyncHttpClient::Impl::connect(const ConnectionPtr &connection)
 {
-    const std::size_t colon = connection->address.rfind(':');
-    boost::system::error_code ec;
-    const asio::ip::address ip = asio::ip::make_address(connection->address.substr(0, colon), ec);
-    const int port = colon == std::string::npos ? 0 : std::atoi(connection->address.c_str() + colon + 1);
-    if (ec || port <= 0) {
+    const std::optional<SocketAddress> address = parseSocketAddress(connection->address);
+    if (!address || address->port == 0) {
         m_loop->post([connection] {
             fail(connection, HttpCallOutcome::NotSent);
         });
@@ -157,7 +181,7 @@
     }
     connection->stream.expires_at(std::min(connection->deadline, m_loop->now() + m_connectTimeout));
     const std::shared_ptr<Impl> self = shared_from_this();
-    connection->stream.async_connect(asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port)),
+    connection->stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(address->ip), address->port),
                                      [self, connection](const beast::error_code &error) {
                                          if (error) {
                                              fail(connection, HttpCallOutcome::NotSent);
