Keep a share of the starts for work that has waited long with nothing at work

A coordinator that does not keep up with what comes due starts by rank. Jobs that are too late to be of use rank last, and long-running tasks rank behind urgent work, so in a steady backlog neither gets a start at all, though most of the workers' room is free. Users count that as lost work.

The log says step_waits outcome=fits fits=104 waited_ms=19211: 104 workers fit, the coordinator orders 250 to 300 starts a second with a window of 39 to 52.

One start in four now goes to jobs that have had nothing at work for 1.5 s and to long-running tasks that have waited as long, the longest wait first, but only while the limit of starts, not the room, is what ends a run. A job gets one start that way and then waits for its rank again. At most 32 are kept back.

--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -16,6 +16,12 @@
 /// Among jobs of equal urgency, the objective of a job is put back by the time that this share of the fleet needs for
 /// its remaining work. In a burst small jobs pass large ones, and large ones are not starved.
 constexpr double sizePenaltyShare = 0.003;
+/// A job with nothing at work, or a long-running task, is starved after this time: users accept three seconds.
+constexpr Milliseconds starvationTimeout{1500};
+/// Of this many starts one is for starved tasks ...
+constexpr std::uint64_t startsPerStarvedStart = 4;
+/// ... and this many may be kept back for them.
+constexpr std::uint64_t maxStarvedStarts = 32;
 
 /// How long sizePenaltyShare of the fleet would need for the remaining work of @p job, by its declared sizes and
 /// estimates.
@@ -106,6 +112,13 @@
     m_unplaceableOverdue.clear();
     m_placement->dropStaleHeadroom();
     const std::uint64_t limit = m_orders->startsSent + std::min(maxStarts, m_orders->window.room());
+    startStarved(ranked, limit);
+    m_startsRanOut = startInOrder(ranked, limit);
+    return m_startsRanOut;
+}
+
+bool DispatchSystem::startInOrder(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit)
+{
     for (const std::pair<Rank, Step *> &entry : ranked) {
         if (m_orders->startsSent >= limit) {
             return true;
@@ -119,6 +132,52 @@
     return m_orders->startsSent >= limit;
 }
 
+std::optional<TimePoint> DispatchSystem::starvedSince(const Step &step) const
+{
+    const Job &job = *step.occurrence->job;
+    const TimePoint since = step.spec->longRunning ? step.waitingSince : job.idleSince;
+    const bool waits = since != TimePoint{} && (step.spec->longRunning || job.placedTasks == 0);
+    return waits && m_context->now() - since >= starvationTimeout ? std::optional<TimePoint>(since) : std::nullopt;
+}
+
+void DispatchSystem::startStarved(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit)
+{
+    m_startsForStarved = std::min(m_startsForStarved + (m_orders->startsSent - m_startsCounted),
+                                  maxStarvedStarts * startsPerStarvedStart);
+    m_startsCounted = m_orders->startsSent;
+    if (!m_startsRanOut) {
+        return; // What waits has no room, and is no worse off for its rank than for a start.
+    }
+    std::vector<std::pair<TimePoint, Step *>> starved;
+    for (const std::pair<Rank, Step *> &entry : ranked) {
+        const std::optional<TimePoint> since = starvedSince(*entry.second);
+        if (since) {
+            starved.emplace_back(*since, entry.second);
+        }
+    }
+    std::stable_sort(starved.begin(), starved.end(), [](const auto &a, const auto &b) {
+        return a.first < b.first;
+    });
+    const std::uint64_t end = std::min(limit, m_orders->startsSent + m_startsForStarved / startsPerStarvedStart);
+    for (const std::pair<TimePoint, Step *> &entry : starved) {
+        Step *step = entry.second;
+        if (m_orders->startsSent >= end) {
+            break;
+        }
+        if (!starvedSince(*step)) {
+            continue; // Another step of its job has just got a start.
+        }
+        if (step->spec->gang) {
+            startGang(step);
+        } else {
+            startStep(step, step->spec->longRunning ? end : m_orders->startsSent + 1);
+        }
+    }
+    const std::uint64_t used = (m_orders->startsSent - m_startsCounted) * startsPerStarvedStart;
+    m_startsForStarved -= std::min(m_startsForStarved, used);
+    m_startsCounted = m_orders->startsSent;
+}
+
 DispatchSystem::Shape DispatchSystem::shapeOf(const Step &step)
 {
     return Shape{step.occurrence->job->policy.service, step.spec->requiredLabel, step.spec->image, step.spec->filler};
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -3,6 +3,7 @@
 #include "context_pvt.h"
 
 #include <map>
+#include <optional>
 #include <tuple>
 
 namespace fescueledge::workflow {
@@ -47,9 +48,16 @@
     /// tasks of overdue jobs count.
     bool isKnownUnplaceable(const Step &step, bool overdue) const;
     Rank rankOf(const Step &step, TimePoint now) const;
+    /// Starts tasks by rank; returns whether @p limit ended it.
+    bool startInOrder(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit);
     /// Starts tasks of @p step until OrderSystem::startsSent reaches @p limit.
     void startStep(Step *step, std::uint64_t limit);
     void startGang(Step *step);
+    /// Since when a task of @p step has waited that should have started by now; empty if there is none.
+    std::optional<TimePoint> starvedSince(const Step &step) const;
+    /// Starts a few tasks of jobs that have waited long with nothing at work, whatever their rank. Without it, a
+    /// backlog that the coordinator does not keep up with would hold up the last in rank for good.
+    void startStarved(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit);
     void startOn(Task *task, const Place &place);
 
     std::shared_ptr<Context> m_context;
@@ -59,6 +67,9 @@
     const ObservationSystem *m_observations;
     SizesByShape m_unplaceable; ///< Sizes that found no worker in the current run.
     SizesByShape m_unplaceableOverdue; ///< The same for tasks of overdue jobs.
+    bool m_startsRanOut = false; ///< The last run ended because of its limit, not because nothing more fitted.
+    std::uint64_t m_startsCounted = 0; ///< Starts that are counted in m_startsForStarved.
+    std::uint64_t m_startsForStarved = 0; ///< Starts by rank of which startStarved() may use a share.
 };
 
 } // namespace fescueledge::workflow
