Ask the store for the term when nothing else has confirmed it for a while

A coordinator may send orders while a majority of the nodes has not heard of a later term. That is meant for outages of the store, but it held with the store at hand too: a coordinator whose watches stay silent and that has nothing to write does not ask the store, and another node that cannot reach the new coordinator goes on confirming the old term. The new coordinator waits for 5.5 s and takes all earlier leases for over.

Evidence: in a trial with longer suspicion timeouts, "a coordinator that does not know of its replacement ..." ran 8 tasks twice: runs 2001, started by the coordinator of term 3 at 9.97 s and done at 11.97 s, and runs 3001, started by that of term 4 at 12.52 s, which is when its wait of 5.5 s ended. So the orders at 9.97 s went out some three seconds after term 4 had begun (reckoned, the log has no times).

The coordinator now writes its row, under the condition of its term, when the store has not confirmed the term for 1.2 s, which is less than the right to send orders lasts (1.5 s) and more than an answered watch needs. It asks again every 200 ms.

The new test failed before: no end of the old term within 1.4 s of the new one.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -14,6 +14,8 @@
 /// How often timeouts, due occurrences and expired leases are checked.
 constexpr Milliseconds tickInterval{50};
 constexpr std::chrono::seconds loadReportInterval{1};
+/// If the store has not confirmed the term for this long, it is asked. A watch that is answered confirms it sooner.
+constexpr Milliseconds confirmInterval{1200};
 /// How often ended jobs and unlisted workers are removed.
 constexpr Milliseconds cleanupInterval{2000};
 /// Tasks that become startable within this time are placed together.
@@ -460,6 +462,7 @@
     reportLoad(context.now());
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
+    confirmTermIfDue();
     if (m_writer.hasMore()) {
         m_writer.wake();
     }
@@ -481,6 +484,15 @@
     });
 }
 
+void Coordinator::confirmTermIfDue()
+{
+    const Duration now = m_context->sinceBoot();
+    if (now >= m_termConfirmedAt + confirmInterval && now >= m_confirmAskedAt + m_context->settings.orderRetryDelay) {
+        m_confirmAskedAt = now;
+        m_writer.confirmTerm(); // Other nodes may not have heard of a later term, and there may be nothing to write.
+    }
+}
+
 void Coordinator::removeExpiredJobs()
 {
     const TimePoint now = m_context->now();
@@ -563,6 +575,7 @@
 
 void Coordinator::reportTermConfirmed(Duration at)
 {
+    m_termConfirmedAt = std::max(m_termConfirmedAt, at);
     if (m_termConfirmed && !m_context->ended) {
         m_termConfirmed(at);
     }
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -86,6 +86,7 @@
     void tick();
     /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
     void reportLoad(TimePoint now);
+    void confirmTermIfDue();
     void removeExpiredJobs();
     void removeUnlistedWorkers();
     void scheduleDispatch();
@@ -116,6 +117,8 @@
     /// Jobs unknown to earlier coordinators whose notice came before their rows were read.
     std::set<JobId> m_acceptedThisTerm;
     std::set<JobId> m_earlyCancellations; ///< Cancellations that were read before their jobs.
+    Duration m_termConfirmedAt{0}; ///< Time since boot at which the store still had this term as the latest.
+    Duration m_confirmAskedAt{0}; ///< Time since boot at which the store was last asked for that alone.
     std::function<void(bool)> m_storeContact;
     std::function<void(Duration)> m_termConfirmed;
     bool m_jobsLoaded = false;
--- a/src/libworkflow/takeover_test.cpp
+++ b/src/libworkflow/takeover_test.cpp
@@ -460,3 +460,32 @@
     world->storeFaults(coordinator).loseRequest = 0;
     CHECK(reachesState(*world, coordinator, jobA, "complete", std::chrono::seconds(3)));
 }
+
+// Guards against orders of two terms at the same time (TWICE): a coordinator that has nothing to write, and whose term
+// another node that has not heard of its replacement confirms, believed in its term for as long as its watches of the
+// store stayed silent.
+TEST_CASE("a coordinator that others still believe in learns of its replacement from the store")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(3, 4);
+    const int old = world->coordinator();
+    const int friendly = otherThan(old, 3);
+    const int next = otherThan(friendly, 3);
+    const auto name = [](int node) {
+        return "node-" + std::to_string(node);
+    };
+    for (const int node : {old, friendly}) {
+        world->network.setCut(name(node), name(next), true);
+        world->network.setCut(name(next), name(node), true);
+    }
+    world->storeFaults(old).watchesSilent = true;
+    REQUIRE(world->runUntil(
+        [&] {
+            return world->log(next).count("term_begun") > 0;
+        },
+        std::chrono::seconds(3)));
+    CHECK(world->runUntil(
+        [&] {
+            return world->log(old).count("term_ended") > 0;
+        },
+        Milliseconds(1400)));
+}
