Give the next coordinator more time when one was replaced while it was loading

On a small node the coordinator is busy for one to three seconds when it takes over: it tells all nodes, renews 120 leases and reads the jobs, and answers no ping meanwhile. It is suspected after 0.6 s, so it is replaced before it has loaded, and the next one begins again. A replaced coordinator tells all that it had not failed, which doubles the timeout, but did so only with the right to send orders, which had lapsed: loading takes longer than 1.5 s and confirms the term only at its end.

- A coordinator that is replaced within 6 s of its begin reports so, whether it may still send orders or not, unless the store is silent to it.
- A node that sees such a young term replaced raises its timeout once (0.6 to 1.2 s) without waiting for that report, as the coordinator may have failed.
It takes a report to raise it further.
One that says it has resigned does not count.

--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -29,6 +29,9 @@
 constexpr int maxFalseSuspicions = 3;
 /// ... and after this time without one it is halved again.
 constexpr std::chrono::seconds falseSuspicionMemory{20};
+/// A term that is replaced sooner after its begin than this, by a node that did not wait for a resignation, may have
+/// been busy loading: so the next one is given more time.
+constexpr Milliseconds youngTermAge{6000};
 /// Added to the takeover delay of a node for each other node that is better suited to coordinate.
 constexpr Milliseconds takeoverDelayStep{60};
 /// After this many consecutive failed calls to the store the coordinator reports the loss, and another node may take
@@ -232,6 +235,28 @@
     }
 }
 
+void Election::considerReplacedTerm(Term next)
+{
+    const bool young = m_term > 0 && next > m_term && !m_coordinator.empty() && isTermYoung();
+    m_termSeenAt = m_parts.loop->now();
+    // One that is busy reports this itself, but only once it gets to it; by then the next one may be suspected. Without
+    // such a report it may have failed, so this alone does not raise the timeout any further.
+    if (young && m_falseSuspicions == 0) {
+        recordFalseSuspicion(m_term);
+    }
+}
+
+bool Election::isTermYoung() const
+{
+    return m_parts.loop->now() < m_termSeenAt + youngTermAge;
+}
+
+bool Election::wasReplacedInError() const
+{
+    // Loading may take longer than the right to send orders, and confirms the term only at its end.
+    return (maySendOrders() || isTermYoung()) && isStoreResponsive();
+}
+
 void Election::reportFalseSuspicion(Term term)
 {
     recordFalseSuspicion(term);
@@ -319,6 +344,7 @@
     } else if (term == m_term) {
         m_coordinatorSeenAt = std::min(
             m_coordinatorSeenAt, m_parts.loop->now() - suspicionTimeout() - pingInterval); // It no longer coordinates.
+        m_termSeenAt = std::min(m_termSeenAt, m_parts.loop->now() - youngTermAge); // Replacing it is no mistake.
     }
 }
 
@@ -436,6 +462,7 @@
     if (m_localCoordinator) {
         stepDown("a later term has begun");
     }
+    considerReplacedTerm(row.term);
     m_term = row.term;
     m_coordinator = row.node;
     m_coordinatorAddress = row.address;
@@ -504,6 +531,7 @@
     if (m_localCoordinator || m_term > row.term) {
         return;
     }
+    considerReplacedTerm(row.term);
     m_term = row.term;
     m_storeLossSince = TimePoint{};
     m_coordinator = m_self.name;
@@ -595,7 +623,7 @@
         return;
     }
     m_parts.log->write(LogLine("term_ended").with("term", static_cast<std::int64_t>(m_term)).with("reason", reason));
-    if (maySendOrders() && isStoreResponsive()) {
+    if (wasReplacedInError()) {
         reportFalseSuspicion(m_term); // It has not failed: another node was too impatient.
     }
     m_localCoordinator.reset();
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -86,6 +86,12 @@
     void reportFalseSuspicion(Term term);
     void recordFalseSuspicion(Term term);
     void forgetFalseSuspicions();
+    /// Called before @p next replaces the newest known term, with how long that one lasted as this node has seen it.
+    void considerReplacedTerm(Term next);
+    /// Whether the newest known term began so recently that its coordinator may still be loading.
+    bool isTermYoung() const;
+    /// Whether the local coordinator, which has just learnt that it was replaced, had not failed.
+    bool wasReplacedInError() const;
     /// Whether the coordinator answers, but has reported for a while that the store does not answer it.
     bool coordinatorReportsStoreLoss() const;
     bool isStoreResponsive() const;
@@ -118,6 +124,7 @@
     std::shared_ptr<const Catalog> m_catalog;
 
     Term m_term = 0; ///< Newest known term.
+    TimePoint m_termSeenAt{}; ///< When this node learnt of it.
     NodeId m_coordinator;
     std::string m_coordinatorAddress;
     TimePoint m_coordinatorSeenAt{}; ///< When the coordinator last answered without reporting a loss of the store.
