Log what a new coordinator reads, how much and how long it takes

jobs_loaded tells only the end of loading, so a term that was replaced before it left no line that says what it was waiting for.

--- a/src/libworkflow/termloader.cpp
+++ b/src/libworkflow/termloader.cpp
@@ -3,10 +3,22 @@
 #include "fescueledge/tableservice.h"
 #include "rows_pvt.h"
 
+#include <numeric>
 #include <utility>
 
 namespace fescueledge::workflow {
 
+namespace {
+
+std::int64_t bytesOf(const std::vector<Row> &rows)
+{
+    return std::accumulate(rows.begin(), rows.end(), std::int64_t{0}, [](std::int64_t sum, const Row &row) {
+        return sum + static_cast<std::int64_t>(row.value.size());
+    });
+}
+
+} // namespace
+
 TermLoader::TermLoader(std::shared_ptr<Context> context, TableService *table)
     : m_context(std::move(context))
     , m_table(table)
@@ -17,6 +29,7 @@
 {
     m_loaded = std::move(loaded);
     m_pendingReads = 3;
+    m_startedAt = m_context->now();
     readProgress();
     readWorkerRecord();
     readModel();
@@ -26,7 +39,7 @@
 {
     const std::shared_ptr<Context> context = m_context;
     m_table->scan("progress/", [this, context](const ReadResult &result) {
-        if (context->ended || !checkAvailable(result, &TermLoader::readProgress)) {
+        if (context->ended || !checkAvailable(result, "progress", &TermLoader::readProgress)) {
             return;
         }
         for (const Row &row : result.rows) {
@@ -40,7 +53,7 @@
 {
     const std::shared_ptr<Context> context = m_context;
     m_table->scan(rows::wholeWorkerRecord(), [this, context](const ReadResult &result) {
-        if (context->ended || !checkAvailable(result, &TermLoader::readWorkerRecord)) {
+        if (context->ended || !checkAvailable(result, "workers", &TermLoader::readWorkerRecord)) {
             return;
         }
         m_state.workerRecord = result.rows;
@@ -53,7 +66,7 @@
 {
     const std::shared_ptr<Context> context = m_context;
     m_table->read({rows::interference()}, [this, context](const ReadResult &result) {
-        if (context->ended || !checkAvailable(result, &TermLoader::readModel)) {
+        if (context->ended || !checkAvailable(result, "interference", &TermLoader::readModel)) {
             return;
         }
         const Row *model = result.find(rows::interference());
@@ -62,8 +75,16 @@
     });
 }
 
-bool TermLoader::checkAvailable(const ReadResult &result, Reader again)
+bool TermLoader::checkAvailable(const ReadResult &result, const char *what, Reader again)
 {
+    m_context->log->write(
+        LogLine("term_read")
+            .with("term", static_cast<std::int64_t>(m_context->term))
+            .with("what", what)
+            .with("rows", static_cast<std::int64_t>(result.rows.size()))
+            .with("bytes", bytesOf(result.rows))
+            .with("since_start_ms", std::chrono::duration_cast<Milliseconds>(m_context->now() - m_startedAt))
+            .with("outcome", result.available ? "read" : "no answer"));
     storeReachable(result.available);
     if (!result.available) {
         const std::shared_ptr<Context> context = m_context;
--- a/src/libworkflow/termloader_pvt.h
+++ b/src/libworkflow/termloader_pvt.h
@@ -46,8 +46,8 @@
     void readProgress();
     void readWorkerRecord();
     void readModel();
-    /// Returns whether @p result can be used; if not, schedules @p again.
-    bool checkAvailable(const ReadResult &result, Reader again);
+    /// Returns whether @p result of the read of @p what can be used; if not, schedules @p again.
+    bool checkAvailable(const ReadResult &result, const char *what, Reader again);
     void onReadDone();
 
     std::shared_ptr<Context> m_context;
@@ -55,6 +55,7 @@
     LoadedHandler m_loaded;
     TermState m_state;
     int m_pendingReads = 0;
+    TimePoint m_startedAt{};
 };
 
 } // namespace fescueledge::workflow
