Test that a request that resets each endpoint is sent no oftener than its route allows

A request that resets each endpoint that reads it could be thought to be sent on without end by retries, hedges and forwards. What bounds it is the route's max-attempts, counted where the request was admitted, over all nodes: a forward is one attempt, and only refusals before a byte was sent are exempt, three at most. Other than idempotent requests are sent once. Nothing changes in the code.

Shown: on three nodes with 12 such endpoints, and a retry budget that doesn't limit, 20 requests ran three times at most, and 20 orders once at most.

--- a/src/librequest/requestdispatcher_test.cpp
+++ b/src/librequest/requestdispatcher_test.cpp
@@ -1,5 +1,6 @@
 #include "fescueledge/testing/requestworld.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace fescueledge;
@@ -189,3 +190,38 @@
     world.world.runFor(std::chrono::seconds(5));
     CHECK(token.use_count() == 1);
 }
+
+// Guards against a request that resets each endpoint that reads it and is sent on to all of them by retries, hedges and
+// forwards between nodes.
+TEST_CASE("a request that resets each endpoint is sent at most as often as its route allows, over all nodes")
+{
+    RequestWorld world(10);
+    for (const char *name : {"n1", "n2", "n3"}) {
+        const std::string rack = std::string("r") + name;
+        world.addRack(rack, 4, name);
+        world.addNode(name);
+        for (int n = 0; n < 4; ++n) {
+            world.endpoints.at(rack + "w" + std::to_string(n)).faults.reset = 1;
+        }
+    }
+    world.pool().retryBudget = 50; // Only the route limits the attempts.
+    world.route("order").maxAttempts = 10; // Not in force for a route that isn't idempotent.
+    world.world.runFor(std::chrono::seconds(1));
+    int mostRuns = 0;
+    for (int n = 0; n < 20; ++n) {
+        RequestNode &node = world.node(n % 2 == 0 ? "n1" : "n2");
+        const std::string body = "x" + std::to_string(n);
+        const std::optional<DispatchResult> got = ask(world, node, previewRequest(body));
+        REQUIRE(got);
+        CHECK_FALSE(got->ok);
+        CHECK(got->outcome == RunOutcome::Unknown);
+        const std::optional<DispatchResult> order = ask(world, node, orderRequest("o" + std::to_string(n), ""));
+        REQUIRE(order);
+        CHECK_FALSE(order->ok);
+        world.world.runFor(std::chrono::seconds(2));
+        CHECK(world.endpoints.runs(body) <= world.route("get").maxAttempts);
+        CHECK(world.endpoints.runs("o" + std::to_string(n)) <= 1);
+        mostRuns = std::max(mostRuns, world.endpoints.runs(body));
+    }
+    CHECK(mostRuns == world.route("get").maxAttempts);
+}
