Bound the wait that a caller states

X-Deadline-Ms was read with atoi(): a wait of 2^32 + 1 ms became 1 ms, after which the commit of a job is given up with an unknown outcome, and one of 20 digits became -1.

--- a/src/libhttp/asynchttp_test.cpp
+++ b/src/libhttp/asynchttp_test.cpp
@@ -165,3 +165,35 @@
     }
     CHECK(received.empty());
 }
+
+// Guards against a caller's wait of 2^32 + 1 ms that was narrowed to 1 ms, and a negative one that has always passed.
+TEST_CASE("a caller's wait out of range is bounded, and a malformed one is unknown")
+{
+    const std::vector<std::pair<const char *, Milliseconds>> waits{{"1500", Milliseconds(1500)},
+                                                                   {"4294967297", std::chrono::hours(24)},
+                                                                   {"99999999999999999999", std::chrono::hours(24)},
+                                                                   {"-5", Milliseconds(0)},
+                                                                   {"-99999999999999999999", Milliseconds(0)},
+                                                                   {"x", Milliseconds(0)}};
+    for (const auto &[text, expected] : waits) {
+        AsioLoop loop;
+        Milliseconds got{-1};
+        const AsyncHttpServer server(&loop, "127.0.0.1:19572",
+                                     [&got](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
+                                         got = request.callerTimeout;
+                                         respond(replyOf(""));
+                                     });
+        AsyncHttpClient client(&loop, Milliseconds(300));
+        HttpCall call;
+        call.method = "GET";
+        call.target = "/";
+        call.headers.emplace_back("X-Deadline-Ms", text);
+        call.timeout = Milliseconds(1000);
+        client.call("127.0.0.1:19572", std::move(call), [&loop](const HttpAnswer &) {
+            loop.stop();
+        });
+        loop.run();
+        CAPTURE(text);
+        CHECK(got.count() == expected.count());
+    }
+}
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -5,12 +5,14 @@
 #include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <cstdlib>
+#include <charconv>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <utility>
@@ -24,9 +26,21 @@
 
 namespace {
 
+constexpr Milliseconds maxCallerTimeout{86'400'000}; ///< A day.
 constexpr const char *deadlineHeader = "X-Deadline-Ms";
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
 
+/// Zero, for an unknown one, unless @p text is a positive number; at most maxCallerTimeout.
+Milliseconds parseTimeout(const std::string &text)
+{
+    std::int64_t count = 0;
+    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (parsed.ec == std::errc::result_out_of_range && text.front() != '-') {
+        return maxCallerTimeout;
+    }
+    return std::clamp(Milliseconds(count), Milliseconds(0), maxCallerTimeout);
+}
+
 } // namespace
 
 class AsyncHttpServer::Impl : public std::enable_shared_from_this<AsyncHttpServer::Impl>
@@ -148,7 +162,7 @@
     request.target = std::string(message.target());
     request.host = std::string(message[http::field::host]);
     request.body = message.body();
-    request.callerTimeout = Milliseconds(std::atoi(std::string(message[deadlineHeader]).c_str()));
+    request.callerTimeout = parseTimeout(std::string(message[deadlineHeader]));
     const bool keepAlive = message.keep_alive();
     session->stream.expires_never();
     session->busy = true;
