--- a/src/libworkflow/capacitychange_test.cpp
+++ b/src/libworkflow/capacitychange_test.cpp
@@ -38,7 +38,7 @@
 /// Counts the start orders that @p worker refuses for lack of room.
 std::shared_ptr<int> refuseStarts(WorkflowWorld &world, const WorkerId &worker)
 {
-    const std::shared_ptr<int> refused = std::make_shared<int>(0);
+    std::shared_ptr<int> refused = std::make_shared<int>(0);
     world.workers.lacksRoom = [worker, refused](const SimWorkers::SimWorker &at, const StartOrder &) {
         *refused += at.entry.id == worker ? 1 : 0;
         return at.entry.id == worker;
