Give up a job of which a task crashes the workers that start it

Cause: markTasksLost() made the tasks idle and forgot how their runs had ended. Only ends that a worker lists as failed count against max_attempts, and a crashed worker lists nothing. The class: a failure that is seen, but counted nowhere. Ruled out by the log: a count lost with its coordinator (one coordinator ordered all 13 runs), and workers that crash for other causes.

CrashLedger counts a crash for the runs that had not lasted for a second, by run number, in the job's progress row. A suspect starts next on a worker that is isolated for its job; the job fails after two crashes, one of them isolated, or after three. Crashes that are part of an outage of a rack, a data centre or the fleet make no suspect, and a worker that answers again in the same life takes its crashes back. From the second crash on, starts wait until the count is durable; the first is waited for only briefly, because supersededrun_test rightly asks for starts while the store is silent.

crashingtask_test with the count left out: 15 starts in place of 2, 13 with a coordinator lost; 6 of 8 cases fail. With it: all pass, as do the 46 tests that are not end-to-end.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -36,10 +36,11 @@
                          const TermStart &start, std::uint64_t seed)
     : m_context(std::move(context))
     , m_fleetSource(fleet)
+    , m_crashes(m_context)
     , m_orders(m_context)
-    , m_observations(m_context, &m_orders)
+    , m_observations(m_context, &m_orders, &m_crashes)
     , m_placement(m_context)
-    , m_dispatch(m_context, &m_orders, &m_placement, &m_observations)
+    , m_dispatch(m_context, &m_orders, &m_placement, &m_observations, &m_crashes)
     , m_waitReport(m_context, &m_placement, &m_observations)
     , m_pacing(m_context, &m_orders)
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
@@ -54,6 +55,9 @@
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
+    m_orders.workerEnded = [this](Worker *worker) {
+        return m_crashes.recordCrash(worker);
+    };
     m_observations.observed = [this](Worker *worker) {
         m_pacing.observe(worker);
     };
@@ -460,6 +464,7 @@
     reportLoad(context.now());
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
+    m_crashes.tick();
     if (m_writer.hasMore()) {
         m_writer.wake();
     }
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "crashledger_pvt.h"
 #include "dispatchbudget_pvt.h"
 #include "dispatchsystem_pvt.h"
 #include "fescueledge/watchabletable.h"
@@ -93,6 +94,7 @@
 
     std::shared_ptr<Context> m_context;
     FleetSource *m_fleetSource;
+    CrashLedger m_crashes;
     OrderSystem m_orders;
     ObservationSystem m_observations;
     Placement m_placement;
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -1,5 +1,6 @@
 #include "dispatchsystem_pvt.h"
 
+#include "crashledger_pvt.h"
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
 #include "placement_pvt.h"
@@ -32,14 +33,19 @@
         std::chrono::duration<double, std::milli>(work / std::max(1.0, fleetMilliCores * sizePenaltyShare)));
 }
 
+/// A suspect that has waited this long for a worker to be isolated shares one with whatever is new there: less than the
+/// time for which users accept that nothing of a job runs.
+constexpr Milliseconds isolationWaitLimit{1500};
+
 } // namespace
 
 DispatchSystem::DispatchSystem(std::shared_ptr<Context> context, OrderSystem *orders, Placement *placement,
-                               const ObservationSystem *observations)
+                               const ObservationSystem *observations, CrashLedger *crashes)
     : m_context(std::move(context))
     , m_orders(orders)
     , m_placement(placement)
     , m_observations(observations)
+    , m_crashes(crashes)
 {
 }
 
@@ -137,13 +143,55 @@
     });
 }
 
+Worker *DispatchSystem::isolatedWorker(const Step &step)
+{
+    const Job &job = *step.occurrence->job;
+    Worker *worker = m_crashes->isolatedFor(job);
+    if (worker != nullptr) {
+        return m_placement->takes(*worker, step) ? worker : nullptr;
+    }
+    const bool waitedTooLong = m_context->now() - step.waitingSince >= isolationWaitLimit;
+    if (!m_crashes->mayIsolate() && !waitedTooLong) {
+        return nullptr;
+    }
+    worker = m_placement->leastLossWorker(step, waitedTooLong);
+    if (worker != nullptr) {
+        m_crashes->isolate(worker, job);
+    }
+    return worker;
+}
+
+void DispatchSystem::startSuspects(Step *step, std::uint64_t limit)
+{
+    for (Task &task : step->tasks) {
+        if (task.phase != TaskPhase::Idle || !task.isSuspect() || m_context->fleet.isAwaited(keyOf(task))
+            || !CrashLedger::mayStartAgain(task, m_context->now())) {
+            continue;
+        }
+        if (m_orders->startsSent >= limit) {
+            return;
+        }
+        Worker *worker = isolatedWorker(*step);
+        if (worker == nullptr) {
+            return;
+        }
+        const bool fits = m_placement->verdict(*worker, *step) == PlaceVerdict::Fits;
+        startOn(&task, Place{worker, fits ? fullPace : minPace, !fits});
+        step->waitingSince = m_context->now();
+    }
+}
+
 void DispatchSystem::startStep(Step *step, std::uint64_t limit)
 {
+    if (step->occurrence->job->suspects > 0) {
+        startSuspects(step, limit);
+    }
     if (isKnownUnplaceable(*step, m_placement->overdue(*step->occurrence->job))) {
         return;
     }
     for (Task &task : step->tasks) {
-        if (task.phase != TaskPhase::Idle || m_context->fleet.isAwaited(keyOf(task))) {
+        if (task.phase != TaskPhase::Idle || m_context->fleet.isAwaited(keyOf(task)) || task.isSuspect()
+            || CrashLedger::waitsForSuspects(task)) {
             continue;
         }
         if (m_orders->startsSent >= limit) {
@@ -181,7 +229,8 @@
         return;
     }
     if (std::any_of(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
-            return task.phase == TaskPhase::Idle && m_context->fleet.isAwaited(keyOf(task));
+            return task.phase == TaskPhase::Idle
+                && (m_context->fleet.isAwaited(keyOf(task)) || !CrashLedger::mayStartAgain(task, m_context->now()));
         })) {
         return;
     }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -7,6 +7,7 @@
 
 namespace fescueledge::workflow {
 
+class CrashLedger;
 class ObservationSystem;
 class OrderSystem;
 class Placement;
@@ -17,7 +18,7 @@
 {
 public:
     DispatchSystem(std::shared_ptr<Context> context, OrderSystem *orders, Placement *placement,
-                   const ObservationSystem *observations);
+                   const ObservationSystem *observations, CrashLedger *crashes);
 
     /// Starts tasks that can be started now, at most @p maxStarts; returns true if there may be more. The next run
     /// ranks all steps again, so more urgent work that arrives in between goes first.
@@ -49,6 +50,10 @@
     Rank rankOf(const Step &step, TimePoint now) const;
     /// Starts tasks of @p step until OrderSystem::startsSent reaches @p limit.
     void startStep(Step *step, std::uint64_t limit);
+    /// Starts the suspects of @p step on the worker that is isolated for its job.
+    void startSuspects(Step *step, std::uint64_t limit);
+    /// That worker if it can take a task of @p step. If there is none, one is isolated.
+    Worker *isolatedWorker(const Step &step);
     void startGang(Step *step);
     void startOn(Task *task, const Place &place);
 
@@ -57,6 +62,7 @@
     Placement *m_placement;
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
+    CrashLedger *m_crashes;
     SizesByShape m_unplaceable; ///< Sizes that found no worker in the current run.
     SizesByShape m_unplaceableOverdue; ///< The same for tasks of overdue jobs.
 };
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -5,6 +5,7 @@
 #include "fescueledge/workflow/workflowspec.h"
 #include "servingtrend_pvt.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -47,6 +48,15 @@
 /// Pace of a run whose last pace order was not answered or may come from an earlier coordinator.
 constexpr int unknownPace = -1;
 
+/// A run whose worker crashed before the run had lasted; see CrashLedger.
+struct CrashedRun
+{
+    RunNumber run = 0;
+    WorkerId worker;
+    bool isolated = false; ///< The worker was isolated for the job, so nothing else can have crashed it.
+    bool inOutage = false; ///< Many workers nearby failed at the same time, so the run need not be the cause.
+};
+
 /// One task of a step.
 struct Task
 {
@@ -56,9 +66,12 @@
     Worker *worker = nullptr; ///< Set in all phases but Idle and Done.
     RunNumber run = 0; ///< Highest run number used so far.
     std::vector<RunNumber> failedRuns; ///< Failed runs; each counts once, however often it is reported.
+    std::vector<CrashedRun> crashedRuns; ///< Each run counts once, however often its worker's crash is noticed.
     std::string checkpoint;
     TimePoint phaseSince{}; ///< When the phase began.
     bool seenOnWorker = false; ///< The worker has reported the run, so its start order is no longer pending.
+    TimePoint atWorkSince{}; ///< When the worker first reported the run at work; the epoch before.
+    bool lasted = false; ///< The run was at work for long enough not to be the cause if the worker crashes.
     bool stopConfirmed = false; ///< The worker has confirmed the stop order, so it refuses a late start of the run.
     int percentAtWork = 0; ///< ActiveRun::percentAtWork, as reported by the worker.
     TimePoint progressAt{}; ///< When the percentage last changed.
@@ -71,6 +84,14 @@
     /// Since when the tail latency of a serving task has been over its target; the epoch if it is not.
     TimePoint overTargetSince{};
     double headroomError = 0; ///< Average difference between the gauged and the expected headroom of a serving task.
+
+    /// Whether it may have crashed a worker, so that it starts next on an isolated one.
+    bool isSuspect() const
+    {
+        return std::any_of(crashedRuns.begin(), crashedRuns.end(), [](const CrashedRun &crashed) {
+            return !crashed.inOutage;
+        });
+    }
 };
 
 /// One step of one occurrence.
@@ -118,6 +139,10 @@
     TimePoint objective{}; ///< A job that completes after this time counts as late.
     TimePoint endedAt{};
     int placedTasks = 0; ///< Number of its tasks that are on a worker.
+    int suspects = 0; ///< Number of its tasks for which Task::isSuspect() holds.
+    std::uint64_t crashesCounted = 0; ///< Number of changes to Task::crashedRuns.
+    std::uint64_t crashesDurable = 0; ///< How many of them are durable.
+    TimePoint crashCountedAt{}; ///< When a crash was last counted.
     TimePoint idleSince{}; ///< Since when it has had startable tasks but none on any worker; otherwise the epoch.
     std::uint32_t nextOccurrence = 0; ///< First occurrence that is not yet opened.
     std::uint32_t occurrencesDone = 0;
@@ -172,6 +197,11 @@
     std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
     std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
     bool observationPending = false; ///< An observation has been sent and not yet answered.
+    TimePoint lastAnswerAt{}; ///< When its last answer to any order was received.
+    TimePoint failedAt{}; ///< The last answer before it last ended without notice; the epoch if it never did.
+    std::int64_t failedIncarnation = 0; ///< The incarnation that did.
+    JobId isolatedFor; ///< Only this job may start runs here, because one of its tasks is a suspect; empty if any may.
+    std::vector<std::pair<TaskKey, RunNumber>> crashedRuns; ///< Runs for which that was counted.
     TimePoint observedAt{}; ///< When the last observation was answered or timed out.
     CandidateIndex *candidates = nullptr; ///< The index that it is in; to be updated with its load.
     RecordPart *recordPart = nullptr; ///< The part of the durable record that names it.
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -17,12 +17,36 @@
     });
 }
 
-/// Progress of one step: which tasks are done, failures and checkpoints of the others.
+json crashesOf(const Task &task)
+{
+    json out = json::array();
+    for (const CrashedRun &run : task.crashedRuns) {
+        out.push_back({run.run, run.worker, run.isolated, run.inOutage});
+    }
+    return out;
+}
+
+void applyCrashes(Task *task, const json &crashes)
+{
+    for (const json &entry : crashes) {
+        CrashedRun run;
+        run.run = entry.at(0).get<RunNumber>();
+        run.worker = entry.at(1).get<std::string>();
+        run.isolated = entry.at(2).get<bool>();
+        run.inOutage = entry.at(3).get<bool>();
+        task->crashedRuns.push_back(run);
+        task->run = std::max(task->run, run.run);
+    }
+    task->step->occurrence->job->suspects += task->isSuspect() ? 1 : 0;
+}
+
+/// Progress of one step: which tasks are done, failures, crashes and checkpoints of the others.
 json stepProgress(const Step &step, JobTable::Checkpoints with)
 {
     json done = json::array();
     json failures = json::array();
     json checkpoints = json::array();
+    json crashes = json::array();
     for (const Task &task : step.tasks) {
         if (task.phase == TaskPhase::Done) {
             done.push_back(task.index);
@@ -31,6 +55,9 @@
         if (!task.failedRuns.empty()) {
             failures.push_back({task.index, task.failedRuns});
         }
+        if (!task.crashedRuns.empty()) {
+            crashes.push_back({task.index, crashesOf(task)});
+        }
         if (!task.checkpoint.empty() && with == JobTable::Checkpoints::Included) {
             checkpoints.push_back({task.index, task.checkpoint});
         }
@@ -46,6 +73,9 @@
     if (!failures.empty()) {
         out["failures"] = failures;
     }
+    if (!crashes.empty()) {
+        out["crashes"] = crashes;
+    }
     if (!checkpoints.empty()) {
         out["checkpoints"] = checkpoints;
     }
@@ -73,6 +103,11 @@
             step->tasks.at(entry.at(0).get<std::size_t>()).failedRuns = entry.at(1).get<std::vector<RunNumber>>();
         }
     }
+    if (progress.contains("crashes")) {
+        for (const json &entry : progress.at("crashes")) {
+            applyCrashes(&step->tasks.at(entry.at(0).get<std::size_t>()), entry.at(1));
+        }
+    }
     if (progress.contains("checkpoints")) {
         for (const json &entry : progress.at("checkpoints")) {
             step->tasks.at(entry.at(0).get<std::size_t>()).checkpoint = entry.at(1).get<std::string>();
@@ -254,6 +289,7 @@
     if (task->phase == TaskPhase::Done) {
         return;
     }
+    clearCrashes(task);
     setPhase(task, TaskPhase::Done, now);
     task->worker = nullptr;
     task->checkpoint.clear();
@@ -301,6 +337,52 @@
     }
 }
 
+void JobTable::setCrashes(Task *task, std::vector<CrashedRun> crashes)
+{
+    Job *job = task->step->occurrence->job;
+    job->suspects -= task->isSuspect() ? 1 : 0;
+    task->crashedRuns = std::move(crashes);
+    job->suspects += task->isSuspect() ? 1 : 0;
+    ++job->crashesCounted;
+    markDirty(job);
+}
+
+bool JobTable::countCrash(Task *task, const CrashedRun &run)
+{
+    std::vector<CrashedRun> crashes = task->crashedRuns;
+    if (std::any_of(crashes.begin(), crashes.end(), [&run](const CrashedRun &known) {
+            return known.run == run.run;
+        })) {
+        return false;
+    }
+    crashes.push_back(run);
+    setCrashes(task, std::move(crashes));
+    return true;
+}
+
+bool JobTable::retractCrash(Task *task, RunNumber run)
+{
+    std::vector<CrashedRun> crashes = task->crashedRuns;
+    const auto it = std::find_if(crashes.begin(), crashes.end(), [run](const CrashedRun &known) {
+        return known.run == run;
+    });
+    if (it == crashes.end()) {
+        return false;
+    }
+    crashes.erase(it);
+    setCrashes(task, std::move(crashes));
+    return true;
+}
+
+bool JobTable::clearCrashes(Task *task)
+{
+    if (task->crashedRuns.empty()) {
+        return false;
+    }
+    setCrashes(task, {});
+    return true;
+}
+
 void JobTable::end(Job *job, JobPhase phase, TimePoint now)
 {
     job->phase = phase;
--- a/src/libworkflow/jobtable_pvt.h
+++ b/src/libworkflow/jobtable_pvt.h
@@ -31,6 +31,11 @@
     void setDone(Task *task, TimePoint now, WallTime wall);
     /// Counts failed run @p run, unless it is already counted; the job fails when the attempts of the task are used up.
     void countFailure(Task *task, RunNumber run, TimePoint now);
+    /// Adds @p run to the crashed runs of @p task; returns false if it is there already.
+    bool countCrash(Task *task, const CrashedRun &run);
+    /// Removes run @p run from the crashed runs of @p task, or all of them; returns false if there is none.
+    bool retractCrash(Task *task, RunNumber run);
+    bool clearCrashes(Task *task);
     /// Ends the job in @p phase. Its tasks keep their phases; the caller stops them.
     void end(Job *job, JobPhase phase, TimePoint now);
     /// Frees the tables and the payload of an ended job, once none of its tasks is on a worker.
@@ -72,6 +77,8 @@
     Occurrence *openOccurrence(Job *job, std::uint32_t number);
     void openStep(Step *step);
     void listStep(Step *step);
+    /// Replaces the crashed runs of @p task.
+    void setCrashes(Task *task, std::vector<CrashedRun> crashes);
     void finishOccurrence(Occurrence *occurrence, TimePoint now, WallTime wall);
 
     std::unordered_map<JobId, std::unique_ptr<Job>> m_jobs;
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -1,5 +1,6 @@
 #include "observationsystem_pvt.h"
 
+#include "crashledger_pvt.h"
 #include "ordersystem_pvt.h"
 
 #include <algorithm>
@@ -23,9 +24,10 @@
 
 } // namespace
 
-ObservationSystem::ObservationSystem(std::shared_ptr<Context> context, OrderSystem *orders)
+ObservationSystem::ObservationSystem(std::shared_ptr<Context> context, OrderSystem *orders, CrashLedger *crashes)
     : m_context(std::move(context))
     , m_orders(orders)
+    , m_crashes(crashes)
 {
 }
 
@@ -134,6 +136,7 @@
     if (worker->incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
         adopt(worker, answer);
     }
+    worker->lastAnswerAt = context.now();
     worker->endsAcknowledged = std::max(worker->endsAcknowledged, answer.acknowledged);
     if (!worker->earlierRuns.empty()) {
         context.fleet.clearEarlierRuns(worker); // Those that are not over are listed again.
@@ -195,6 +198,8 @@
         worker->consecutiveFailures = 0;
         worker->failedJobs.clear();
         worker->latestLeaseUntil = WorkerTime{0};
+    } else {
+        m_crashes->retractCrash(worker); // It was cut off.
     }
     context.log->write(LogLine("worker_adopted")
                            .with("worker", worker->id)
@@ -214,6 +219,9 @@
     const TimePoint now = context.now();
     Task *task = context.jobs.findTask(run.task);
     const bool current = task != nullptr && task->worker == worker && task->run == run.run;
+    if (task != nullptr) {
+        m_crashes->retractRun(task, run.run);
+    }
     if (!current && (task == nullptr || task->phase == TaskPhase::Done || !supersedes(*task, run))) {
         awaitEnd(worker, run.task, run.run, task);
         return;
@@ -225,6 +233,7 @@
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
         m_orders->markRunning(task);
     }
+    m_crashes->reportAtWork(task);
     if (!run.checkpoint.empty()) {
         task->checkpoint = run.checkpoint;
     }
@@ -277,6 +286,8 @@
     context.jobs.setPhase(task, TaskPhase::Running, now);
     task->progressAt = now;
     task->stopConfirmed = false;
+    task->atWorkSince = TimePoint{};
+    task->lasted = false;
 }
 
 void ObservationSystem::applyRunEnd(Worker *worker, const EndedRun &end)
@@ -292,6 +303,10 @@
     if (task == nullptr || task->phase == TaskPhase::Done) {
         return;
     }
+    m_crashes->retractRun(task, end.run);
+    if (end.how == RunEnd::Done || end.how == RunEnd::Failed) {
+        m_crashes->reportRunEnd(task);
+    }
     updateQuarantine(worker, *task, end.how);
     task->run = std::max(task->run, end.run);
     if (!end.checkpoint.empty()) {
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -4,13 +4,14 @@
 
 namespace fescueledge::workflow {
 
+class CrashLedger;
 class OrderSystem;
 
 /// Asks the workers for their active and ended runs, renews their leases, and applies their answers to the tables.
 class ObservationSystem
 {
 public:
-    ObservationSystem(std::shared_ptr<Context> context, OrderSystem *orders);
+    ObservationSystem(std::shared_ptr<Context> context, OrderSystem *orders, CrashLedger *crashes);
 
     /// Observes @p worker as soon as possible.
     void wake(Worker *worker);
@@ -50,6 +51,7 @@
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
+    CrashLedger *m_crashes;
     TimePoint m_earlierRunsUnknownUntil{};
 };
 
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -44,6 +44,8 @@
     task->progressAt = now;
     task->seenOnWorker = false;
     task->stopConfirmed = false;
+    task->atWorkSince = TimePoint{};
+    task->lasted = false;
     StartOrder order;
     order.task = keyOf(*task);
     order.run = task->run;
@@ -92,6 +94,7 @@
     }
     Worker *worker = context.fleet.find(ref.worker);
     if (worker != nullptr && result.workerClock.count() > 0 && result.outcome != OrderOutcome::OtherIncarnation) {
+        worker->lastAnswerAt = now;
         FleetTable::setClock(worker, result.workerClock, now);
     }
     if (result.outcome == OrderOutcome::StaleTerm) {
@@ -303,6 +306,7 @@
 void OrderSystem::markTasksLost(Worker *worker, const char *reason)
 {
     const TaskSet tasks = worker->tasks;
+    const std::vector<Job *> givenUp = workerEnded(worker);
     for (Task *task : tasks) {
         m_context->log->write(LogLine("run_lost")
                                   .with("job", task->step->occurrence->job->id)
@@ -313,6 +317,10 @@
         FleetTable::release(task);
         m_context->jobs.setIdle(task);
     }
+    for (Job *job : givenUp) {
+        m_context->jobs.end(job, JobPhase::Failed, m_context->now());
+        stopJob(job);
+    }
     const bool awaited = !worker->earlierRuns.empty();
     m_context->fleet.clearEarlierRuns(worker);
     if (!tasks.empty() || awaited) {
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -31,6 +31,9 @@
     /// Called when a worker should be observed at once.
     std::function<void(Worker *)> wakeObservation;
 
+    /// Called before the runs on a worker are given up; returns jobs to be ended, because they crash workers.
+    std::function<std::vector<Job *>(Worker *)> workerEnded;
+
     StartWindow window;
     std::uint64_t startsSent = 0;
     std::uint64_t startsRefused = 0;
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -78,8 +78,8 @@
 const char *placeVerdictName(PlaceVerdict verdict)
 {
     static constexpr std::array<const char *, placeVerdictCount> names{
-        "fits",      "unlisted", "draining", "not_ready",        "blocked",   "other_service",
-        "evacuated", "label",    "room",     "per_worker_limit", "processor", "headroom"};
+        "fits",  "unlisted", "draining",         "not_ready", "blocked",  "other_service", "evacuated",
+        "label", "room",     "per_worker_limit", "processor", "headroom", "isolated"};
     return names.at(static_cast<std::size_t>(verdict));
 }
 
@@ -142,6 +142,9 @@
     if (usable != PlaceVerdict::Fits) {
         return usable;
     }
+    if (!worker.isolatedFor.empty() && worker.isolatedFor != step.occurrence->job->id) {
+        return PlaceVerdict::Isolated;
+    }
     if (!spec.requiredLabel.empty() && worker.entry.labels.count(spec.requiredLabel) == 0) {
         return PlaceVerdict::Label;
     }
@@ -160,6 +163,30 @@
     return basic == PlaceVerdict::Fits ? fillerVerdict(worker, step, fullPace) : basic;
 }
 
+bool Placement::takes(const Worker &worker, const Step &step) const
+{
+    return basicVerdict(worker, step) == PlaceVerdict::Fits;
+}
+
+Worker *Placement::leastLossWorker(const Step &step, bool besideNewRuns) const
+{
+    const Job *job = step.occurrence->job;
+    Worker *best = nullptr;
+    std::pair<bool, std::size_t> least;
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        const bool hasNewRuns = std::any_of(worker->tasks.begin(), worker->tasks.end(), [job](const Task *task) {
+            return !task->lasted && task->step->occurrence->job != job;
+        });
+        const std::pair<bool, std::size_t> loss{hasNewRuns, worker->tasks.size()};
+        const bool allowed = besideNewRuns || !hasNewRuns;
+        if (allowed && (best == nullptr || loss < least) && takes(*worker, step)) {
+            best = worker.get();
+            least = loss;
+        }
+    }
+    return best;
+}
+
 PlaceVerdict Placement::fillerVerdict(const Worker &worker, const Step &step, int pace) const
 {
     if (!step.spec->filler) {
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -23,8 +23,9 @@
     PerWorkerLimit,
     Processor, ///< Too little idle processor time for a filler.
     Headroom, ///< A serving task there would have too little headroom beside a filler.
+    Isolated, ///< It is isolated for another job.
 };
-constexpr std::size_t placeVerdictCount = 12;
+constexpr std::size_t placeVerdictCount = 13;
 
 /// The name of @p verdict in logs.
 const char *placeVerdictName(PlaceVerdict verdict);
@@ -58,6 +59,11 @@
     bool hasPlaceElsewhere(const Task &task);
     /// Whether @p worker could take a task of @p step, and if not, why.
     PlaceVerdict verdict(const Worker &worker, const Step &step) const;
+    /// The same, whatever the task would do to the serving tasks there.
+    bool takes(const Worker &worker, const Step &step) const;
+    /// The worker that can take a task of @p step and whose crash would do the least harm; only one with new runs of
+    /// other jobs if @p besideNewRuns. nullptr if there is none.
+    Worker *leastLossWorker(const Step &step, bool besideNewRuns) const;
     /// The cost of a task of @p step on @p worker; the cheapest worker that fits is the best one.
     double cost(const Worker &worker, const Step &step) const;
     /// Number of workers looked at for all choices so far.
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -213,6 +213,7 @@
         case TransactionBuilder::Added::Yes:
             m_unwritten.erase(job->id);
             batch->written.push_back(job->id);
+            batch->crashes[job->id] = job->crashesCounted;
             ++batch->rows;
             if (job->ended()) {
                 batch->ended.push_back(job->id);
@@ -223,6 +224,7 @@
             break;
         case TransactionBuilder::Added::RowTooLong:
             m_unwritten.insert(job->id);
+            job->crashesDurable = job->crashesCounted; // They can't be, and its suspects don't wait for ever.
             break;
         }
     }
@@ -305,6 +307,7 @@
         requeue(batch);
     } else {
         m_unwritten.insert(batch.written.begin(), batch.written.end());
+        applyCrashes(batch);
         for (const std::size_t index : batch.parts) {
             m_context->fleet.recordParts().at(index).written.clear(); // The store has an earlier value or none.
         }
@@ -358,9 +361,20 @@
                               .with("took_ms", std::chrono::duration_cast<Milliseconds>(now - job.acceptedAt)));
 }
 
+void ProgressWriter::applyCrashes(const Batch &batch)
+{
+    for (const auto &[id, counted] : batch.crashes) {
+        Job *job = m_context->jobs.find(id);
+        if (job != nullptr) {
+            job->crashesDurable = std::max(job->crashesDurable, counted);
+        }
+    }
+}
+
 void ProgressWriter::applyCommitted(const Batch &batch)
 {
     Context &context = *m_context;
+    applyCrashes(batch);
     for (const JobId &id : batch.ended) {
         Job *job = context.jobs.find(id);
         if (job != nullptr && job->ended()) {
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -60,6 +60,7 @@
         std::vector<JobId> ended;
         std::vector<JobId> removed;
         std::vector<JobId> written;
+        std::map<JobId, std::uint64_t> crashes; ///< Job::crashesCounted of the jobs written.
         std::map<WorkerId, std::uint64_t> ends;
         std::map<WorkerId, bool> recorded; ///< Whether the record names their runs.
         std::vector<std::size_t> parts; ///< Of the record of workers.
@@ -84,6 +85,8 @@
     void onRejected(const Batch &batch);
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void applyCommitted(const Batch &batch);
+    /// Takes note that the crashes counted in @p batch are durable, or can't be.
+    void applyCrashes(const Batch &batch);
     void logEnd(const Job &job) const;
     void requeue(const Batch &batch);
 
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -176,6 +176,9 @@
     SimWorker &worker = m_workers.at(id);
     settle(&worker);
     OrderResult result;
+    if (!worker.up) {
+        return result;
+    }
     result.workerClock = clockOf(worker);
     if (order.term < worker.highestTerm) {
         result.outcome = OrderOutcome::StaleTerm;
@@ -213,9 +216,27 @@
     record.payload = order.payload;
     worker.active[name] = m_runs.size();
     m_runs.push_back(record);
+    if (crashesWorker && crashesWorker(order.task)) {
+        crashSoon(id);
+    }
     return result;
 }
 
+void SimWorkers::crashSoon(const WorkerId &id)
+{
+    const std::int64_t incarnation = m_workers.at(id).entry.incarnation;
+    m_world->after(crashDelay, [this, id, incarnation] {
+        SimWorker &worker = m_workers.at(id);
+        if (!worker.up || worker.entry.incarnation != incarnation) {
+            return;
+        }
+        crash(id);
+        m_world->after(downTime, [this, id] {
+            restart(id);
+        });
+    });
+}
+
 OrderResult SimWorkers::stop(const WorkerId &id, const TaskKey &task, RunNumber run, Term term)
 {
     SimWorker &worker = m_workers.at(id);
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -100,6 +100,10 @@
     std::function<bool(const SimWorker &, const StartOrder &)> lacksRoom;
     /// The checkpoint that a run has saved; if it is not set, there is none.
     std::function<std::string(const SimWorker &, const RunRecord &)> checkpointOf;
+    /// Whether a run of this task crashes its worker; the worker is back, as a new incarnation, after downTime.
+    std::function<bool(const TaskKey &)> crashesWorker;
+    Duration crashDelay{std::chrono::milliseconds(10)}; ///< From the start of such a run.
+    Duration downTime{std::chrono::seconds(3)};
     /// Called when the list of workers has changed.
     std::vector<std::function<void(const FleetUpdate &)>> listeners;
 
@@ -109,6 +113,8 @@
     void acknowledge(SimWorker *worker, std::uint64_t number);
     void end(SimWorker *worker, std::size_t index, RunEnd how);
     void announce(const WorkerEntry &entry);
+    /// Crashes worker @p id after crashDelay.
+    void crashSoon(const WorkerId &id);
     void changePace(RunRecord *record, int percent);
 
     SimWorld *m_world;
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -84,6 +84,7 @@
         .with("outcome",
               held                              ? "earlier_runs_unknown"
                   : awaiting == step->idleTasks ? "earlier_run"
+                  : job.suspects > 0            ? "suspects"
                                                 : placeVerdictName(reason));
     if (awaiting > 0) {
         line.with("earlier_run", static_cast<std::int64_t>(awaiting));
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -112,8 +112,12 @@
             return;
         }
         const TimePoint deadline = m_world->now() + timeout;
-        m_world->after(latency, [this, deadline, handler, order] {
+        m_world->after(latency, [this, worker, timeout, deadline, handler, order] {
             const OrderResult result = order();
+            if (!reaches(worker.id)) { // It crashed before it answered.
+                answerWithTimeout(timeout, handler);
+                return;
+            }
             answerBy(
                 deadline,
                 [handler, result] {
