Count no crash of a task for a start that may never have reached its worker

The first run was lost before its start was answered: it had been sent to a worker that had crashed already, and counted like a crash of the task. Such a run still makes the task a suspect, but counts only on an isolated worker, where nothing else is new.

--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -63,10 +63,12 @@
     }
 };
 
+/// Number of crashes that count against @p task. A start without an answer may have been sent to a worker that had
+/// already crashed, unless that was isolated.
 std::ptrdiff_t countUnexplained(const Task &task, bool isolatedOnly)
 {
     return std::count_if(task.crashedRuns.begin(), task.crashedRuns.end(), [isolatedOnly](const CrashedRun &run) {
-        return !run.inOutage && (run.isolated || !isolatedOnly);
+        return !run.inOutage && (run.isolated || (run.answered && !isolatedOnly));
     });
 }
 
@@ -138,6 +140,7 @@
     run.run = task->run;
     run.worker = worker->id;
     run.isolated = isolated;
+    run.answered = task->seenOnWorker;
     run.inOutage = isPartOfOutage(*worker, task->step->occurrence->job->id);
     if (!m_context->jobs.countCrash(task, run)) {
         return;
@@ -152,6 +155,7 @@
             .with("worker", worker->id)
             .with("rack", worker->entry.rack)
             .with("isolated", run.isolated ? 1 : 0)
+            .with("answered", run.answered ? 1 : 0)
             .with("outage", run.inOutage ? 1 : 0)
             .with("crashes", static_cast<std::int64_t>(task->crashedRuns.size()))
             .with("answered_ms_ago", std::chrono::duration_cast<Milliseconds>(m_context->now() - worker->failedAt)));
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -54,6 +54,7 @@
     RunNumber run = 0;
     WorkerId worker;
     bool isolated = false; ///< The worker was isolated for the job, so nothing else can have crashed it.
+    bool answered = false; ///< The worker had answered the start or listed the run; otherwise it may never have begun.
     bool inOutage = false; ///< Many workers nearby failed at the same time, so the run need not be the cause.
 };
 
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -225,8 +225,8 @@
 void SimWorkers::crashSoon(const WorkerId &id)
 {
     const std::int64_t incarnation = m_workers.at(id).entry.incarnation;
-    m_world->after(crashDelay, [this, id, incarnation] {
-        SimWorker &worker = m_workers.at(id);
+    const auto crashNow = [this, id, incarnation] {
+        const SimWorker &worker = m_workers.at(id);
         if (!worker.up || worker.entry.incarnation != incarnation) {
             return;
         }
@@ -234,7 +234,12 @@
         m_world->after(downTime, [this, id] {
             restart(id);
         });
-    });
+    };
+    if (crashDelay == Duration::zero()) {
+        crashNow(); // Before the start is answered.
+        return;
+    }
+    m_world->after(crashDelay, crashNow);
 }
 
 OrderResult SimWorkers::stop(const WorkerId &id, const TaskKey &task, RunNumber run, Term term)
