--- a/src/libworkflow/leavingworkers_test.cpp
+++ b/src/libworkflow/leavingworkers_test.cpp
@@ -15,6 +15,8 @@
 constexpr Milliseconds recordTime{500};
 /// By then the lease of a worker that does not answer has expired.
 constexpr Milliseconds leaseExpiryTimeout{6000};
+/// By then a run is not new any more, so the end of its worker does not count against its job.
+constexpr Milliseconds establishedTime{2500};
 constexpr Milliseconds occupiedTime{20000};
 constexpr Milliseconds waitingTime{10000};
 const JobId lastingJob = "3000000000000000";
@@ -37,7 +39,7 @@
     world->submit(world->coordinator(), jobB, workflowOf({simpleStep(2)}));
     world->run(Milliseconds(200));
     world->submit(world->coordinator(), jobA, workflowOf({simpleStep(1)}));
-    world->run(recordTime);
+    world->run(establishedTime);
     REQUIRE(world->workers.runsOf(lastingJob).size() == 1);
     REQUIRE(world->workers.runsOf(jobB).size() == 2);
     REQUIRE(world->workers.runsOf(jobA).empty());
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -67,6 +67,7 @@
         std::vector<JobId> ended;
         std::vector<JobId> removed;
         std::vector<JobId> written;
+        std::map<JobId, std::uint64_t> crashes; ///< Job::crashesCounted of the jobs written.
         std::map<WorkerId, std::uint64_t> ends;
         std::map<WorkerId, RecordedState> recorded;
         std::vector<std::size_t> parts; ///< Of the record of workers.
@@ -94,6 +95,8 @@
     void onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result);
     void applyCommitted(const Batch &batch);
     static void setRecorded(Worker *worker, const RecordedState &state);
+    /// Takes note that the crashes counted in @p batch are durable, or can't be.
+    void applyCrashes(const Batch &batch);
     void logEnd(const Job &job) const;
     void requeue(const Batch &batch);
 
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -84,6 +84,7 @@
         .with("outcome",
               held                              ? "earlier_runs_unknown"
                   : awaiting == step->idleTasks ? "earlier_run"
+                  : job.suspects > 0            ? "suspects"
                                                 : placeVerdictName(reason));
     const Worker *awaited = held ? m_observations->awaitedWorker() : nullptr;
     if (awaited != nullptr) {
