Hold workers for long-running tasks that find no room

Callers saw long-running tasks wait 10 to 25 s with nothing replaced and room in the fleet (LOST): 75 of 490 workers had crashed for good, and step_waits said room for all others.

Cause: a step is tried against the room of the moment, after urgent work. Pieces of room that come free are taken at once by shorter tasks, so a task that needs a larger piece never finds it. That is again a wait that nothing bounds. It is not room counted twice: the room in use was the sum of the placed tasks in all 140 lines of a trial.

Now a long-running step that has waited for 1.5 s goes before all other work, and workers whose room comes free by itself are held for it, at most one in eight, until its task has started, no longer needs it, or ten seconds have passed.

--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -52,6 +52,7 @@
     , m_placement(placement)
     , m_observations(observations)
     , m_crashes(crashes)
+    , m_holds(m_context, placement)
 {
 }
 
@@ -68,7 +69,9 @@
     rank.objective = job.objective;
     rank.objective += sizePenalty(job, m_fleetMilliCores);
     const Duration allowance = job.objective - job.acceptedAt;
-    if (step.spec->longRunning) {
+    if (RoomHolds::waitsTooLong(step, now)) {
+        rank.group = -1;
+    } else if (step.spec->longRunning) {
         rank.group = 1;
     } else if (now <= job.objective) {
         rank.group = job.policy.priority == 0 ? 0 : 2;
@@ -118,6 +121,7 @@
     m_unplaceableOverdue.clear();
     m_placement->dropStaleHeadroom();
     const std::uint64_t limit = m_orders->startsSent + std::min(maxStarts, m_orders->window.room());
+    holdWorkers(ranked);
     startStarved(ranked, limit);
     m_startsRanOut = startInOrder(ranked, limit);
     return m_startsRanOut;
@@ -138,6 +142,15 @@
     return m_orders->startsSent >= limit;
 }
 
+void DispatchSystem::holdWorkers(const std::vector<std::pair<Rank, Step *>> &ranked)
+{
+    std::vector<Step *> waiting;
+    for (const std::pair<Rank, Step *> &entry : ranked) {
+        waiting.push_back(entry.second);
+    }
+    m_holds.update(waiting);
+}
+
 std::optional<TimePoint> DispatchSystem::starvedSince(const Step &step) const
 {
     const Job &job = *step.occurrence->job;
@@ -277,6 +290,7 @@
     if (place.overcommitted) {
         place.worker->overcommittedAt = m_context->now();
     }
+    m_holds.release(place.worker, *task->step);
     m_orders->start(task, place.worker, place.pace);
     m_placement->invalidateHeadroom(place.worker);
 }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "roomholds_pvt.h"
 
 #include <map>
 #include <optional>
@@ -31,7 +32,9 @@
     /// How urgent a step is; smaller goes first.
     struct Rank
     {
-        int group = 0; ///< 0 urgent and in time, 1 long-running, 2 other in time, 3 late, 4 too late to be of use.
+        /// -1 long-running and waiting for too long, 0 urgent and in time, 1 long-running, 2 other in time, 3 late,
+        /// 4 too late to be of use.
+        int group = 0;
         int priority = 0;
         TimePoint objective;
 
@@ -58,6 +61,8 @@
     /// That worker if it can take a task of @p step. If there is none, one is isolated.
     Worker *isolatedWorker(const Step &step);
     void startGang(Step *step);
+    /// Keeps workers free for long-running tasks that find no room.
+    void holdWorkers(const std::vector<std::pair<Rank, Step *>> &ranked);
     /// Since when a task of @p step has waited that should have started by now; empty if there is none.
     std::optional<TimePoint> starvedSince(const Step &step) const;
     /// Starts a few tasks of jobs that have waited long with nothing at work, whatever their rank. Without it, a
@@ -73,6 +78,7 @@
     CrashLedger *m_crashes;
     SizesByShape m_unplaceable; ///< Sizes that found no worker in the current run.
     SizesByShape m_unplaceableOverdue; ///< The same for tasks of overdue jobs.
+    RoomHolds m_holds;
     bool m_startsRanOut = false; ///< The last run ended because of its limit, not because nothing more fitted.
     std::uint64_t m_startsCounted = 0; ///< Starts that are counted in m_startsForStarved.
     std::uint64_t m_startsForStarved = 0; ///< Starts by rank of which startStarved() may use a share.
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -234,6 +235,8 @@
     /// The record names that time, so its lease is not extended.
     bool recordNamesLeaseEnd = false;
     TimePoint nextObservationAt{}; ///< No observation before this time.
+    /// Only tasks of the step with this Step::creationIndex start here; see RoomHolds.
+    std::optional<std::uint64_t> heldForStep;
     TimePoint blockedUntil{}; ///< No starts before this time.
     RoomBackoff roomBackoff;
     int consecutiveFailures = 0; ///< Failed runs since the last successful one.
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -87,9 +87,9 @@
 const char *placeVerdictName(PlaceVerdict verdict)
 {
     static constexpr std::array<const char *, placeVerdictCount> names{
-        "fits",     "unlisted",      "draining",  "unadopted", "silent", "unrecorded",       "runs_named",
-        "blocked",  "other_service", "evacuated", "label",     "room",   "per_worker_limit", "processor",
-        "headroom", "isolated"};
+        "fits",       "unlisted",         "draining",      "unadopted", "silent",  "unrecorded",
+        "runs_named", "blocked",          "other_service", "evacuated", "label",   "room",
+        "held",       "per_worker_limit", "processor",     "headroom",  "isolated"};
     return names.at(static_cast<std::size_t>(verdict));
 }
 
@@ -164,6 +164,9 @@
     if (!FleetTable::hasRoom(worker, spec)) {
         return PlaceVerdict::Room;
     }
+    if (worker.heldForStep && *worker.heldForStep != step.creationIndex) {
+        return PlaceVerdict::Held;
+    }
     if (spec.maxPerWorker > 0 && FleetTable::countOf(worker, step) >= spec.maxPerWorker) {
         return PlaceVerdict::PerWorkerLimit;
     }
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -23,12 +23,13 @@
     Evacuated,
     Label,
     Room,
+    Held, ///< It is kept free for a task of another step.
     PerWorkerLimit,
     Processor, ///< Too little idle processor time for a filler.
     Headroom, ///< A serving task there would have too little headroom beside a filler.
     Isolated, ///< It is isolated for another job.
 };
-constexpr std::size_t placeVerdictCount = 16;
+constexpr std::size_t placeVerdictCount = 17;
 
 /// The name of @p verdict in logs.
 const char *placeVerdictName(PlaceVerdict verdict);
@@ -75,9 +76,10 @@
         return m_considered;
     }
 
-private:
     /// Whether @p worker gets tasks of any step of its service at present, and if not, why.
     PlaceVerdict workerVerdict(const Worker &worker) const;
+
+private:
     /// The verdict on everything but the interference between fillers and serving tasks.
     PlaceVerdict basicVerdict(const Worker &worker, const Step &step) const;
     /// The verdict on idle processor time and interference, for fillers.
