--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -145,6 +145,7 @@
 void DispatchSystem::holdWorkers(const std::vector<std::pair<Rank, Step *>> &ranked)
 {
     std::vector<Step *> waiting;
+    waiting.reserve(ranked.size());
     for (const std::pair<Rank, Step *> &entry : ranked) {
         waiting.push_back(entry.second);
     }
