Start nothing on a worker while the record names the end of its lease

Found by review, not seen by callers: a task could run twice. A worker that a coordinator has not heard of and that is not listed is recorded with the end of its lease. If it was listed again and answered before the record was rewritten, it got starts, which extend the lease; the next coordinator relied on the recorded end, skipped the worker when it renewed leases early, and could start the tasks elsewhere while they ran. Only observations were kept from extending the lease.

Now such a worker gets no starts either. Two more ways to an end that is too early are closed: one that was computed for a write that did not take place is forgotten, and a coordinator that has not learnt the service's clock treats the lease as recorded all the same. The wait for a recorded end is bounded by the longest lease that an earlier coordinator can have given.

Evidence: leavingworkers_test, which started the task before. The other two ways are read from the code, without a test.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -343,13 +343,16 @@
 void Coordinator::restoreLeaseEnd(Worker *worker, Milliseconds leaseEnd)
 {
     const ServiceClock &clock = m_context->serviceClock;
-    if (leaseEnd == Milliseconds::zero() || !clock.isKnown()) {
+    if (leaseEnd == Milliseconds::zero()) {
         return;
     }
-    const Duration left = std::max(Duration::zero(), Duration(leaseEnd - clock.earliest(m_context->sinceBoot())));
     worker->leaseEndForRecord = leaseEnd;
     worker->recordNamesLeaseEnd = true;
-    worker->leaseExpiresAt = m_context->now() + std::chrono::duration_cast<Duration>(left * (1 + clockDrift));
+    const Duration longest = FleetTable::longestLease(longestForeignLease());
+    const Duration left = clock.isKnown() ? Duration(leaseEnd - clock.earliest(m_context->sinceBoot())) : longest;
+    const Duration wait =
+        std::clamp(std::chrono::duration_cast<Duration>(left * (1 + clockDrift)), Duration::zero(), longest);
+    worker->leaseExpiresAt = m_context->now() + wait;
 }
 
 void Coordinator::restoreRecordedWorkers()
--- a/src/libworkflow/leavingworkers_test.cpp
+++ b/src/libworkflow/leavingworkers_test.cpp
@@ -259,3 +259,30 @@
     CHECK(world->workers.runsOf(lastingJob).size() == 2);
     CHECK(world->workers.tasksRunTwice().empty());
 }
+
+// Guards against TWICE: a start extends a lease whose recorded end the next coordinator relies on.
+TEST_CASE("a worker gets no starts while the record names the end of its lease")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithWaitingJob();
+    StepSpec large = simpleStep(1);
+    large.perTask.milliCores = 4000;
+    const JobId largeJob = "4000000000000000";
+    world->workers.add("spare", "dc-a", "r8", cores(4));
+    world->run(recordTime);
+    REQUIRE(world->workers.runsOf(jobA).size() == 1);
+    world->kill(world->coordinator());
+    cutFromAll(world.get(), "spare");
+    world->workers.unlist("spare");
+    world->run(takeoverTime);
+    const int next = world->coordinator();
+    REQUIRE(next >= 0);
+    REQUIRE(world->submit(next, largeJob, workflowOf({large})) == CallerOutcome::Ok);
+    world->storeFaults(next).down = true;
+    world->workers.find("spare")->cutFrom.clear();
+    world->workers.list("spare");
+    world->run(Milliseconds(1000));
+    CHECK(world->workers.runsOf(largeJob).empty());
+    world->storeFaults(next).down = false;
+    world->run(takeoverTime);
+    CHECK(world->workers.runsOf(largeJob).size() == 1);
+}
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -133,7 +133,7 @@
     if (worker.contact != WorkerContact::Adopted) {
         return worker.contact == WorkerContact::Unadopted ? PlaceVerdict::Unadopted : PlaceVerdict::Silent;
     }
-    if (!worker.recorded || worker.recordNamesRuns) {
+    if (!worker.recorded || worker.recordNamesRuns || worker.recordNamesLeaseEnd) {
         return worker.recorded ? PlaceVerdict::RunsNamed : PlaceVerdict::Unrecorded;
     }
     if (std::max(worker.blockedUntil, worker.roomBackoff.until) > m_context->now() || isProbedForRoom(worker)) {
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -17,7 +17,7 @@
     Unadopted, ///< It has not answered in this term.
     Silent, ///< It does not answer at present.
     Unrecorded, ///< It is not in the durable record of workers yet.
-    RunsNamed, ///< The record names its runs, and has to be written without them before it gets starts.
+    RunsNamed, ///< The record names its runs or the end of its lease, and has to be written without them first.
     Blocked, ///< It gets no starts at present, because it failed, refused or did not answer.
     OtherService,
     Evacuated,
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -125,6 +125,15 @@
     }
 }
 
+void ProgressWriter::forgetUnrecordedLeaseEnds(RecordPart *part)
+{
+    for (Worker *worker : part->workers) {
+        if (!worker->recordNamesLeaseEnd) {
+            worker->leaseEndForRecord = Milliseconds::zero(); // The lease may be extended before the next write.
+        }
+    }
+}
+
 bool ProgressWriter::fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch)
 {
     RecordPart &part = m_context->fleet.recordParts().at(index);
@@ -159,6 +168,7 @@
         return true;
     }
     if (transaction->addPut(rows::workerRecordPart(index), encoded.value) != TransactionBuilder::Added::Yes) {
+        forgetUnrecordedLeaseEnds(&part);
         return false;
     }
     part.written = encoded.value;
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -84,6 +84,8 @@
     bool fillRecordPart(std::size_t index, TransactionBuilder *transaction, Batch *batch);
     /// Computes the end of the lease of each worker in @p part of which the record is to name it.
     void updateLeaseEnds(RecordPart *part) const;
+    /// Undoes updateLeaseEnds() where the record does not name the end yet, because @p part was not written.
+    static void forgetUnrecordedLeaseEnds(RecordPart *part);
     void fillProgress(TransactionBuilder *transaction, Batch *batch);
     TransactionBuilder::Added addProgress(const Job &job, TransactionBuilder *transaction) const;
     /// Takes note of the run ends that are durable once the transaction is committed.
