Count a crash against a job only if another life of the worker shows it

Cause: a lease that is over counted like a crash. A worker that is cut off looks the same, and two or three cuts within the first second of a run gave the job up; that the worker was still in the same life showed too late.

Now a crash counts only if another incarnation at the address, or a new one of the worker, shows that it has ended. One that is only presumed is excused, as those of an outage are, and counts among the four that bound the starts in any case.

Evidence: crashingtask_test, which gave the job up before. The case whose start is never answered notices the end by the lease only, so its task is now started four times instead of three; the users' bound is five, and the check stays exact.

--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds outageWindow{1500};
 /// An outage is the failure of at least this many other workers, and of this share of a rack, of a data centre or of
 /// the fleet.
-constexpr int minOutageWorkers = 2;
+constexpr int mexcusedWorkers = 2;
 constexpr double outageShareOfPlace = 0.5;
 constexpr double outageShareOfFleet = 0.25;
 /// At most this share of the fleet is isolated at a time, but always minIsolated workers may be.
@@ -59,7 +59,7 @@
     }
     bool isOutage(double share) const
     {
-        return failed >= minOutageWorkers && failed >= share * workers;
+        return failed >= mexcusedWorkers && failed >= share * workers;
     }
 };
 
@@ -68,7 +68,7 @@
 std::ptrdiff_t countUnexplained(const Task &task, bool isolatedOnly)
 {
     return std::count_if(task.crashedRuns.begin(), task.crashedRuns.end(), [isolatedOnly](const CrashedRun &run) {
-        return !run.inOutage && (run.isolated || (run.answered && !isolatedOnly));
+        return !run.excused && (run.isolated || (run.answered && !isolatedOnly));
     });
 }
 
@@ -102,7 +102,7 @@
         || fleet.isOutage(outageShareOfFleet);
 }
 
-std::vector<Job *> CrashLedger::recordCrash(Worker *worker)
+std::vector<Job *> CrashLedger::recordCrash(Worker *worker, RunsOver reason)
 {
     if (worker->failedAt != worker->lastAnswerAt || worker->failedIncarnation != worker->incarnation) {
         worker->crashedRuns.clear();
@@ -123,7 +123,7 @@
     }
     const bool isolated = jobs.size() == 1 && worker->isolatedFor == *jobs.begin();
     for (Task *task : suspects) {
-        count(worker, task, isolated);
+        count(worker, task, isolated, reason);
         Job *job = task->step->occurrence->job;
         if (isGivenUp(*task) && std::find(givenUp.begin(), givenUp.end(), job) == givenUp.end()) {
             logGivenUp(*task);
@@ -134,14 +134,14 @@
     return givenUp;
 }
 
-void CrashLedger::count(Worker *worker, Task *task, bool isolated)
+void CrashLedger::count(Worker *worker, Task *task, bool isolated, RunsOver reason)
 {
     CrashedRun run;
     run.run = task->run;
     run.worker = worker->id;
     run.isolated = isolated;
     run.answered = task->seenOnWorker;
-    run.inOutage = isPartOfOutage(*worker, task->step->occurrence->job->id);
+    run.excused = reason == RunsOver::LeaseOver || isPartOfOutage(*worker, task->step->occurrence->job->id);
     if (!m_context->jobs.countCrash(task, run)) {
         return;
     }
@@ -156,7 +156,7 @@
             .with("rack", worker->entry.rack)
             .with("isolated", run.isolated ? 1 : 0)
             .with("answered", run.answered ? 1 : 0)
-            .with("outage", run.inOutage ? 1 : 0)
+            .with("excused", run.excused ? 1 : 0)
             .with("crashes", static_cast<std::int64_t>(task->crashedRuns.size()))
             .with("answered_ms_ago", std::chrono::duration_cast<Milliseconds>(m_context->now() - worker->failedAt)));
 }
--- a/src/libworkflow/crashledger_pvt.h
+++ b/src/libworkflow/crashledger_pvt.h
@@ -19,7 +19,7 @@
 
     /// Counts the crash of @p worker for the new runs on it; call before they are released. Returns the jobs that are
     /// given up and to be ended.
-    std::vector<Job *> recordCrash(Worker *worker);
+    std::vector<Job *> recordCrash(Worker *worker, RunsOver reason);
     /// Takes back what was counted for @p worker: the same incarnation answers again.
     void retractCrash(Worker *worker);
     /// Takes back the crash counted for @p run, which a worker has listed.
@@ -47,7 +47,7 @@
     /// Whether the crash of @p worker is one of many on its rack, in its data centre or in the fleet that new runs of
     /// @p job do not account for.
     bool isPartOfOutage(const Worker &worker, const JobId &job) const;
-    void count(Worker *worker, Task *task, bool isolated);
+    void count(Worker *worker, Task *task, bool isolated, RunsOver reason);
     bool isGivenUp(const Task &task) const;
     void logGivenUp(const Task &task) const;
 
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -56,7 +56,9 @@
     WorkerId worker;
     bool isolated = false; ///< The worker was isolated for the job, so nothing else can have crashed it.
     bool answered = false; ///< The worker had answered the start or listed the run; otherwise it may never have begun.
-    bool inOutage = false; ///< Many workers nearby failed at the same time, so the run need not be the cause.
+    /// The run need not be the cause: many workers nearby failed at the same time, or the worker may only be out of
+    /// reach.
+    bool excused = false;
 };
 
 /// One task of a step.
@@ -91,7 +93,7 @@
     bool isSuspect() const
     {
         return std::any_of(crashedRuns.begin(), crashedRuns.end(), [](const CrashedRun &crashed) {
-            return !crashed.inOutage;
+            return !crashed.excused;
         });
     }
 };
@@ -157,6 +159,13 @@
     }
 };
 
+/// Why the runs on a worker are over.
+enum class RunsOver {
+    LeaseOver, ///< The lease has expired: the worker may have ended, or be out of reach.
+    OtherLife, ///< Another incarnation uses its address.
+    NewLife, ///< It has begun another incarnation.
+};
+
 /// State of the contact with a worker.
 enum class WorkerContact {
     Unadopted, ///< It has not yet answered in this term: orders of earlier terms may still reach it.
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -21,7 +21,7 @@
 {
     json out = json::array();
     for (const CrashedRun &run : task.crashedRuns) {
-        out.push_back({run.run, run.worker, run.isolated, run.inOutage, run.answered});
+        out.push_back({run.run, run.worker, run.isolated, run.excused, run.answered});
     }
     return out;
 }
@@ -33,7 +33,7 @@
         run.run = entry.at(0).get<RunNumber>();
         run.worker = entry.at(1).get<std::string>();
         run.isolated = entry.at(2).get<bool>();
-        run.inOutage = entry.at(3).get<bool>();
+        run.excused = entry.at(3).get<bool>();
         run.answered = entry.at(4).get<bool>();
         task->crashedRuns.push_back(run);
         task->run = std::max(task->run, run.run);
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -54,7 +54,7 @@
             worker->contact == WorkerContact::Unadopted || !worker->tasks.empty() || !worker->earlierRuns.empty();
         if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->leaseExpiresAt
             && worker->contact != WorkerContact::Adopted) {
-            m_orders->markTasksLost(worker.get(), "lease-over");
+            m_orders->markTasksLost(worker.get(), RunsOver::LeaseOver);
             FleetTable::setContact(worker.get(), WorkerContact::Lost);
             m_context->wakeDispatch();
         }
@@ -173,7 +173,7 @@
     FleetTable::markRecordChanged(worker);
     if (outcome == OrderOutcome::OtherIncarnation) {
         // Another incarnation uses its address, so this one has ended with all its runs.
-        m_orders->markTasksLost(worker, "other-life");
+        m_orders->markTasksLost(worker, RunsOver::OtherLife);
         FleetTable::setContact(worker, WorkerContact::Lost);
     } else if (worker->contact == WorkerContact::Adopted) {
         context.log->write(LogLine("worker_silent")
@@ -194,7 +194,7 @@
     Context &context = *m_context;
     if (worker->incarnation != answer.incarnation) {
         if (worker->incarnation != 0) {
-            m_orders->markTasksLost(worker, "new-life");
+            m_orders->markTasksLost(worker, RunsOver::NewLife);
         }
         FleetTable::resetEnds(worker);
         worker->consecutiveFailures = 0;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -1,6 +1,7 @@
 #include "ordersystem_pvt.h"
 
 #include <algorithm>
+#include <array>
 
 namespace fescueledge::workflow {
 
@@ -16,6 +17,12 @@
 /// After a worker reported itself unhealthy or could not be reached.
 constexpr Milliseconds unhealthyBackoff{500};
 
+const char *runsOverName(RunsOver reason)
+{
+    static constexpr std::array<const char *, 3> names{"lease-over", "other-life", "new-life"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 WorkerRef refOf(const Worker &worker)
 {
     return WorkerRef{worker.id, worker.entry.address};
@@ -182,7 +189,7 @@
         blockStarts(worker, unhealthyBackoff);
         break;
     case OrderOutcome::OtherIncarnation:
-        markTasksLost(worker, "other-life");
+        markTasksLost(worker, RunsOver::OtherLife);
         FleetTable::setContact(worker, WorkerContact::Lost);
         break;
     default:
@@ -325,17 +332,17 @@
     }
 }
 
-void OrderSystem::markTasksLost(Worker *worker, const char *reason)
+void OrderSystem::markTasksLost(Worker *worker, RunsOver reason)
 {
     const TaskSet tasks = worker->tasks;
-    const std::vector<Job *> givenUp = workerEnded(worker);
+    const std::vector<Job *> givenUp = workerEnded(worker, reason);
     for (Task *task : tasks) {
         m_context->log->write(LogLine("run_lost")
                                   .with("job", task->step->occurrence->job->id)
                                   .with("task", toString(keyOf(*task)))
                                   .with("run", static_cast<std::int64_t>(task->run))
                                   .with("worker", worker->id)
-                                  .with("reason", reason));
+                                  .with("reason", runsOverName(reason)));
         FleetTable::release(task);
         m_context->jobs.setIdle(task);
     }
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -26,13 +26,13 @@
     /// Sends the recorded pace of @p task again.
     void resendPace(Task *task);
     /// Makes all tasks on @p worker idle, because nothing runs there any more.
-    void markTasksLost(Worker *worker, const char *reason);
+    void markTasksLost(Worker *worker, RunsOver reason);
 
     /// Called when a worker should be observed at once.
     std::function<void(Worker *)> wakeObservation;
 
     /// Called before the runs on a worker are given up; returns jobs to be ended, because they crash workers.
-    std::function<std::vector<Job *>(Worker *)> workerEnded;
+    std::function<std::vector<Job *>(Worker *, RunsOver)> workerEnded;
 
     StartWindow window;
     std::uint64_t startsSent = 0;
