--- a/review/rig/world.h
+++ b/review/rig/world.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <signal.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
@@ -858,6 +859,7 @@
         const std::string log = m_dir + "/" + m_name + "." + std::to_string(++m_life) + ".log";
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // It doesn't outlive this process, however that ends.
             const int out = open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0644);
             dup2(out, 1);
             dup2(out, 2);
