Follow the incarnations of workers in the list, and replace all that is known of one together

Cause: the coordinator compared incarnations only in answers to observations, and an idle worker isn't observed. The start went out with a lease on the clock of the former incarnation. Its answer then set the clock of the new one, and the next observation, before it was answered, recorded a lease that began on one clock and ended on the other: leaseExpiresAt was the uptime of the former incarnation away.

Ruled out: the address (the same with it kept), the record of workers (no takeover).

What is known of an incarnation is now one struct, WorkerLife, and FleetTable::beginLife() replaces it as a whole. When the list names another incarnation, or a start is answered with a clock that is far behind, the worker is asked, and gets neither starts nor leases until it has answered (worker_life_doubted). The list is only a hint: it may be older than the last answer. If an order may have reached the new incarnation before that, its lease lasts for at most max-worker-lease, which the platform states.

--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -11,6 +11,8 @@
     /// Lease in each order to a worker. Longer than a takeover, but short enough to resume work soon after a worker was
     /// lost.
     Milliseconds workerLease{4000};
+    /// A worker shortens a longer lease to this, on its own clock.
+    Milliseconds maxWorkerLease{10000};
     /// Maximum time that an observe call waits for a run to end. Together with observeTimeout well below the lease.
     Milliseconds observeWait{800};
     /// Timeout of the answer to an observe call, added to observeWait.
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -196,6 +196,11 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.workerLease = Milliseconds(value.number);
          }},
+        {{"max-worker-lease", ValueType::Duration, false, "10s", 1000, 600000,
+          "The longest lease that workers of the platform accept; they shorten a longer one to it."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.maxWorkerLease = Milliseconds(value.number);
+         }},
         {{"drain-notice", ValueType::Duration, false, "2s", 1000, 60000,
           "How long after a worker has announced its shutdown tasks may still start there. Starts wait while the list "
           "of workers is nearly as old, unless the store is away."},
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -74,7 +74,7 @@
     };
     m_writer.committed = [this] {
         for (const auto &[id, worker] : m_context->fleet.all()) {
-            if (worker->endsDurable > worker->endsAcknowledged) {
+            if (worker->life.endsDurable > worker->life.endsAcknowledged) {
                 m_observations.wake(worker.get());
             }
         }
@@ -352,7 +352,7 @@
     const Duration left = clock.isKnown() ? Duration(leaseEnd - clock.earliest(m_context->sinceBoot())) : longest;
     const Duration wait =
         std::clamp(std::chrono::duration_cast<Duration>(left * (1 + clockDrift)), Duration::zero(), longest);
-    worker->leaseExpiresAt = m_context->now() + wait;
+    worker->life.leaseExpiresAt = m_context->now() + wait;
 }
 
 void Coordinator::restoreRecordedWorkers()
@@ -416,6 +416,7 @@
         if (isNew) {
             FleetTable::recordForeignLease(worker, longestForeignLease(), now);
         }
+        m_observations.checkListedLife(worker);
         if (isNew || startsDraining) {
             context.log->write(LogLine("worker_listed")
                                    .with("worker", entry.id)
@@ -530,7 +531,7 @@
     const TimePoint now = m_context->now();
     std::vector<WorkerId> removable;
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (!worker->listed && worker->tasks.empty() && worker->earlierRuns.empty() && now > worker->leaseExpiresAt
+        if (!worker->listed && worker->tasks.empty() && worker->earlierRuns.empty() && now > worker->life.leaseExpiresAt
             && !worker->observationPending) {
             removable.push_back(id);
         }
--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -104,11 +104,11 @@
 
 std::vector<Job *> CrashLedger::recordCrash(Worker *worker, RunsOver reason)
 {
-    if (worker->failedAt != worker->lastAnswerAt || worker->failedIncarnation != worker->incarnation) {
+    if (worker->failedAt != worker->lastAnswerAt || worker->failedIncarnation != worker->life.incarnation) {
         worker->crashedRuns.clear();
     }
     worker->failedAt = worker->lastAnswerAt;
-    worker->failedIncarnation = worker->incarnation;
+    worker->failedIncarnation = worker->life.incarnation;
     std::vector<Job *> givenUp;
     std::set<JobId> jobs;
     std::vector<Task *> suspects;
@@ -188,7 +188,7 @@
 
 void CrashLedger::retractCrash(Worker *worker)
 {
-    if (worker->failedIncarnation != worker->incarnation) {
+    if (worker->failedIncarnation != worker->life.incarnation) {
         return;
     }
     for (const auto &[key, run] : worker->crashedRuns) {
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -69,6 +69,7 @@
     TaskPhase phase = TaskPhase::Idle;
     Worker *worker = nullptr; ///< Set in all phases but Idle and Done.
     RunNumber run = 0; ///< Highest run number used so far.
+    TimePoint orderedAt{}; ///< When this term sent the last start order; the epoch if it sent none.
     std::vector<RunNumber> failedRuns; ///< Failed runs; each counts once, however often it is reported.
     std::vector<CrashedRun> crashedRuns; ///< Each run counts once, however often its worker's crash is noticed.
     std::string checkpoint;
@@ -198,6 +199,32 @@
     TimePoint until{}; ///< No starts before this time.
 };
 
+/// What is known of one incarnation of a worker. Another incarnation holds none of its runs and counts and measures
+/// anew, so all of this changes together; see FleetTable::beginLife().
+struct WorkerLife
+{
+    std::int64_t incarnation = 0; ///< Incarnation in its last answer; 0 before the first.
+    WorkerTime clock{0}; ///< The worker's clock at clockAt.
+    TimePoint clockAt{}; ///< When the answer with that clock was received.
+    WorkerTime latestLeaseUntil{0}; ///< Latest lease end in any order, on the worker's clock.
+    TimePoint leaseExpiresAt{}; ///< When that lease has certainly expired.
+    std::uint64_t endsApplied = 0; ///< Number of the last run end that was applied to the tables.
+    std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
+    std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
+    /// Runs that ended after endsDurable. The record names them with the runs at work: the next coordinator may have to
+    /// learn of their ends from the worker.
+    std::vector<PendingEnd> pendingEnds;
+    TimePoint blockedUntil{}; ///< No starts before this time.
+    RoomBackoff roomBackoff;
+    int unansweredCalls = 0;
+    int consecutiveFailures = 0; ///< Failed runs since the last successful one.
+    std::set<JobId> failedJobs; ///< Jobs of the consecutive failures.
+    std::int64_t formerIncarnation = 0; ///< What the list named when this one answered.
+    /// There are signs of another incarnation, so it gets no starts and no lease until its next answer.
+    bool isDoubted = false;
+    TimePoint doubtedAt{}; ///< When the latest of them was seen.
+};
+
 /// One worker, by id.
 struct Worker
 {
@@ -206,11 +233,7 @@
     bool listed = true; ///< It is in the list of workers.
     TimePoint unlistedAt{};
     WorkerContact contact = WorkerContact::Unadopted;
-    std::int64_t incarnation = 0; ///< Incarnation in its last answer; 0 before the first.
-    WorkerTime clock{0}; ///< The worker's clock at clockAt.
-    TimePoint clockAt{}; ///< When the answer with that clock was received.
-    WorkerTime latestLeaseUntil{0}; ///< Latest lease end in any order, on the worker's clock.
-    TimePoint leaseExpiresAt{}; ///< When that lease has certainly expired.
+    WorkerLife life;
     Resources used; ///< Reserved by its tasks in any phase; fillers reserve no processor time.
     double busyMilliCores = 0; ///< Expected processor use of its tasks, fillers at their pace.
     /// Share of its processors that fillers declare, scaled by their pace, by image.
@@ -220,12 +243,6 @@
     TaskSet tasks; ///< Tasks on it, in any phase but Idle and Done.
     /// Runs on it that have to end before their tasks start again; see FleetTable::addEarlierRun().
     std::vector<EarlierRun> earlierRuns;
-    std::uint64_t endsApplied = 0; ///< Number of the last run end that was applied to the tables.
-    std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
-    /// Runs that ended after endsDurable. The record names them with the runs at work: the next coordinator may have to
-    /// learn of their ends from the worker.
-    std::vector<PendingEnd> pendingEnds;
-    std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
     bool observationPending = false; ///< An observation has been sent and not yet answered.
     TimePoint lastAnswerAt{}; ///< When its last answer to any order was received.
     TimePoint failedAt{}; ///< The last answer before it last ended without notice; the epoch if it never did.
@@ -246,11 +263,6 @@
     TimePoint nextObservationAt{}; ///< No observation before this time.
     /// Only tasks of the step with this Step::creationIndex start here; see RoomHolds.
     std::optional<std::uint64_t> heldForStep;
-    TimePoint blockedUntil{}; ///< No starts before this time.
-    RoomBackoff roomBackoff;
-    int consecutiveFailures = 0; ///< Failed runs since the last successful one.
-    int unansweredCalls = 0;
-    std::set<JobId> failedJobs; ///< Jobs of the consecutive failures.
     TimePoint overcommittedAt{}; ///< When it last got a filler for which it lacks headroom.
     TimePoint overTargetSince{}; ///< Since when a serving task on it has been over its target; the epoch if none is.
     TimePoint modelUpdatedAt{}; ///< When the interference model was last updated with its gauges.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -11,6 +11,8 @@
 constexpr double servingUtilization = 0.42;
 /// Fillers use about this share of the processor time they declare.
 constexpr double fillerUtilization = 0.88;
+/// An answer may be this much older than the clock shows that came with another one; no call waits as long.
+constexpr Milliseconds longestOvertake{2000};
 /// Loads below this are rounding errors and count as zero.
 constexpr double negligibleLoad = 1e-9;
 
@@ -98,7 +100,7 @@
         share *= scale;
     }
     if (slot->entry.capacity != entry.capacity) {
-        slot->roomBackoff = RoomBackoff();
+        slot->life.roomBackoff = RoomBackoff();
     }
     slot->entry = entry;
     slot->listed = true;
@@ -127,11 +129,9 @@
 
 void FleetTable::setContact(Worker *worker, WorkerContact contact)
 {
-    const bool named = namesRuns(*worker);
+    markRecordChanged(worker);
     worker->contact = contact;
-    if (named || namesRuns(*worker)) {
-        worker->recordPart->changed = true;
-    }
+    markRecordChanged(worker);
 }
 
 void FleetTable::markRecordChanged(Worker *worker)
@@ -150,16 +150,16 @@
 
 void FleetTable::addPendingEnd(Worker *worker, const EndedRun &end)
 {
-    worker->pendingEnds.push_back(PendingEnd{end.number, end.task, end.run});
+    worker->life.pendingEnds.push_back(PendingEnd{end.number, end.task, end.run});
     markRecordChanged(worker);
 }
 
 void FleetTable::setEndsDurable(Worker *worker, std::uint64_t number)
 {
-    worker->endsDurable = std::max(worker->endsDurable, number);
-    std::vector<PendingEnd> &pending = worker->pendingEnds;
+    worker->life.endsDurable = std::max(worker->life.endsDurable, number);
+    std::vector<PendingEnd> &pending = worker->life.pendingEnds;
     const auto durable = std::remove_if(pending.begin(), pending.end(), [worker](const PendingEnd &end) {
-        return end.number <= worker->endsDurable;
+        return end.number <= worker->life.endsDurable;
     });
     if (durable != pending.end()) {
         pending.erase(durable, pending.end());
@@ -167,15 +167,19 @@
     }
 }
 
-void FleetTable::resetEnds(Worker *worker)
+void FleetTable::beginLife(Worker *worker, std::int64_t incarnation, Milliseconds lease, TimePoint now)
 {
-    worker->endsApplied = 0;
-    worker->endsDurable = 0;
-    worker->endsAcknowledged = 0;
-    worker->pendingEnds.clear();
+    worker->life = WorkerLife{};
+    worker->life.incarnation = incarnation;
+    recordForeignLease(worker, lease, now);
     markRecordChanged(worker);
 }
 
+TimePoint FleetTable::earliestBegin(WorkerTime clock, TimePoint now)
+{
+    return clock.count() > 0 ? now - atSlowestClock(clock) : TimePoint::max();
+}
+
 void FleetTable::place(Task *task, Worker *worker)
 {
     task->worker = worker;
@@ -191,7 +195,7 @@
     Worker *worker = task->worker;
     if (worker != nullptr && worker->tasks.erase(task) > 0) {
         if (task->phase == TaskPhase::Running || task->phase == TaskPhase::Stopping) {
-            worker->roomBackoff = RoomBackoff();
+            worker->life.roomBackoff = RoomBackoff();
         }
         addToTotals(worker, *task, -1);
         markRecordChanged(worker);
@@ -253,27 +257,33 @@
 void FleetTable::setClock(Worker *worker, WorkerTime clock, TimePoint now)
 {
     if (clock.count() > 0) {
-        worker->clock = clock;
-        worker->clockAt = now;
+        worker->life.clock = clock;
+        worker->life.clockAt = now;
     }
 }
 
+bool FleetTable::isOfOtherLife(const Worker &worker, WorkerTime clock, TimePoint now)
+{
+    return worker.life.clock.count() > 0 && clock.count() > 0 && clock + longestOvertake < clockAt(worker, now);
+}
+
 WorkerTime FleetTable::clockAt(const Worker &worker, TimePoint now)
 {
     // The clock was read before its answer arrived, so the estimate is never ahead of a clock that keeps time.
-    return worker.clock + std::chrono::duration_cast<WorkerTime>((now - worker.clockAt) * (1 - clockDrift));
+    return worker.life.clock + std::chrono::duration_cast<WorkerTime>((now - worker.life.clockAt) * (1 - clockDrift));
 }
 
 void FleetTable::recordLease(Worker *worker, WorkerTime leaseUntil)
 {
-    worker->latestLeaseUntil = std::max(worker->latestLeaseUntil, leaseUntil);
-    const WorkerTime span = std::max(WorkerTime{0}, worker->latestLeaseUntil - worker->clock);
-    worker->leaseExpiresAt = std::max(worker->leaseExpiresAt, worker->clockAt + atSlowestClock(span) + leaseMargin);
+    worker->life.latestLeaseUntil = std::max(worker->life.latestLeaseUntil, leaseUntil);
+    const WorkerTime span = std::max(WorkerTime{0}, worker->life.latestLeaseUntil - worker->life.clock);
+    worker->life.leaseExpiresAt =
+        std::max(worker->life.leaseExpiresAt, worker->life.clockAt + atSlowestClock(span) + leaseMargin);
 }
 
 void FleetTable::recordForeignLease(Worker *worker, Milliseconds lease, TimePoint now)
 {
-    worker->leaseExpiresAt = std::max(worker->leaseExpiresAt, now + longestLease(lease));
+    worker->life.leaseExpiresAt = std::max(worker->life.leaseExpiresAt, now + longestLease(lease));
 }
 
 Duration FleetTable::longestLease(Milliseconds lease)
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -34,8 +34,12 @@
     static void addPendingEnd(Worker *worker, const EndedRun &end);
     /// Records that the ends on @p worker up to number @p number are durable.
     static void setEndsDurable(Worker *worker, std::uint64_t number);
-    /// Resets what is known of the ends on @p worker, because it began another incarnation.
-    static void resetEnds(Worker *worker);
+    /// Replaces what is known of the former incarnation of @p worker, because @p incarnation has answered. Orders may
+    /// have given that a lease of up to @p lease until @p now.
+    static void beginLife(Worker *worker, std::int64_t incarnation, Milliseconds lease, TimePoint now);
+    /// The earliest time at which an incarnation can have begun whose clock showed @p clock in an answer received at
+    /// @p now; the latest time there is if the answer had no clock. Clocks begin at 0 with each incarnation.
+    static TimePoint earliestBegin(WorkerTime clock, TimePoint now);
 
     /// Assigns @p task to @p worker, whatever its phase; release() undoes it.
     static void place(Task *task, Worker *worker);
@@ -61,6 +65,9 @@
 
     /// Sets the worker's clock from an answer received at @p now.
     static void setClock(Worker *worker, WorkerTime clock, TimePoint now);
+    /// Whether @p clock, in an answer received at @p now, is so far behind the clock of the known incarnation that
+    /// another one seems to have answered.
+    static bool isOfOtherLife(const Worker &worker, WorkerTime clock, TimePoint now);
     /// Estimate of the worker's clock at @p now, or a little less.
     static WorkerTime clockAt(const Worker &worker, TimePoint now);
     /// Time after which a lease of length @p lease that was given now has certainly expired.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -36,7 +36,8 @@
     if (worker.contact == WorkerContact::Unadopted) {
         return true;
     }
-    return !worker.tasks.empty() || !worker.earlierRuns.empty() || worker.endsApplied > worker.endsAcknowledged
+    return worker.life.isDoubted || !worker.tasks.empty() || !worker.earlierRuns.empty()
+        || worker.life.endsApplied > worker.life.endsAcknowledged
         || (worker.contact != WorkerContact::Adopted && worker.listed);
 }
 
@@ -46,13 +47,23 @@
     observe(worker);
 }
 
+void ObservationSystem::checkListedLife(Worker *worker)
+{
+    const WorkerLife &life = worker->life;
+    const std::int64_t listed = worker->entry.incarnation;
+    if (listed == 0 || life.incarnation == 0 || listed == life.incarnation || listed == life.formerIncarnation) {
+        return;
+    }
+    m_orders->doubtLife(worker, "list");
+}
+
 void ObservationSystem::tick()
 {
     const TimePoint now = m_context->now();
     for (const auto &[id, worker] : m_context->fleet.all()) {
         const bool mayHoldRuns =
             worker->contact == WorkerContact::Unadopted || !worker->tasks.empty() || !worker->earlierRuns.empty();
-        if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->leaseExpiresAt
+        if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->life.leaseExpiresAt
             && worker->contact != WorkerContact::Adopted) {
             m_orders->markTasksLost(worker.get(), RunsOver::LeaseOver);
             FleetTable::setContact(worker.get(), WorkerContact::Lost);
@@ -85,19 +96,20 @@
         || !context.maySendOrders()) {
         return;
     }
-    const bool hasPendingEnds = worker->endsApplied > worker->endsDurable;
+    const bool hasPendingEnds = worker->life.endsApplied > worker->life.endsDurable;
     if (hasPendingEnds && now < worker->observedAt + unacknowledgedObserveInterval) {
         worker->nextObservationAt = worker->observedAt + unacknowledgedObserveInterval;
         return;
     }
     ObserveOrder order;
     order.term = context.term;
-    order.acknowledged = worker->endsDurable;
-    order.incarnation = worker->incarnation;
+    order.acknowledged = worker->life.endsDurable;
+    order.incarnation = worker->life.incarnation;
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
-    const bool answers = worker->contact == WorkerContact::Adopted && worker->unansweredCalls == 0;
+    const bool answers =
+        worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
     order.wait = answers && !hasPendingEnds ? context.settings.observeWait : Milliseconds{0};
-    if (answers && !worker->recordNamesLeaseEnd && worker->clock.count() > 0 && !worker->tasks.empty()) {
+    if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
     }
@@ -133,14 +145,18 @@
         onNoAnswer(worker, answer.outcome);
         return;
     }
-    FleetTable::setClock(worker, answer.workerClock, context.now());
-    worker->unansweredCalls = 0;
     worker->nextObservationAt = context.now();
-    if (worker->incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
-        adopt(worker, answer);
+    if (worker->life.incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
+        adopt(worker, answer, leased);
+    }
+    FleetTable::setClock(worker, answer.workerClock, context.now());
+    worker->life.unansweredCalls = 0;
+    if (sentAt >= worker->life.doubtedAt) {
+        worker->life.isDoubted = false;
+        worker->life.formerIncarnation = worker->entry.incarnation; // If it is another one, the list is behind.
     }
     worker->lastAnswerAt = context.now();
-    worker->endsAcknowledged = std::max(worker->endsAcknowledged, answer.acknowledged);
+    worker->life.endsAcknowledged = std::max(worker->life.endsAcknowledged, answer.acknowledged);
     if (!worker->earlierRuns.empty()) {
         context.fleet.clearEarlierRuns(worker); // Those that are not over are listed again.
         context.wakeDispatch();
@@ -149,13 +165,13 @@
         applyActiveRun(worker, run);
     }
     for (const EndedRun &end : answer.ended) {
-        if (end.number > worker->endsApplied) {
+        if (end.number > worker->life.endsApplied) {
             applyRunEnd(worker, end);
-            worker->endsApplied = end.number;
+            worker->life.endsApplied = end.number;
         }
     }
     releaseMissingRuns(worker, sentAt, answer);
-    if (worker->endsApplied > worker->endsDurable) {
+    if (worker->life.endsApplied > worker->life.endsDurable) {
         context.wakeWriter();
     }
     if (!leased && !worker->tasks.empty()) {
@@ -169,7 +185,7 @@
 {
     Context &context = *m_context;
     const TimePoint now = context.now();
-    ++worker->unansweredCalls;
+    ++worker->life.unansweredCalls;
     FleetTable::markRecordChanged(worker);
     if (outcome == OrderOutcome::OtherIncarnation) {
         // Another incarnation uses its address, so this one has ended with all its runs.
@@ -183,23 +199,20 @@
         FleetTable::setContact(worker, WorkerContact::Silent);
     }
     // An order to a healthy worker may be lost, so the first retries of an adoption are immediate.
-    const int delays = worker->contact == WorkerContact::Unadopted ? worker->unansweredCalls - immediateAdoptionRetries
-                                                                   : worker->unansweredCalls;
+    const int delays = worker->contact == WorkerContact::Unadopted
+        ? worker->life.unansweredCalls - immediateAdoptionRetries
+        : worker->life.unansweredCalls;
     worker->nextObservationAt = now + std::clamp(delays, 0, maxRetryFactor) * context.settings.orderRetryDelay;
     observe(worker);
 }
 
-void ObservationSystem::adopt(Worker *worker, const Observation &answer)
+void ObservationSystem::adopt(Worker *worker, const Observation &answer, bool leased)
 {
     Context &context = *m_context;
-    if (worker->incarnation != answer.incarnation) {
-        if (worker->incarnation != 0) {
-            m_orders->markTasksLost(worker, RunsOver::NewLife);
-        }
-        FleetTable::resetEnds(worker);
-        worker->consecutiveFailures = 0;
-        worker->failedJobs.clear();
-        worker->latestLeaseUntil = WorkerTime{0};
+    if (worker->life.incarnation == 0) {
+        worker->life.incarnation = answer.incarnation;
+    } else if (worker->life.incarnation != answer.incarnation) {
+        beginLife(worker, answer, leased);
     } else {
         m_crashes->retractCrash(worker); // It was cut off.
     }
@@ -209,12 +222,27 @@
                            .with("term", static_cast<std::int64_t>(context.term))
                            .with("active", static_cast<std::int64_t>(answer.active.size()))
                            .with("ended", static_cast<std::int64_t>(answer.ended.size())));
-    worker->incarnation = answer.incarnation;
     FleetTable::setContact(worker, WorkerContact::Adopted);
     FleetTable::recordForeignLease(worker, context.settings.workerLease, context.now());
     context.wakeDispatch();
 }
 
+void ObservationSystem::beginLife(Worker *worker, const Observation &answer, bool leased)
+{
+    const CoordinatorSettings &settings = m_context->settings;
+    const TimePoint now = m_context->now();
+    const TimePoint begun = FleetTable::earliestBegin(answer.workerClock, now);
+    // An order with a lease on the clock of the former incarnation may have reached this one. It may be far off then,
+    // and the worker shortens it.
+    const bool mayHoldLongLease =
+        leased || std::any_of(worker->tasks.begin(), worker->tasks.end(), [begun](const Task *task) {
+            return task->orderedAt >= begun;
+        });
+    m_orders->markTasksLost(worker, RunsOver::NewLife);
+    FleetTable::beginLife(worker, answer.incarnation, mayHoldLongLease ? settings.maxWorkerLease : settings.workerLease,
+                          now);
+}
+
 void ObservationSystem::applyActiveRun(Worker *worker, const ActiveRun &run)
 {
     Context &context = *m_context;
@@ -368,22 +396,22 @@
 void ObservationSystem::updateQuarantine(Worker *worker, const Task &task, RunEnd how)
 {
     if (how == RunEnd::Done) {
-        worker->consecutiveFailures = 0;
-        worker->failedJobs.clear();
+        worker->life.consecutiveFailures = 0;
+        worker->life.failedJobs.clear();
         return;
     }
     if (how != RunEnd::Failed) {
         return;
     }
-    ++worker->consecutiveFailures;
-    worker->failedJobs.insert(task.step->occurrence->job->id);
+    ++worker->life.consecutiveFailures;
+    worker->life.failedJobs.insert(task.step->occurrence->job->id);
     // A single job that always fails doesn't indicate a faulty worker.
-    const bool suspect = worker->consecutiveFailures >= failuresToQuarantine && worker->failedJobs.size() > 1;
-    if (suspect && worker->blockedUntil <= m_context->now()) {
-        worker->blockedUntil = m_context->now() + quarantineTimeout;
+    const bool suspect = worker->life.consecutiveFailures >= failuresToQuarantine && worker->life.failedJobs.size() > 1;
+    if (suspect && worker->life.blockedUntil <= m_context->now()) {
+        worker->life.blockedUntil = m_context->now() + quarantineTimeout;
         m_context->log->write(LogLine("worker_quarantined")
                                   .with("worker", worker->id)
-                                  .with("failures", worker->consecutiveFailures)
+                                  .with("failures", worker->life.consecutiveFailures)
                                   .with("for_ms", quarantineTimeout));
     }
 }
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -17,6 +17,9 @@
     void wake(Worker *worker);
     /// Observes workers that are due, and marks those whose leases have expired as lost.
     void tick();
+    /// To be called when the entry of @p worker was read: if it names another incarnation than the known one, the
+    /// worker is asked.
+    void checkListedLife(Worker *worker);
     /// True if every worker that may hold tasks of earlier terms has answered, can hold none any more, or has its runs
     /// named in the record.
     bool knowsEarlierRuns() const;
@@ -36,7 +39,10 @@
     void observe(Worker *worker);
     void onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer);
     void onNoAnswer(Worker *worker, OrderOutcome outcome);
-    void adopt(Worker *worker, const Observation &answer);
+    /// @p leased: the observation carried a lease.
+    void adopt(Worker *worker, const Observation &answer, bool leased);
+    /// Gives up what the former incarnation of @p worker held, and begins with what is known of the one that answered.
+    void beginLife(Worker *worker, const Observation &answer, bool leased);
     void applyActiveRun(Worker *worker, const ActiveRun &run);
     /// Whether @p run, seen at work, is to be the current run of @p task.
     static bool supersedes(const Task &task, const ActiveRun &run);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -48,6 +48,7 @@
     task->pace = pace;
     FleetTable::place(task, worker);
     context.jobs.setPhase(task, TaskPhase::Starting, now);
+    task->orderedAt = now;
     task->percentAtWork = 0;
     task->progressAt = now;
     task->seenOnWorker = false;
@@ -74,6 +75,21 @@
                            });
 }
 
+void OrderSystem::doubtLife(Worker *worker, const char *reason) const
+{
+    worker->life.doubtedAt = m_context->now();
+    if (worker->life.isDoubted) {
+        return;
+    }
+    worker->life.isDoubted = true;
+    m_context->log->write(LogLine("worker_life_doubted")
+                              .with("worker", worker->id)
+                              .with("life", worker->life.incarnation)
+                              .with("listed", worker->entry.incarnation)
+                              .with("reason", reason));
+    wakeObservation(worker);
+}
+
 Task *OrderSystem::findCurrentTask(const RunRef &ref) const
 {
     Task *task = m_context->jobs.findTask(ref.task);
@@ -103,7 +119,11 @@
     Worker *worker = context.fleet.find(ref.worker);
     if (worker != nullptr && result.workerClock.count() > 0 && result.outcome != OrderOutcome::OtherIncarnation) {
         worker->lastAnswerAt = now;
-        FleetTable::setClock(worker, result.workerClock, now);
+        if (FleetTable::isOfOtherLife(*worker, result.workerClock, now)) {
+            doubtLife(worker, "clock");
+        } else {
+            FleetTable::setClock(worker, result.workerClock, now);
+        }
     }
     if (result.outcome == OrderOutcome::StaleTerm) {
         context.superseded();
@@ -114,14 +134,14 @@
         return;
     }
     if (result.outcome == OrderOutcome::Done) {
-        worker->roomBackoff = RoomBackoff();
+        worker->life.roomBackoff = RoomBackoff();
         markRunning(task);
         if (task->step->occurrence->job->ended()) {
             stop(task);
         }
     } else if (result.outcome == OrderOutcome::NoAnswer) {
         context.jobs.setPhase(task, TaskPhase::Uncertain, now);
-        ++worker->unansweredCalls;
+        ++worker->life.unansweredCalls;
         blockStarts(worker, context.settings.orderRetryDelay);
     } else {
         onRefused(task, worker, result.outcome);
@@ -141,13 +161,13 @@
 
 void OrderSystem::blockStarts(Worker *worker, Milliseconds backoff) const
 {
-    worker->blockedUntil = std::max(worker->blockedUntil, m_context->now() + Duration(backoff));
+    worker->life.blockedUntil = std::max(worker->life.blockedUntil, m_context->now() + Duration(backoff));
 }
 
 void OrderSystem::waitForRoom(Worker *worker) const
 {
     const TimePoint now = m_context->now();
-    RoomBackoff &backoff = worker->roomBackoff;
+    RoomBackoff &backoff = worker->life.roomBackoff;
     if (now < backoff.until) {
         return; // The start was sent before the wait began.
     }
@@ -185,7 +205,7 @@
         blockStarts(worker, unhealthyBackoff);
         break;
     case OrderOutcome::NotSent:
-        ++worker->unansweredCalls;
+        ++worker->life.unansweredCalls;
         blockStarts(worker, unhealthyBackoff);
         break;
     case OrderOutcome::OtherIncarnation:
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -13,6 +13,9 @@
 
     /// Starts @p task, which must be idle, on @p worker; its pace is set to @p pace percent as soon as it runs.
     void start(Task *task, Worker *worker, int pace);
+    /// Sends no more starts to @p worker until its next answer shows which incarnation it is: another one than the
+    /// known one seems to have begun.
+    void doubtLife(Worker *worker, const char *reason) const;
     /// Records that @p task has been started.
     void markRunning(Task *task);
     /// Stops the run of @p task, if it has one.
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -76,7 +76,7 @@
 /// Whether a worker that has refused starts for lack of room has yet to answer the one that was sent after the wait.
 bool isProbedForRoom(const Worker &worker)
 {
-    return worker.roomBackoff.refusals > 0
+    return worker.life.roomBackoff.refusals > 0
         && std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task *task) {
                return task->phase == TaskPhase::Starting;
            });
@@ -133,10 +133,14 @@
     if (worker.contact != WorkerContact::Adopted) {
         return worker.contact == WorkerContact::Unadopted ? PlaceVerdict::Unadopted : PlaceVerdict::Silent;
     }
+    if (worker.life.isDoubted) {
+        return PlaceVerdict::Silent;
+    }
     if (!worker.recorded || worker.recordNamesRuns || worker.recordNamesLeaseEnd) {
         return worker.recorded ? PlaceVerdict::RunsNamed : PlaceVerdict::Unrecorded;
     }
-    if (std::max(worker.blockedUntil, worker.roomBackoff.until) > m_context->now() || isProbedForRoom(worker)) {
+    if (std::max(worker.life.blockedUntil, worker.life.roomBackoff.until) > m_context->now()
+        || isProbedForRoom(worker)) {
         return PlaceVerdict::Blocked;
     }
     if (m_context->catalog->evacuated.count(worker.entry.dataCentre) > 0) {
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -118,7 +118,7 @@
         if (!namesLeaseEnd(*worker)) {
             worker->leaseEndForRecord = Milliseconds::zero();
         } else if (worker->leaseEndForRecord == Milliseconds::zero() && context.serviceClock.isKnown()) {
-            const Duration left = std::max(Duration::zero(), worker->leaseExpiresAt - context.now());
+            const Duration left = std::max(Duration::zero(), worker->life.leaseExpiresAt - context.now());
             worker->leaseEndForRecord = context.serviceClock.latest(context.sinceBoot())
                 + std::chrono::ceil<Milliseconds>(left * (1 + clockDrift));
         }
@@ -276,8 +276,8 @@
         return;
     }
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (worker->endsApplied > worker->endsDurable) {
-            batch->ends[id] = worker->endsApplied;
+        if (worker->life.endsApplied > worker->life.endsDurable) {
+            batch->ends[id] = worker->life.endsApplied;
         }
     }
 }
@@ -431,7 +431,7 @@
     }
     for (const auto &[id, number] : batch.ends) {
         Worker *worker = context.fleet.find(id);
-        if (worker != nullptr && number <= worker->endsApplied) {
+        if (worker != nullptr && number <= worker->life.endsApplied) {
             FleetTable::setEndsDurable(worker, number);
         }
     }
--- a/src/libworkflow/recordpart.cpp
+++ b/src/libworkflow/recordpart.cpp
@@ -31,7 +31,8 @@
     const bool leaves = worker.entry.draining || !worker.listed;
     switch (worker.contact) {
     case WorkerContact::Unadopted:
-        return worker.recordNamesLeaseEnd || (worker.recordedInEarlierTerm && leaves && worker.unansweredCalls > 0);
+        return worker.recordNamesLeaseEnd
+            || (worker.recordedInEarlierTerm && leaves && worker.life.unansweredCalls > 0);
     case WorkerContact::Silent:
         return leaves;
     case WorkerContact::Adopted:
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -68,7 +68,7 @@
     worker.ends.clear();
 }
 
-void SimWorkers::restart(const WorkerId &id)
+void SimWorkers::restart(const WorkerId &id, bool isAnnounced)
 {
     SimWorker &worker = m_workers.at(id);
     worker.up = true;
@@ -77,8 +77,14 @@
     worker.leaseUntil = WorkerTime{0};
     worker.lastRun.clear();
     worker.endCount = 0;
+    const WorkerEntry before = worker.entry;
     worker.entry.incarnation = ++m_incarnations;
-    announce(worker.entry);
+    if (isAnnounced) {
+        m_staleEntries.erase(id);
+        announce(worker.entry);
+    } else {
+        m_staleEntries.emplace(id, before);
+    }
 }
 
 void SimWorkers::unlist(const WorkerId &id)
@@ -114,7 +120,8 @@
     std::vector<WorkerEntry> out;
     for (const auto &[id, worker] : m_workers) {
         if (m_unlisted.count(id) == 0) {
-            out.push_back(worker.entry);
+            const auto stale = m_staleEntries.find(id);
+            out.push_back(stale == m_staleEntries.end() ? worker.entry : stale->second);
         }
     }
     return out;
@@ -125,6 +132,11 @@
     return std::chrono::duration_cast<WorkerTime>(m_world->now() - worker.startedAt);
 }
 
+void SimWorkers::extendLease(SimWorker *worker, WorkerTime until) const
+{
+    worker->leaseUntil = std::max(worker->leaseUntil, std::min(until, clockOf(*worker) + maxLease));
+}
+
 void SimWorkers::end(SimWorker *worker, std::size_t index, RunEnd how)
 {
     RunRecord &record = m_runs[index];
@@ -195,7 +207,7 @@
         result.outcome = OrderOutcome::Late;
         return result;
     }
-    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    extendLease(&worker, order.leaseUntil);
     const std::string name = toString(order.task);
     const auto it = worker.active.find(name);
     result.outcome = OrderOutcome::Done;
@@ -317,7 +329,7 @@
         return result;
     }
     worker.highestTerm = order.term;
-    worker.leaseUntil = std::max(worker.leaseUntil, order.leaseUntil);
+    extendLease(&worker, order.leaseUntil);
     result.acknowledged = order.incarnation == worker.entry.incarnation ? order.acknowledged : 0;
     acknowledge(&worker, result.acknowledged);
     result.outcome = OrderOutcome::Done;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -64,8 +64,8 @@
     SimWorker *find(const WorkerId &id);
     /// Kills a worker and all its runs; it stays listed until unlist().
     void crash(const WorkerId &id);
-    /// Restarts a crashed worker as a new incarnation.
-    void restart(const WorkerId &id);
+    /// Restarts a crashed worker as a new incarnation. Its entry in the list changes only if @p isAnnounced.
+    void restart(const WorkerId &id, bool isAnnounced = true);
     void unlist(const WorkerId &id);
     /// Lists a worker again.
     void list(const WorkerId &id);
@@ -106,11 +106,16 @@
     std::function<bool(const TaskKey &)> crashesWorker;
     Duration crashDelay{std::chrono::milliseconds(10)}; ///< From the start of such a run.
     Duration downTime{std::chrono::seconds(3)};
+    /// Whether the first order of each node to a new incarnation goes out on the connection to the former one, and gets
+    /// no answer.
+    bool connectionsOutliveCrashes = false;
+    Milliseconds maxLease{10000}; ///< A longer lease is shortened to this.
     /// Called when the list of workers has changed.
     std::vector<std::function<void(const FleetUpdate &)>> listeners;
 
 private:
     WorkerTime clockOf(const SimWorker &worker) const;
+    void extendLease(SimWorker *worker, WorkerTime until) const;
     void settle(SimWorker *worker);
     void acknowledge(SimWorker *worker, std::uint64_t number);
     void end(SimWorker *worker, std::size_t index, RunEnd how);
@@ -122,6 +127,7 @@
     SimWorld *m_world;
     std::map<WorkerId, SimWorker> m_workers;
     std::set<WorkerId> m_unlisted;
+    std::map<WorkerId, WorkerEntry> m_staleEntries; ///< Entries that do not show the latest restart yet.
     std::vector<RunRecord> m_runs;
     std::int64_t m_incarnations = 0;
 };
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -89,7 +89,7 @@
     const Worker *awaited = held ? m_observations->awaitedWorker() : nullptr;
     if (awaited != nullptr) {
         line.with("awaits_worker", awaited->id)
-            .with("awaits_ms", std::chrono::duration_cast<Milliseconds>(awaited->leaseExpiresAt - now));
+            .with("awaits_ms", std::chrono::duration_cast<Milliseconds>(awaited->life.leaseExpiresAt - now));
     }
     if (awaiting > 0) {
         line.with("earlier_run", static_cast<std::int64_t>(awaiting));
--- a/src/libworkflow/workerrecord.cpp
+++ b/src/libworkflow/workerrecord.cpp
@@ -22,7 +22,7 @@
         const TaskKey &key = earlier.task;
         runs.push_back({key.job, key.occurrence, key.step, key.index, earlier.run});
     }
-    for (const PendingEnd &end : worker.pendingEnds) {
+    for (const PendingEnd &end : worker.life.pendingEnds) {
         const TaskKey &key = end.task;
         runs.push_back({key.job, key.occurrence, key.step, key.index, end.run});
     }
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -72,7 +72,7 @@
                  ObserveHandler handler) override
     {
         ++m_observations;
-        if (!reaches(worker.id) || (dropEvery > 0 && m_observations % dropEvery == 0)) {
+        if (!connects(worker.id) || (dropEvery > 0 && m_observations % dropEvery == 0)) {
             m_loop->postAfter(timeout, [handler] {
                 handler(Observation{});
             });
@@ -97,6 +97,18 @@
         return worker != nullptr && worker->up && worker->cutFrom.count(m_self) == 0;
     }
 
+    /// Whether an order that is sent now reaches the worker; see SimWorkers::connectionsOutliveCrashes.
+    bool connects(const WorkerId &id)
+    {
+        if (!reaches(id)) {
+            return false;
+        }
+        std::int64_t &incarnation = m_connectedTo[id];
+        const std::int64_t before = incarnation;
+        incarnation = m_workers->find(id)->entry.incarnation;
+        return before == 0 || before == incarnation || !m_workers->connectionsOutliveCrashes;
+    }
+
     void answerWithTimeout(Milliseconds timeout, const OrderHandler &handler)
     {
         m_loop->postAfter(timeout, [handler] {
@@ -107,7 +119,7 @@
     void deliver(const WorkerRef &worker, Milliseconds timeout, const OrderHandler &handler,
                  const std::function<OrderResult()> &order)
     {
-        if (!reaches(worker.id)) {
+        if (!connects(worker.id)) {
             answerWithTimeout(timeout, handler);
             return;
         }
@@ -173,6 +185,7 @@
     SimWorkers *m_workers;
     NodeId m_self;
     TimePoint m_busyUntil{};
+    std::map<WorkerId, std::int64_t> m_connectedTo; ///< Incarnation to which the connection was made.
     int m_observations = 0;
 };
 
