Count no crash for a start that was ordered after the next incarnation of the worker had begun

Cause: whatever was on a worker when another incarnation showed counted as a run that had crashed it, also a start that was ordered after the former incarnation had ended. On a worker that is isolated for the task even a start without an answer counts, so two such workers were enough to give the job up.

The clock of an incarnation begins at 0, so the first answer of the next one tells when it began, at the earliest. What was ordered later can't have ended the former one and doesn't count (LifeEnd::nextBegan).

workerlife_test, with starts to incarnations that the list doesn't show: run_crashed 1 before, 0 now.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -57,8 +57,8 @@
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
-    m_orders.workerEnded = [this](Worker *worker, RunsOver reason) {
-        return m_crashes.recordCrash(worker, reason);
+    m_orders.workerEnded = [this](Worker *worker, const LifeEnd &end) {
+        return m_crashes.recordCrash(worker, end);
     };
     m_observations.observed = [this](Worker *worker) {
         m_pacing.observe(worker);
--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -102,7 +102,7 @@
         || fleet.isOutage(outageShareOfFleet);
 }
 
-std::vector<Job *> CrashLedger::recordCrash(Worker *worker, RunsOver reason)
+std::vector<Job *> CrashLedger::recordCrash(Worker *worker, const LifeEnd &end)
 {
     if (worker->failedAt != worker->lastAnswerAt || worker->failedIncarnation != worker->life.incarnation) {
         worker->crashedRuns.clear();
@@ -113,7 +113,8 @@
     std::set<JobId> jobs;
     std::vector<Task *> suspects;
     for (Task *task : worker->tasks) {
-        if (!task->lasted && !task->step->occurrence->job->ended()) {
+        const bool mayBeCause = !task->lasted && task->orderedAt < end.nextBegan;
+        if (mayBeCause && !task->step->occurrence->job->ended()) {
             suspects.push_back(task);
             jobs.insert(task->step->occurrence->job->id);
         }
@@ -123,7 +124,7 @@
     }
     const bool isolated = jobs.size() == 1 && worker->isolatedFor == *jobs.begin();
     for (Task *task : suspects) {
-        count(worker, task, isolated, reason);
+        count(worker, task, isolated, end.reason);
         Job *job = task->step->occurrence->job;
         if (isGivenUp(*task) && std::find(givenUp.begin(), givenUp.end(), job) == givenUp.end()) {
             logGivenUp(*task);
--- a/src/libworkflow/crashledger_pvt.h
+++ b/src/libworkflow/crashledger_pvt.h
@@ -19,7 +19,7 @@
 
     /// Counts the crash of @p worker for the new runs on it; call before they are released. Returns the jobs that are
     /// given up and to be ended.
-    std::vector<Job *> recordCrash(Worker *worker, RunsOver reason);
+    std::vector<Job *> recordCrash(Worker *worker, const LifeEnd &end);
     /// Takes back what was counted for @p worker: the same incarnation answers again.
     void retractCrash(Worker *worker);
     /// Takes back the crash counted for @p run, which a worker has listed.
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -167,6 +167,15 @@
     NewLife, ///< It has begun another incarnation.
 };
 
+/// The end of an incarnation of a worker, or of the time for which its lease let runs go on there.
+struct LifeEnd
+{
+    RunsOver reason = RunsOver::LeaseOver;
+    /// The incarnation that answers there now began no earlier, so what was ordered later can't have ended the former
+    /// one. Not known by default.
+    TimePoint nextBegan = TimePoint::max();
+};
+
 /// State of the contact with a worker.
 enum class WorkerContact {
     Unadopted, ///< It has not yet answered in this term: orders of earlier terms may still reach it.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -65,7 +65,7 @@
             worker->contact == WorkerContact::Unadopted || !worker->tasks.empty() || !worker->earlierRuns.empty();
         if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->life.leaseExpiresAt
             && worker->contact != WorkerContact::Adopted) {
-            m_orders->markTasksLost(worker.get(), RunsOver::LeaseOver);
+            m_orders->markTasksLost(worker.get(), LifeEnd{RunsOver::LeaseOver});
             FleetTable::setContact(worker.get(), WorkerContact::Lost);
             m_context->wakeDispatch();
         }
@@ -142,7 +142,7 @@
         return;
     }
     if (answer.outcome != OrderOutcome::Done) {
-        onNoAnswer(worker, answer.outcome);
+        onNoAnswer(worker, answer);
         return;
     }
     worker->nextObservationAt = context.now();
@@ -181,15 +181,17 @@
     observe(worker);
 }
 
-void ObservationSystem::onNoAnswer(Worker *worker, OrderOutcome outcome)
+void ObservationSystem::onNoAnswer(Worker *worker, const Observation &answer)
 {
+    const OrderOutcome outcome = answer.outcome;
     Context &context = *m_context;
     const TimePoint now = context.now();
     ++worker->life.unansweredCalls;
     FleetTable::markRecordChanged(worker);
     if (outcome == OrderOutcome::OtherIncarnation) {
         // Another incarnation uses its address, so this one has ended with all its runs.
-        m_orders->markTasksLost(worker, RunsOver::OtherLife);
+        m_orders->markTasksLost(worker,
+                                LifeEnd{RunsOver::OtherLife, FleetTable::earliestBegin(answer.workerClock, now)});
         FleetTable::setContact(worker, WorkerContact::Lost);
     } else if (worker->contact == WorkerContact::Adopted) {
         context.log->write(LogLine("worker_silent")
@@ -238,7 +240,7 @@
         leased || std::any_of(worker->tasks.begin(), worker->tasks.end(), [begun](const Task *task) {
             return task->orderedAt >= begun;
         });
-    m_orders->markTasksLost(worker, RunsOver::NewLife);
+    m_orders->markTasksLost(worker, LifeEnd{RunsOver::NewLife, begun});
     FleetTable::beginLife(worker, answer.incarnation, mayHoldLongLease ? settings.maxWorkerLease : settings.workerLease,
                           now);
 }
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -38,7 +38,7 @@
     bool needsObservation(const Worker &worker) const;
     void observe(Worker *worker);
     void onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer);
-    void onNoAnswer(Worker *worker, OrderOutcome outcome);
+    void onNoAnswer(Worker *worker, const Observation &answer);
     /// @p leased: the observation carried a lease.
     void adopt(Worker *worker, const Observation &answer, bool leased);
     /// Gives up what the former incarnation of @p worker held, and begins with what is known of the one that answered.
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -144,7 +144,7 @@
         ++worker->life.unansweredCalls;
         blockStarts(worker, context.settings.orderRetryDelay);
     } else {
-        onRefused(task, worker, result.outcome);
+        onRefused(task, worker, result);
     }
     wakeObservation(worker);
 }
@@ -184,14 +184,14 @@
             .with("wait_ms", wait));
 }
 
-void OrderSystem::onRefused(Task *task, Worker *worker, OrderOutcome outcome)
+void OrderSystem::onRefused(Task *task, Worker *worker, const OrderResult &result)
 {
     Context &context = *m_context;
     const TimePoint now = context.now();
     ++startsRefused;
     FleetTable::release(task);
     context.jobs.setIdle(task);
-    switch (outcome) {
+    switch (result.outcome) {
     case OrderOutcome::InsufficientCapacity:
         waitForRoom(worker);
         break;
@@ -209,7 +209,7 @@
         blockStarts(worker, unhealthyBackoff);
         break;
     case OrderOutcome::OtherIncarnation:
-        markTasksLost(worker, RunsOver::OtherLife);
+        markTasksLost(worker, LifeEnd{RunsOver::OtherLife, FleetTable::earliestBegin(result.workerClock, now)});
         FleetTable::setContact(worker, WorkerContact::Lost);
         break;
     default:
@@ -352,17 +352,17 @@
     }
 }
 
-void OrderSystem::markTasksLost(Worker *worker, RunsOver reason)
+void OrderSystem::markTasksLost(Worker *worker, const LifeEnd &end)
 {
     const TaskSet tasks = worker->tasks;
-    const std::vector<Job *> givenUp = workerEnded(worker, reason);
+    const std::vector<Job *> givenUp = workerEnded(worker, end);
     for (Task *task : tasks) {
         m_context->log->write(LogLine("run_lost")
                                   .with("job", task->step->occurrence->job->id)
                                   .with("task", toString(keyOf(*task)))
                                   .with("run", static_cast<std::int64_t>(task->run))
                                   .with("worker", worker->id)
-                                  .with("reason", runsOverName(reason)));
+                                  .with("reason", runsOverName(end.reason)));
         FleetTable::release(task);
         m_context->jobs.setIdle(task);
     }
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -29,13 +29,13 @@
     /// Sends the recorded pace of @p task again.
     void resendPace(Task *task);
     /// Makes all tasks on @p worker idle, because nothing runs there any more.
-    void markTasksLost(Worker *worker, RunsOver reason);
+    void markTasksLost(Worker *worker, const LifeEnd &end);
 
     /// Called when a worker should be observed at once.
     std::function<void(Worker *)> wakeObservation;
 
     /// Called before the runs on a worker are given up; returns jobs to be ended, because they crash workers.
-    std::function<std::vector<Job *>(Worker *, RunsOver)> workerEnded;
+    std::function<std::vector<Job *>(Worker *, const LifeEnd &)> workerEnded;
 
     StartWindow window;
     std::uint64_t startsSent = 0;
@@ -52,7 +52,7 @@
 
     Task *findCurrentTask(const RunRef &ref) const;
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
-    void onRefused(Task *task, Worker *worker, OrderOutcome outcome);
+    void onRefused(Task *task, Worker *worker, const OrderResult &result);
     /// Sends no starts to @p worker for at least @p backoff.
     /// Sends @p worker no starts for a while, because it refused one for lack of room; longer with each refusal.
     void waitForRoom(Worker *worker) const;
--- a/src/libworkflow/workerlife_test.cpp
+++ b/src/libworkflow/workerlife_test.cpp
@@ -26,6 +26,15 @@
     return world;
 }
 
+std::size_t countAll(WorkflowWorld *world, const std::string &event)
+{
+    std::size_t n = 0;
+    for (int i = 0; i < nodes; ++i) {
+        n += world->log(i).count(event);
+    }
+    return n;
+}
+
 /// Restarts @p count workers that run nothing.
 void restartIdle(WorkflowWorld *world, int count, bool isAnnounced)
 {
@@ -57,6 +66,23 @@
 
 } // namespace
 
+// Guards against a job given up without a run: its starts went to incarnations that had ended before, and the missing
+// answers were taken for crashes under the task.
+TEST_CASE("workers that restarted while idle do not count as crashed by the tasks sent to them")
+{
+    for (const bool isAnnounced : {true, false}) {
+        INFO("announced " << isAnnounced);
+        const std::unique_ptr<WorkflowWorld> world = worldOfLongRuns(22);
+        world->workers.connectionsOutliveCrashes = true;
+        restartIdle(world.get(), 22, isAnnounced);
+        world->run(std::chrono::seconds(isAnnounced ? 10 : 0));
+        world->submit(0, jobA, workflowOf({simpleStep(1)}));
+        CHECK(reachesState(*world, 0, jobA, "complete", restartLimit));
+        CHECK(countAll(world.get(), "run_crashed") == 0);
+        CHECK(world->workers.tasksRunTwice().empty());
+    }
+}
+
 // Guards against a task that waits as long as its lost worker had been up before a restart: the lease was computed on
 // the clock of the former incarnation.
 TEST_CASE("the lease of a worker that restarted while idle does not end on the clock of its former incarnation")
