Take a run for missing only if the list of ends is complete

Cause: a worker lists at most 500 ends that are not acknowledged, and none is acknowledged while none can be made durable. Each answer then repeats the first 500, and a run that was neither among them nor active counted as missing. After a takeover the same answers cleared the earlier runs of a worker and made it count as adopted with all that it had.

Observation::endsComplete says whether a list is complete. After a takeover a recorded worker is waited for until it has listed all (WorkerLife::hasListedAll), and earlier runs are dropped one by one as they are shown to be over. A run whose end isn't listed yet doesn't count as crashed with its worker. worker_ends_cut logs when a list is cut.

Ruled out: the record of workers (no takeover in the case), lost answers (none in its record).

The stand-in's workers list at most 500 ends as well.

--- a/src/include/fescueledge/workflow/workergateway.h
+++ b/src/include/fescueledge/workflow/workergateway.h
@@ -121,7 +121,8 @@
     std::int64_t incarnation = 0;
     std::uint64_t acknowledged = 0; ///< ObserveOrder::acknowledged, or 0 if the worker was not told of it.
     std::vector<ActiveRun> active;
-    std::vector<EndedRun> ended;
+    std::vector<EndedRun> ended; ///< The first ones by number that are not acknowledged.
+    bool endsComplete = true; ///< These are all; a worker lists only so many at a time.
 };
 
 /// Sends orders to workers. Handlers run on the caller's loop, exactly once.
--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -113,7 +113,7 @@
     std::set<JobId> jobs;
     std::vector<Task *> suspects;
     for (Task *task : worker->tasks) {
-        const bool mayBeCause = !task->lasted && task->orderedAt < end.nextBegan;
+        const bool mayBeCause = !task->lasted && !task->hasUnlistedEnd && task->orderedAt < end.nextBegan;
         if (mayBeCause && !task->step->occurrence->job->ended()) {
             suspects.push_back(task);
             jobs.insert(task->step->occurrence->job->id);
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -77,6 +77,8 @@
     bool seenOnWorker = false; ///< The worker has reported the run, so its start order is no longer pending.
     TimePoint atWorkSince{}; ///< When the worker first reported the run at work; the epoch before.
     bool lasted = false; ///< The run was at work for long enough not to be the cause if the worker crashes.
+    /// The worker no longer lists the run at work, and has not listed its end yet.
+    bool hasUnlistedEnd = false;
     bool stopConfirmed = false; ///< The worker has confirmed the stop order, so it refuses a late start of the run.
     int percentAtWork = 0; ///< ActiveRun::percentAtWork, as reported by the worker.
     TimePoint progressAt{}; ///< When the percentage last changed.
@@ -217,6 +219,8 @@
     TimePoint clockAt{}; ///< When the answer with that clock was received.
     WorkerTime latestLeaseUntil{0}; ///< Latest lease end in any order, on the worker's clock.
     TimePoint leaseExpiresAt{}; ///< When that lease has certainly expired.
+    bool hasListedAll = false; ///< It has answered with complete lists of its runs.
+    bool endsCut = false; ///< Its last answer had not all its ends.
     std::uint64_t endsApplied = 0; ///< Number of the last run end that was applied to the tables.
     std::uint64_t endsDurable = 0; ///< Number of the last run end that is durable.
     std::uint64_t endsAcknowledged = 0; ///< Number of the last run end that was acknowledged to the worker.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -217,6 +217,13 @@
 
 void FleetTable::addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step)
 {
+    const bool isKnown =
+        std::any_of(worker->earlierRuns.begin(), worker->earlierRuns.end(), [&](const EarlierRun &known) {
+            return known.run == run && known.task == task;
+        });
+    if (isKnown) {
+        return;
+    }
     EarlierRun earlier;
     earlier.task = task;
     earlier.run = run;
@@ -228,17 +235,30 @@
     ++m_awaited[task];
 }
 
-void FleetTable::clearEarlierRuns(Worker *worker)
+bool FleetTable::dropEarlierRuns(Worker *worker, const std::function<bool(const EarlierRun &)> &isOver)
 {
-    for (const EarlierRun &earlier : worker->earlierRuns) {
-        worker->used -= earlier.reserved;
-        addTo(&m_awaited, earlier.task, -1);
+    std::vector<EarlierRun> &runs = worker->earlierRuns;
+    const auto over = std::stable_partition(runs.begin(), runs.end(), [&isOver](const EarlierRun &run) {
+        return !isOver(run);
+    });
+    if (over == runs.end()) {
+        return false;
     }
-    if (!worker->earlierRuns.empty()) {
-        markRecordChanged(worker);
-        worker->candidates->update(worker);
+    for (auto it = over; it != runs.end(); ++it) {
+        worker->used -= it->reserved;
+        addTo(&m_awaited, it->task, -1);
     }
-    worker->earlierRuns.clear();
+    markRecordChanged(worker);
+    worker->candidates->update(worker);
+    runs.erase(over, runs.end());
+    return true;
+}
+
+void FleetTable::clearEarlierRuns(Worker *worker)
+{
+    dropEarlierRuns(worker, [](const EarlierRun &) {
+        return true;
+    });
 }
 
 bool FleetTable::hasRoom(const Worker &worker, const StepSpec &step)
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -5,6 +5,7 @@
 #include "recordpart_pvt.h"
 
 #include <array>
+#include <functional>
 
 namespace fescueledge::workflow {
 
@@ -50,7 +51,9 @@
     /// Records that @p run, which is not the current run of its task, is on @p worker. While it is, isAwaited() holds
     /// for the task. @p step is the task's step, or nullptr if that is not known.
     void addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step);
-    /// Forgets the earlier runs on @p worker: they are over.
+    /// Forgets the earlier runs on @p worker for which @p isOver holds; false if there are none.
+    bool dropEarlierRuns(Worker *worker, const std::function<bool(const EarlierRun &)> &isOver);
+    /// Forgets all earlier runs on @p worker: they are over.
     void clearEarlierRuns(Worker *worker);
     /// Whether an earlier run of @p task may still be on some worker.
     bool isAwaited(const TaskKey &task) const
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -2,6 +2,7 @@
 
 #include "crashledger_pvt.h"
 #include "ordersystem_pvt.h"
+#include "runevidence_pvt.h"
 
 #include <algorithm>
 #include <set>
@@ -33,7 +34,7 @@
 
 bool ObservationSystem::needsObservation(const Worker &worker) const
 {
-    if (worker.contact == WorkerContact::Unadopted) {
+    if (mayHoldUnknownRuns(worker)) {
         return true;
     }
     return worker.life.isDoubted || !worker.tasks.empty() || !worker.earlierRuns.empty()
@@ -61,10 +62,8 @@
 {
     const TimePoint now = m_context->now();
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        const bool mayHoldRuns =
-            worker->contact == WorkerContact::Unadopted || !worker->tasks.empty() || !worker->earlierRuns.empty();
-        if (mayHoldRuns && worker->contact != WorkerContact::Lost && now > worker->life.leaseExpiresAt
-            && worker->contact != WorkerContact::Adopted) {
+        const bool mayHoldRuns = mayHoldUnknownRuns(*worker) || !worker->tasks.empty() || !worker->earlierRuns.empty();
+        if (mayHoldRuns && isLeaseOver(*worker, now)) {
             m_orders->markTasksLost(worker.get(), LifeEnd{RunsOver::LeaseOver});
             FleetTable::setContact(worker.get(), WorkerContact::Lost);
             m_context->wakeDispatch();
@@ -83,7 +82,7 @@
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     const auto it = std::find_if(workers.begin(), workers.end(), [](const auto &entry) {
         const Worker &worker = *entry.second;
-        return worker.recordedInEarlierTerm && worker.contact == WorkerContact::Unadopted && !worker.recordNamesRuns;
+        return worker.recordedInEarlierTerm && mayHoldUnknownRuns(worker) && !worker.recordNamesRuns;
     });
     return it == workers.end() ? nullptr : it->second.get();
 }
@@ -157,8 +156,10 @@
     }
     worker->lastAnswerAt = context.now();
     worker->life.endsAcknowledged = std::max(worker->life.endsAcknowledged, answer.acknowledged);
-    if (!worker->earlierRuns.empty()) {
-        context.fleet.clearEarlierRuns(worker); // Those that are not over are listed again.
+    noteListedEnds(worker, answer);
+    if (context.fleet.dropEarlierRuns(worker, [&answer](const EarlierRun &earlier) {
+            return showsOver(answer, earlier.task, earlier.run);
+        })) {
         context.wakeDispatch();
     }
     for (const ActiveRun &run : answer.active) {
@@ -181,6 +182,25 @@
     observe(worker);
 }
 
+void ObservationSystem::noteListedEnds(Worker *worker, const Observation &answer)
+{
+    WorkerLife &life = worker->life;
+    if (answer.endsComplete && !life.hasListedAll) {
+        life.hasListedAll = true;
+        m_context->wakeDispatch();
+    }
+    if (life.endsCut == !answer.endsComplete) {
+        return;
+    }
+    life.endsCut = !answer.endsComplete;
+    m_context->log->write(LogLine("worker_ends_cut")
+                              .with("worker", worker->id)
+                              .with("cut", life.endsCut ? 1 : 0)
+                              .with("ended", static_cast<std::int64_t>(answer.ended.size()))
+                              .with("active", static_cast<std::int64_t>(answer.active.size()))
+                              .with("runs", static_cast<std::int64_t>(worker->tasks.size())));
+}
+
 void ObservationSystem::onNoAnswer(Worker *worker, const Observation &answer)
 {
     const OrderOutcome outcome = answer.outcome;
@@ -262,6 +282,7 @@
         adoptRun(worker, task, run.run);
     }
     task->seenOnWorker = true;
+    task->hasUnlistedEnd = false;
     if (task->phase == TaskPhase::Starting || task->phase == TaskPhase::Uncertain) {
         m_orders->markRunning(task);
     }
@@ -421,16 +442,14 @@
 void ObservationSystem::releaseMissingRuns(Worker *worker, TimePoint sentAt, const Observation &answer)
 {
     Context &context = *m_context;
-    const auto isActive = [&answer](const Task &task) {
-        const TaskKey key = keyOf(task);
-        return std::any_of(answer.active.begin(), answer.active.end(), [&](const ActiveRun &run) {
-            return run.run == task.run && run.task == key;
-        });
-    };
     const TaskSet tasks = worker->tasks;
     for (Task *task : tasks) {
-        // Only an observation that was sent after the last order can show that a run is missing.
-        if (task->phase == TaskPhase::Starting || sentAt <= task->phaseSince || isActive(*task)) {
+        const TaskKey key = keyOf(*task);
+        if (!canTellOf(*task, sentAt) || listsActive(answer, key, task->run)) {
+            continue;
+        }
+        if (!showsOver(answer, key, task->run)) {
+            task->hasUnlistedEnd = task->seenOnWorker;
             continue;
         }
         if (task->phase == TaskPhase::Uncertain) {
@@ -442,7 +461,7 @@
         }
         context.log->write(LogLine("run_missing")
                                .with("job", task->step->occurrence->job->id)
-                               .with("task", toString(keyOf(*task)))
+                               .with("task", toString(key))
                                .with("run", static_cast<std::int64_t>(task->run))
                                .with("worker", worker->id));
         FleetTable::release(task);
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -38,6 +38,8 @@
     bool needsObservation(const Worker &worker) const;
     void observe(Worker *worker);
     void onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer);
+    /// Takes note of whether @p answer has all ends of runs on @p worker.
+    void noteListedEnds(Worker *worker, const Observation &answer);
     void onNoAnswer(Worker *worker, const Observation &answer);
     /// @p leased: the observation carried a lease.
     void adopt(Worker *worker, const Observation &answer, bool leased);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -53,6 +53,7 @@
     task->progressAt = now;
     task->seenOnWorker = false;
     task->stopConfirmed = false;
+    task->hasUnlistedEnd = false;
     task->atWorkSince = TimePoint{};
     task->lasted = false;
     StartOrder order;
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -333,7 +333,9 @@
     result.acknowledged = order.incarnation == worker.entry.incarnation ? order.acknowledged : 0;
     acknowledge(&worker, result.acknowledged);
     result.outcome = OrderOutcome::Done;
-    result.ended = worker.ends;
+    const std::size_t n = std::min(worker.ends.size(), maxListedEnds);
+    result.ended.assign(worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(n));
+    result.endsComplete = n < maxListedEnds;
     for (const auto &[name, index] : worker.active) {
         const RunRecord &record = m_runs[index];
         ActiveRun run;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -109,6 +109,7 @@
     /// Whether the first order of each node to a new incarnation goes out on the connection to the former one, and gets
     /// no answer.
     bool connectionsOutliveCrashes = false;
+    std::size_t maxListedEnds = 500; ///< A worker lists at most this many ends at a time.
     Milliseconds maxLease{10000}; ///< A longer lease is shortened to this.
     /// Called when the list of workers has changed.
     std::vector<std::function<void(const FleetUpdate &)>> listeners;
