Take the end of one member of a gang for the end of all

Cause: an end done was applied to the one task that it names. The other member stayed to be done, and became idle with its worker; as a gang is started when all tasks that are left are idle, it was started as a gang of one.

An end done now ends all tasks of the step (ObservationSystem::finishDone). What other workers still hold of it is observed until they list its end, holds its capacity until then, and is stopped where it is a later run. The progress of a gang is stored as done as a whole, and read so if an earlier version stored a part. Ends that the other workers list later, as lapsed, alone or done, are acknowledged and change nothing.

--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -85,13 +85,13 @@
 
 void applyStepProgress(Step *step, const json &progress)
 {
-    const bool all = progress.value("all", false);
     std::set<std::uint32_t> done;
     if (progress.contains("done")) {
         for (const json &index : progress.at("done")) {
             done.insert(index.get<std::uint32_t>());
         }
     }
+    const bool all = progress.value("all", false) || (step->spec->gang && !done.empty()); // A gang is one run.
     for (Task &task : step->tasks) {
         if (all || done.count(task.index) > 0) {
             task.phase = TaskPhase::Done;
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -384,7 +384,7 @@
     Job *job = task->step->occurrence->job;
     FleetTable::release(task);
     if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
-        context.jobs.setDone(task, now, context.wallClock());
+        finishDone(task, end.run);
     } else {
         context.jobs.setIdle(task);
         if (end.how == RunEnd::Failed) {
@@ -402,12 +402,7 @@
     Context &context = *m_context;
     Job *job = task->step->occurrence->job;
     if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
-        const TaskKey key = keyOf(*task);
-        Worker *other = task->worker;
-        const RunNumber run = task->run;
-        FleetTable::release(task);
-        context.jobs.setDone(task, context.now(), context.wallClock());
-        m_orders->stopUnknownRun(other, key, run);
+        finishDone(task, end.run);
     } else if (end.how == RunEnd::Failed) {
         context.jobs.countFailure(task, end.run, context.now());
     }
@@ -416,6 +411,35 @@
     }
 }
 
+void ObservationSystem::finishDone(Task *task, RunNumber run)
+{
+    if (!task->step->spec->gang) {
+        setDone(task, run);
+        return;
+    }
+    for (Task &member : task->step->tasks) { // A gang is one run, so this is the end of all of it.
+        setDone(&member, run);
+    }
+}
+
+void ObservationSystem::setDone(Task *task, RunNumber run)
+{
+    if (task->phase == TaskPhase::Done) {
+        return;
+    }
+    Worker *worker = task->worker;
+    FleetTable::release(task);
+    m_context->jobs.setDone(task, m_context->now(), m_context->wallClock());
+    if (worker == nullptr || worker->contact == WorkerContact::Lost) {
+        return;
+    }
+    if (task->run != run) {
+        awaitEnd(worker, keyOf(*task), task->run, task);
+    } else { // Its end is still to be listed.
+        m_context->fleet.addEarlierRun(worker, keyOf(*task), task->run, task->step->spec);
+    }
+}
+
 void ObservationSystem::updateQuarantine(Worker *worker, const Task &task, RunEnd how)
 {
     if (how == RunEnd::Done) {
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -56,6 +56,11 @@
     void applyRunEnd(Worker *worker, const EndedRun &end);
     void finishRun(Task *task, const EndedRun &end);
     void finishEarlierRun(Task *task, const EndedRun &end);
+    /// Records that @p task is done by its run @p run, and with it all of its gang.
+    void finishDone(Task *task, RunNumber run);
+    /// Records that @p task is done by run @p run. What may still be on a worker is observed until it is over, and
+    /// stopped if it is a later run.
+    void setDone(Task *task, RunNumber run);
     void updateQuarantine(Worker *worker, const Task &task, RunEnd how);
     void releaseMissingRuns(Worker *worker, TimePoint sentAt, const Observation &answer);
 
