Replace a connection between nodes that has gone silent for good

Cause: WebsocketTransport opened another link only after the old one had closed or failed.

A call without a reply now makes the link ping the other end, whose network thread answers also while its loop is busy. Without a pong within 500 ms the connection is closed, and the next call opens another one. A link whose call was only answered late is kept, so calls under way on it are not lost. Handlers of a closed link no longer erase its successor.

websockettransport_test fails before at the first call after the silence, and passes now. SilencingProxy is a proxy for such tests.

--- a/src/libpeer/websockettransport.cpp
+++ b/src/libpeer/websockettransport.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t maxMessageBytes = 32U << 20U;
 constexpr std::size_t maxQueuedFrames = 4096;
 constexpr int openTimeoutMs = 1000;
+/// The other end's network thread answers a ping within a few milliseconds, also while its loop is busy.
+constexpr int pongTimeoutMs = 500;
 
 /// Splits `ip:port`.
 std::pair<std::string, std::string> splitAddress(const std::string &address)
@@ -105,12 +107,22 @@
 
     void call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler)
     {
-        const std::uint64_t id = m_calls->add(timeout, std::move(handler), m_loop, m_calls);
         if (to == m_self) {
-            callSelf(id, message);
+            callSelf(m_calls->add(timeout, std::move(handler), m_loop, m_calls), message);
             return;
         }
         const std::string address = m_lookup ? m_lookup(to) : std::string();
+        const std::weak_ptr<Impl> weak = weak_from_this();
+        const auto onResult = [weak, address, handler = std::move(handler)](const PeerResult &result) {
+            const std::shared_ptr<Impl> transport = weak.lock();
+            if (transport && !result.answered && !address.empty()) {
+                asio::post(transport->m_io, [transport, address] {
+                    transport->probe(address);
+                });
+            }
+            handler(result);
+        };
+        const std::uint64_t id = m_calls->add(timeout, onResult, m_loop, m_calls);
         if (address.empty()) {
             return;
         }
@@ -142,6 +154,7 @@
     {
         WsClient::connection_ptr connection;
         bool open = false;
+        bool isProbed = false; ///< A ping has been sent and not yet answered.
         std::vector<std::string> queued;
     };
 
@@ -192,11 +205,20 @@
         connection->set_open_handler([this, address](const Handle &) {
             onOpen(address);
         });
-        connection->set_fail_handler([this, address](const Handle &) {
-            m_links.erase(address);
+        connection->set_fail_handler([this, address](const Handle &handle) {
+            eraseLink(address, handle);
         });
-        connection->set_close_handler([this, address](const Handle &) {
-            m_links.erase(address);
+        connection->set_close_handler([this, address](const Handle &handle) {
+            eraseLink(address, handle);
+        });
+        connection->set_pong_timeout(pongTimeoutMs);
+        connection->set_pong_handler([this, address](const Handle &handle, const std::string &) {
+            if (Link *link = findLink(address, handle)) {
+                link->isProbed = false;
+            }
+        });
+        connection->set_pong_timeout_handler([this, address](const Handle &handle, const std::string &) {
+            onSilent(address, handle);
         });
         connection->set_message_handler([this](const Handle &, const WsClient::message_ptr &message) {
             onReply(message->get_payload());
@@ -204,6 +226,50 @@
         m_client.connect(connection);
     }
 
+    /// The link to @p address if @p handle is its connection; nullptr if another one has replaced that.
+    Link *findLink(const std::string &address, const Handle &handle)
+    {
+        const auto it = m_links.find(address);
+        const bool isCurrent =
+            it != m_links.end() && it->second.connection && it->second.connection == m_client.get_con_from_hdl(handle);
+        return isCurrent ? &it->second : nullptr;
+    }
+
+    void eraseLink(const std::string &address, const Handle &handle)
+    {
+        if (findLink(address, handle) != nullptr) {
+            m_links.erase(address);
+        }
+    }
+
+    /// Pings the other end of a link on which a call was not answered: the connection may have gone silent for good.
+    void probe(const std::string &address)
+    {
+        const auto it = m_links.find(address);
+        if (it == m_links.end() || !it->second.open || it->second.isProbed) {
+            return;
+        }
+        it->second.isProbed = true;
+        websocketpp::lib::error_code ec;
+        it->second.connection->ping(std::string(), ec);
+        if (ec) {
+            LOG(WARNING) << "peer_ping_failed address=" << address << " detail=" << ec.message();
+        }
+    }
+
+    /// Gives up a connection that does not answer a ping. The next call opens another one.
+    void onSilent(const std::string &address, const Handle &handle)
+    {
+        const Link *link = findLink(address, handle);
+        if (link == nullptr) {
+            return;
+        }
+        LOG(WARNING) << "peer_link_silent address=" << address << " outcome=closed";
+        const WsClient::connection_ptr connection = link->connection;
+        m_links.erase(address);
+        connection->terminate(websocketpp::lib::error_code());
+    }
+
     void onOpen(const std::string &address)
     {
         const auto it = m_links.find(address);
--- a/src/libpeer/websockettransport_test.cpp
+++ b/src/libpeer/websockettransport_test.cpp
@@ -2,9 +2,11 @@
 
 #include "fescueledge/error.h"
 #include "fescueledge/eventloop.h"
+#include "fescueledge/testing/silencingproxy.h"
 
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 using namespace fescueledge;
 
@@ -48,6 +50,8 @@
 
 constexpr Milliseconds longTimeout{5000};
 constexpr Milliseconds shortTimeout{300};
+/// A link that is silent is given up this soon after a call on it had no reply.
+constexpr Milliseconds replaceLimit{1000};
 
 } // namespace
 
@@ -100,3 +104,39 @@
         CHECK(error.kind() == ErrorKind::InvalidSettings);
     }
 }
+
+// Guards against two nodes that never hear of each other again, because a connection between them went silent without
+// being closed, and all later calls went out on it.
+TEST_CASE("a connection that goes silent for good is replaced after a call on it had no reply")
+{
+    EchoNode a("a", 22609, "secret");
+    EchoNode b("b", 22610, "secret");
+    SilencingProxy proxy(22611, 22610);
+    a.connectTo(proxy.address());
+    for (int round = 0; round < 3; ++round) {
+        REQUIRE(a.call("b", round, longTimeout).answered);
+        REQUIRE(proxy.silence() == 1);
+        CHECK_FALSE(a.call("b", round, shortTimeout).answered);
+        std::this_thread::sleep_for(replaceLimit);
+        CHECK(a.call("b", round, shortTimeout).answered);
+    }
+}
+
+// Guards against a healthy connection that is replaced, with the calls that are under way on it, because one call was
+// answered late.
+TEST_CASE("a connection over which a call is answered late is kept")
+{
+    EchoNode a("a", 22612, "secret");
+    EchoNode b("b", 22613, "secret");
+    SilencingProxy proxy(22614, 22613);
+    a.connectTo(proxy.address());
+    b.transport.setReceiver("echo",
+                            [](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+                                std::this_thread::sleep_for(2 * shortTimeout);
+                                respond(message);
+                            });
+    CHECK_FALSE(a.call("b", 1, shortTimeout).answered);
+    std::this_thread::sleep_for(replaceLimit);
+    CHECK(a.call("b", 2, longTimeout).answered);
+    CHECK(proxy.accepted() == 1);
+}
