Close idle HTTP connections to an address together when a call on one gets no answer

When all connections to a worker or to the store went silent at once, each of the up to eight idle ones cost one call its whole timeout, one after the other: a second each for the store, and the calls of a term's begin are sequential.

A call without an answer now closes all idle connections to its address that have answered nothing since it was sent. asynchttp_test: the second call after the silence of five connections failed before, and is answered now. AsyncHttpClient::forget() had no user and goes.

--- a/src/include/fescueledge/asynchttpclient.h
+++ b/src/include/fescueledge/asynchttpclient.h
@@ -25,10 +25,9 @@
     AsyncHttpClient &operator=(const AsyncHttpClient &) = delete;
 
     /// Sends @p call to @p address (`ip:port`). The handler runs on the loop, exactly once. A call to anything else, or
-    /// with control characters in its target or headers, is NotSent.
+    /// with control characters in its target or headers, is NotSent. If a call gets no answer, the idle connections to
+    /// its address are closed as well, but for those that have answered since.
     void call(const std::string &address, HttpCall call, Handler handler);
-    /// Closes the idle connections to @p address.
-    void forget(const std::string &address);
 
 private:
     class Impl;
--- a/src/libhttp/asynchttp_test.cpp
+++ b/src/libhttp/asynchttp_test.cpp
@@ -2,8 +2,10 @@
 #include "fescueledge/asioloop.h"
 #include "fescueledge/asynchttpclient.h"
 #include "fescueledge/asynchttpserver.h"
+#include "fescueledge/testing/silencingproxy.h"
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -197,3 +199,50 @@
         CHECK(got.count() == expected.count());
     }
 }
+
+// Guards against calls that each wait for a timeout, one after the other, because all idle connections to a server went
+// silent together.
+TEST_CASE("after a call on a silent connection the next one uses none of the connections that were idle with it")
+{
+    constexpr int connections = 5;
+    constexpr Milliseconds timeout{500};
+    AsioLoop loop;
+    AsyncHttpServer server(&loop, "127.0.0.1:19572",
+                           [](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+                               respond(replyOf("ok"));
+                           });
+    SilencingProxy proxy(19573, 19572);
+    AsyncHttpClient client(&loop, timeout);
+    std::thread thread([&loop] {
+        loop.run();
+    });
+    /// The number of answered calls of @p calls that are made at the same time.
+    const auto callTogether = [&](int calls) {
+        std::promise<int> done;
+        int answered = 0;
+        int left = calls;
+        loop.post([&] {
+            for (int i = 0; i < calls; ++i) {
+                HttpCall call;
+                call.method = "GET";
+                call.target = "/";
+                call.timeout = timeout;
+                client.call(proxy.address(), std::move(call), [&](const HttpAnswer &answer) {
+                    answered += answer.callOutcome == HttpCallOutcome::Answered ? 1 : 0;
+                    if (--left == 0) {
+                        done.set_value(answered);
+                    }
+                });
+            }
+        });
+        return done.get_future().get();
+    };
+    CHECK(callTogether(connections) == connections);
+    CHECK(proxy.silence() == connections);
+    CHECK(callTogether(1) == 0);
+    CHECK(callTogether(1) == 1);
+    loop.post([&loop] {
+        loop.stop();
+    });
+    thread.join();
+}
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -65,11 +65,6 @@
 
     void call(const std::string &address, HttpCall call, Handler handler);
 
-    void forget(const std::string &address)
-    {
-        m_idle.erase(address);
-    }
-
 private:
     /// A connection and the call in progress on it.
     struct Connection
@@ -87,6 +82,8 @@
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
         TimePoint deadline;
+        TimePoint sentAt; ///< When the call in progress was sent.
+        TimePoint answeredAt; ///< When the last answer came.
         Handler handler;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
@@ -98,6 +95,8 @@
     void send(const ConnectionPtr &connection);
     void receive(const ConnectionPtr &connection);
     void finish(const ConnectionPtr &connection);
+    /// Closes the idle connections that have answered nothing since @p silent got its call: they may be silent as well.
+    void closeIdle(const Connection &silent);
     static void fail(const ConnectionPtr &connection, HttpCallOutcome callOutcome)
     {
         Handler handler;
@@ -148,7 +147,8 @@
         connection = std::make_shared<Connection>(m_loop->context(), address);
         connection->id = ++m_lastConnection;
     }
-    connection->deadline = m_loop->now() + call.timeout;
+    connection->sentAt = m_loop->now();
+    connection->deadline = connection->sentAt + call.timeout;
     connection->handler = std::move(handler);
     connection->request = {};
     connection->request.version(httpVersion);
@@ -200,6 +200,7 @@
     http::async_write(connection->stream, connection->request,
                       [self, connection](const beast::error_code &ec, std::size_t) {
                           if (ec) {
+                              self->closeIdle(*connection);
                               fail(connection, HttpCallOutcome::NoAnswer);
                               return;
                           }
@@ -215,6 +216,7 @@
     readMessage(&connection->stream, &connection->buffer, connection->parser.get(),
                 [self, connection](const beast::error_code &ec) {
                     if (ec) {
+                        self->closeIdle(*connection);
                         fail(connection, HttpCallOutcome::NoAnswer);
                         return;
                     }
@@ -222,8 +224,18 @@
                 });
 }
 
+void AsyncHttpClient::Impl::closeIdle(const Connection &silent)
+{
+    std::vector<ConnectionPtr> &idle = m_idle[silent.address];
+    const auto suspect = std::remove_if(idle.begin(), idle.end(), [&silent](const ConnectionPtr &connection) {
+        return connection->answeredAt <= silent.sentAt;
+    });
+    idle.erase(suspect, idle.end());
+}
+
 void AsyncHttpClient::Impl::finish(const ConnectionPtr &connection)
 {
+    connection->answeredAt = m_loop->now();
     HttpAnswer answer;
     answer.callOutcome = HttpCallOutcome::Answered;
     answer.status = connection->parser->get().result_int();
@@ -253,9 +265,4 @@
     m_impl->call(address, std::move(call), std::move(handler));
 }
 
-void AsyncHttpClient::forget(const std::string &address)
-{
-    m_impl->forget(address);
-}
-
 } // namespace fescueledge
