--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -100,6 +100,7 @@
 void SimWorkers::list(const WorkerId &id)
 {
     m_unlisted.erase(id);
+    m_staleEntries.erase(id);
     announce(m_workers.at(id).entry);
 }
 
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -67,7 +67,7 @@
     /// Restarts a crashed worker as a new incarnation. Its entry in the list changes only if @p isAnnounced.
     void restart(const WorkerId &id, bool isAnnounced = true);
     void unlist(const WorkerId &id);
-    /// Lists a worker again.
+    /// Lists a worker again, as it is now.
     void list(const WorkerId &id);
     void setDraining(const WorkerId &id);
     /// Changes the capacity of a running worker; its runs go on.
