Acknowledge run ends as soon as the progress of their own jobs is durable

One job whose progress can't be written (longer than a row), or is still to be written, kept the ends of all runs from being acknowledged. With lists of 500 ends at most such workers fill up, and since a cut list proves nothing missing, they take no more work.

Cause: ProgressWriter::collectEnds() waited until no job at all was dirty. Now the first end of a worker whose job isn't written holds up the later ones of that worker only. Ends of tasks that are done by another run, as a gang's, wait for their job as well.

longends_test: a job of 400 failing tasks in rows of 2,000 bytes held up the ends on two other workers before, and doesn't now.

--- a/src/libworkflow/longends_test.cpp
+++ b/src/libworkflow/longends_test.cpp
@@ -107,3 +107,41 @@
     CHECK(reachesState(*world, 0, jobA, "complete", std::chrono::seconds(10)));
     CHECK(world->workers.tasksRunTwice().empty());
 }
+
+// Guards against workers that fill up with ends nobody acknowledges, because the progress of one job on other workers
+// can't be written.
+TEST_CASE("a job whose progress is too long for a row holds up only the ends of its own workers")
+{
+    constexpr std::uint32_t longJobTasks = 400;
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 4, longJobTasks);
+    world->settings.tableLimits.rowBytes = 2000;
+    Catalog catalog = world->catalog;
+    catalog.queues.front().maxAttempts = 1000;
+    world->setCatalog(catalog);
+    for (int i = 0; i < nodes; ++i) {
+        world->kill(i);
+        world->startNode(i);
+    }
+    world->run(std::chrono::seconds(8));
+    REQUIRE(world->coordinator() >= 0);
+    const auto stepOn = [](std::uint32_t count, const std::string &rack) {
+        StepSpec step = simpleStep(count);
+        step.perTask.memoryMb = 0;
+        step.requiredLabel = rack;
+        return step;
+    };
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(100), key.job == jobA); // Each run of jobA fails.
+    };
+    REQUIRE(world->submit(0, jobA, workflowOf({stepOn(longJobTasks, "r0")})) == CallerOutcome::Ok);
+    REQUIRE(world->runUntil(
+        [&world] {
+            return world->log(world->coordinator()).count("row_too_long") > 0;
+        },
+        std::chrono::seconds(20)));
+    REQUIRE(world->submit(0, jobB, workflowOf({stepOn(20, "r1")})) == CallerOutcome::Ok);
+    world->run(Milliseconds(1000));
+    CHECK(world->workers.runsOf(jobB).size() == 20);
+    CHECK(world->workers.find("w2")->ends.empty());
+    CHECK(world->workers.find("w3")->ends.empty());
+}
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -352,6 +352,9 @@
                            .with("run", static_cast<std::int64_t>(end.run))
                            .with("worker", worker->id)
                            .with("how", runEndName(end.how)));
+    if (context.jobs.find(end.task.job) != nullptr) {
+        FleetTable::addPendingEnd(worker, end); // Also if its task is done by another run that is not durable yet.
+    }
     Task *task = context.jobs.findTask(end.task);
     if (task == nullptr || task->phase == TaskPhase::Done) {
         return;
@@ -361,7 +364,6 @@
         m_crashes->reportRunEnd(task);
     }
     updateQuarantine(worker, *task, end.how);
-    FleetTable::addPendingEnd(worker, end);
     task->run = std::max(task->run, end.run);
     if (!end.checkpoint.empty()) {
         task->checkpoint = end.checkpoint;
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -269,15 +269,24 @@
     }
 }
 
+bool ProgressWriter::isWritten(const JobId &id) const
+{
+    const Job *job = m_context->jobs.find(id);
+    return job == nullptr || (!job->dirty && m_unwritten.count(id) == 0);
+}
+
 void ProgressWriter::collectEnds(Batch *batch) const
 {
-    // The end of a run may be acknowledged only if the progress of its job is durable.
-    if (m_context->jobs.hasDirty() || !m_unwritten.empty()) {
-        return;
-    }
+    // The end of a run may be acknowledged only if the progress of its job is durable. Ends are acknowledged in their
+    // order, so one that may not holds up the later ones of its worker.
     for (const auto &[id, worker] : m_context->fleet.all()) {
-        if (worker->life.endsApplied > worker->life.endsDurable) {
-            batch->ends[id] = worker->life.endsApplied;
+        const WorkerLife &life = worker->life;
+        const auto held = std::find_if(life.pendingEnds.begin(), life.pendingEnds.end(), [this](const PendingEnd &end) {
+            return !isWritten(end.task.job);
+        });
+        const std::uint64_t last = held == life.pendingEnds.end() ? life.endsApplied : held->number - 1;
+        if (last > life.endsDurable) {
+            batch->ends[id] = last;
         }
     }
 }
--- a/src/libworkflow/progresswriter_pvt.h
+++ b/src/libworkflow/progresswriter_pvt.h
@@ -88,6 +88,8 @@
     static void forgetUnrecordedLeaseEnds(RecordPart *part);
     void fillProgress(TransactionBuilder *transaction, Batch *batch);
     TransactionBuilder::Added addProgress(const Job &job, TransactionBuilder *transaction) const;
+    /// Whether the progress of job @p id is durable, or is once the transaction is committed.
+    bool isWritten(const JobId &id) const;
     /// Takes note of the run ends that are durable once the transaction is committed.
     void collectEnds(Batch *batch) const;
     void fillRemovals(TransactionBuilder *transaction, Batch *batch);
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -373,7 +373,7 @@
         if (!owner->m_withholdCatalog) {
             catalogs.set(owner->catalog);
         }
-        node = std::make_unique<WorkflowNode>(parts, self, CoordinatorSettings{});
+        node = std::make_unique<WorkflowNode>(parts, self, owner->settings);
     }
 
     NodeId name;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -95,6 +95,7 @@
     FakeNetwork network;
     SimWorkers workers;
     Catalog catalog;
+    CoordinatorSettings settings; ///< Of processes that are started from now on.
 
 private:
     CallerAnswer ask(int index, const std::function<void(WorkflowNode *, WorkflowNode::AnswerHandler)> &question);
