Keep an isolated worker until an observation under way has been answered

A worker with runs is observed with a long wait, up to 0.8 s, and its isolation for a suspect ended after 300 ms; in a busy fleet suspects could go from one isolated worker to the next and never start.

The start now waits for the first answer after the isolation, whatever question it is to, and only an idle worker is asked. The isolation lasts 1.2 s for that.

--- a/src/libworkflow/crashingtask_test.cpp
+++ b/src/libworkflow/crashingtask_test.cpp
@@ -104,6 +104,24 @@
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
+// Guards against a suspect that never starts in a busy fleet: each worker is being observed with a long wait, so none
+// could show at once that it is up.
+TEST_CASE("a task that crashes its workers is given up as soon where all workers are busy")
+{
+    const std::unique_ptr<WorkflowWorld> world = crashWorld(8);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(key.job == jobB ? Milliseconds(600000) : Milliseconds(100), false);
+    };
+    StepSpec lasting = simpleStep(8);
+    lasting.longRunning = true;
+    lasting.maxPerWorker = 1;
+    world->submit(0, jobB, workflowOf({lasting}));
+    world->run(std::chrono::seconds(3));
+    world->submit(0, jobA, workflowOf({simpleStep(6)}));
+    CHECK(reachesState(*world, answeringNode(*world), jobA, "failed", std::chrono::seconds(12)));
+    CHECK(startsOfCrashing(*world) == 2);
+}
+
 // Guards against crashes that are forgotten with the coordinator that counted them.
 TEST_CASE("a task that crashes its workers is given up although the coordinator is lost at any moment")
 {
--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -23,8 +23,8 @@
 constexpr int mexcusedWorkers = 2;
 constexpr double outageShareOfPlace = 0.5;
 constexpr double outageShareOfFleet = 0.25;
-/// How long an isolated worker is kept free for the first start: until it has answered, and a little longer.
-constexpr Milliseconds firstStartWait{300};
+/// How long an isolated worker is kept free for the first start: longer than an observation of it waits.
+constexpr Milliseconds firstStartWait{1200};
 /// At most this share of the fleet is isolated at a time, but always minIsolated workers may be.
 constexpr std::size_t isolatedDivisor = 8;
 constexpr std::size_t minIsolated = 2;
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -219,22 +219,28 @@
 Worker *DispatchSystem::isolatedWorker(const Step &step)
 {
     const Job &job = *step.occurrence->job;
+    const TimePoint now = m_context->now();
     Worker *worker = m_crashes->isolatedFor(job);
-    if (worker != nullptr) {
-        return m_placement->takes(*worker, step) ? worker : nullptr;
-    }
-    const bool waitedTooLong = m_context->now() - step.waitingSince >= isolationWaitLimit;
-    if (!m_crashes->mayIsolate() && !waitedTooLong) {
-        return nullptr;
-    }
-    worker = m_placement->leastLossWorker(step, waitedTooLong);
     if (worker == nullptr) {
+        const bool waitedTooLong = now - step.waitingSince >= isolationWaitLimit;
+        if (!m_crashes->mayIsolate() && !waitedTooLong) {
+            return nullptr;
+        }
+        worker = m_placement->leastLossWorker(step, waitedTooLong);
+        if (worker == nullptr) {
+            return nullptr;
+        }
+        m_crashes->isolate(worker, job);
+    }
+    // A start without an answer counts against the task there, so the worker has to answer first. One that is being
+    // observed will do so soon.
+    if (worker->lastAnswerAt < worker->isolatedAt) {
+        if (!worker->observationPending) {
+            m_orders->doubtLife(worker, "isolated");
+        }
         return nullptr;
     }
-    m_crashes->isolate(worker, job);
-    // A start without an answer counts against the task there, so the worker has to show first that it is up.
-    m_orders->doubtLife(worker, "isolated");
-    return nullptr;
+    return m_placement->takes(*worker, step) ? worker : nullptr;
 }
 
 void DispatchSystem::startSuspects(Step *step, std::uint64_t limit)
