--- a/src/libworkflow/crashingtask_test.cpp
+++ b/src/libworkflow/crashingtask_test.cpp
@@ -66,15 +66,6 @@
     return complete;
 }
 
-std::size_t countAll(WorkflowWorld *world, const std::string &event)
-{
-    std::size_t n = 0;
-    for (int i = 0; i < nodes; ++i) {
-        n += world->log(i).count(event);
-    }
-    return n;
-}
-
 void crashRack(WorkflowWorld *world, const std::vector<WorkerId> &rack)
 {
     for (const WorkerId &id : rack) {
@@ -99,8 +90,8 @@
     CHECK(startsOfCrashing(*world) == 2);
     CHECK(world->state(answeringNode(*world), jobA) == "failed");
     CHECK(countComplete(world.get(), 10) == 10);
-    CHECK(countAll(world.get(), "job_given_up") == 1);
-    CHECK(countAll(world.get(), "run_crashed") >= 2);
+    CHECK(world->countInLogs("job_given_up") == 1);
+    CHECK(world->countInLogs("run_crashed") >= 2);
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
@@ -264,7 +255,7 @@
     }
     world->run(dayLength);
     CHECK(countComplete(world.get(), jobs) == jobs);
-    CHECK(countAll(world.get(), "job_given_up") == 0);
+    CHECK(world->countInLogs("job_given_up") == 0);
     CHECK(world->workers.tasksRunTwice().empty());
 }
 
@@ -293,7 +284,7 @@
         world->workers.find(id)->cutFrom.clear();
     }
     CHECK(reachesState(*world, answeringNode(*world), jobA, "complete", std::chrono::seconds(20)));
-    CHECK(countAll(world.get(), "job_given_up") == 0);
+    CHECK(world->countInLogs("job_given_up") == 0);
 }
 
 // Guards against LOST: a job is failed because the workers of its new runs were cut off, and its runs only presumed
@@ -318,7 +309,7 @@
         }
     }
     CHECK(reachesState(*world, answeringNode(*world), jobA, "complete", std::chrono::seconds(20)));
-    CHECK(countAll(world.get(), "job_given_up") == 0);
+    CHECK(world->countInLogs("job_given_up") == 0);
 }
 
 // Guards against a job of which many tasks crash workers, which would take down the fleet at its second start.
--- a/src/libworkflow/longends_test.cpp
+++ b/src/libworkflow/longends_test.cpp
@@ -38,15 +38,6 @@
     return most;
 }
 
-std::size_t countAll(WorkflowWorld *world, const std::string &event)
-{
-    std::size_t n = 0;
-    for (int i = 0; i < nodes; ++i) {
-        n += world->log(i).count(event);
-    }
-    return n;
-}
-
 /// Each task of jobA has been started once: none was taken for missing.
 void checkNoneRepeated(WorkflowWorld *world)
 {
@@ -102,7 +93,7 @@
     world->run(Milliseconds(300));
     world->workers.restart("w0");
     world->run(Milliseconds(1500));
-    CHECK(countAll(world.get(), "run_crashed") == 0);
+    CHECK(world->countInLogs("run_crashed") == 0);
     setStoreDown(world.get(), false);
     CHECK(reachesState(*world, 0, jobA, "complete", std::chrono::seconds(10)));
     CHECK(world->workers.tasksRunTwice().empty());
--- a/src/libworkflow/workerlife_test.cpp
+++ b/src/libworkflow/workerlife_test.cpp
@@ -26,15 +26,6 @@
     return world;
 }
 
-std::size_t countAll(WorkflowWorld *world, const std::string &event)
-{
-    std::size_t n = 0;
-    for (int i = 0; i < nodes; ++i) {
-        n += world->log(i).count(event);
-    }
-    return n;
-}
-
 /// Restarts @p count workers that run nothing.
 void restartIdle(WorkflowWorld *world, int count, bool isAnnounced)
 {
@@ -78,7 +69,7 @@
         world->run(std::chrono::seconds(isAnnounced ? 10 : 0));
         world->submit(0, jobA, workflowOf({simpleStep(1)}));
         CHECK(reachesState(*world, 0, jobA, "complete", restartLimit));
-        CHECK(countAll(world.get(), "run_crashed") == 0);
+        CHECK(world->countInLogs("run_crashed") == 0);
         CHECK(world->workers.tasksRunTwice().empty());
     }
 }
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -498,6 +498,15 @@
     return m_processes[static_cast<std::size_t>(index)]->log;
 }
 
+std::size_t WorkflowWorld::countInLogs(const std::string &event)
+{
+    std::size_t n = 0;
+    for (const std::unique_ptr<Process> &process : m_processes) {
+        n += process->log.count(event);
+    }
+    return n;
+}
+
 void WorkflowWorld::delayPaces(int index, Duration delay)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.paceDelay = delay;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -89,6 +89,8 @@
     /// Sets the catalog on all nodes.
     void setCatalog(const Catalog &catalog);
     MemoryLog &log(int index);
+    /// Number of lines of event @p event in the logs of all nodes.
+    std::size_t countInLogs(const std::string &event);
 
     SimWorld world;
     MemoryTable rows;
