Tell where a coordinator's time goes, once a second

It now has the processor time of the process, and calls and time of each activity of the coordinator.

No decision changes. activitymeter_test checks that nested activities do not count twice.

--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -33,6 +33,7 @@
     EventLog *log = nullptr;
     std::function<WallTime()> wallClock;
     std::function<Duration()> sinceBoot; ///< Time since boot, including time in which the VM was suspended.
+    std::function<Duration()> processorTime; ///< Processor time that the process has used so far; may be empty.
 };
 
 /// The identity of this node.
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "activitymeter_pvt.h"
 #include "fescueledge/eventlog.h"
 #include "fescueledge/loop.h"
 #include "fescueledge/workflow/coordinatorsettings.h"
@@ -19,6 +20,7 @@
     CoordinatorSettings settings;
     std::function<WallTime()> wallClock;
     std::function<Duration()> sinceBoot; ///< NodeDependencies::sinceBoot.
+    std::function<Duration()> processorTime; ///< NodeDependencies::processorTime.
     std::function<bool()> maySendOrders; ///< False while this node can't confirm that its term is the latest.
     std::function<void()> superseded; ///< Called when a worker has seen a later term.
 
@@ -31,6 +33,9 @@
     FleetTable fleet;
     InterferenceModel interference;
     ServiceClock serviceClock;
+    ActivityMeter activities{[this] {
+        return now();
+    }};
 
     std::function<void()> wakeDispatch; ///< Called when a task may have become startable.
     std::function<void()> wakeWriter; ///< Called when there is state to be written to the store.
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -13,7 +13,6 @@
 
 /// How often timeouts, due occurrences and expired leases are checked.
 constexpr Milliseconds tickInterval{50};
-constexpr std::chrono::seconds loadReportInterval{1};
 /// If the store has not confirmed the term for this long, it is asked. A watch that is answered confirms it sooner.
 constexpr Milliseconds confirmInterval{1200};
 /// How often ended jobs and unlisted workers are removed.
@@ -48,6 +47,7 @@
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
     , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchTimeout)
     , m_freshness(m_context, fleet)
+    , m_loadReport(m_context, &m_orders, &m_placement, tickInterval)
     , m_loader(m_context, table)
     , m_leaseKeeper(m_context)
 {
@@ -164,6 +164,7 @@
 
 void Coordinator::onJobRows(const std::vector<Row> &rows)
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Jobs);
     if (!m_jobsLoaded) {
         m_earlyJobRows.insert(m_earlyJobRows.end(), rows.begin(), rows.end());
         startIfLoaded();
@@ -246,6 +247,7 @@
 
 void Coordinator::handleAcceptedJob(const JobId &id, const std::string &value, RowVersion version)
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Jobs);
     // Only one coordinator is notified of each job. A job that was accepted in this term, and of which this node was
     // notified, is unknown to earlier coordinators: their watches report this term first.
     const bool acceptedThisTerm = version > m_termStartVersion;
@@ -405,6 +407,7 @@
         return;
     }
     Context &context = *m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Fleet);
     const TimePoint now = context.now();
     std::set<WorkerId> present;
     for (const WorkerEntry &entry : update.present) {
@@ -456,30 +459,11 @@
     }
 }
 
-void Coordinator::reportLoad(TimePoint now)
-{
-    if (m_tickDueAt != TimePoint{}) {
-        m_longestTickDelay = std::max(m_longestTickDelay, now - m_tickDueAt);
-    }
-    m_tickDueAt = now + tickInterval;
-    if (now < m_loadReportedAt + loadReportInterval) {
-        return;
-    }
-    m_loadReportedAt = now;
-    m_context->log->write(LogLine("coordinator_load")
-                              .with("term", static_cast<std::int64_t>(m_context->term))
-                              .with("list_age_ms", std::chrono::duration_cast<Milliseconds>(m_freshness.workersAge()))
-                              .with("loop_delay_ms", std::chrono::duration_cast<Milliseconds>(m_longestTickDelay))
-                              .with("workers", static_cast<std::int64_t>(m_context->fleet.all().size()))
-                              .with("start_window", static_cast<std::int64_t>(m_orders.window.size()))
-                              .with("starts", static_cast<std::int64_t>(m_orders.startsSent)));
-    m_longestTickDelay = Duration::zero();
-}
-
 void Coordinator::tick()
 {
     Context &context = *m_context;
-    reportLoad(context.now());
+    const ActivityMeter::Scope scope(&context.activities, Activity::Tick);
+    m_loadReport.tick(m_freshness.workersAge());
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
     confirmTermIfDue();
@@ -563,6 +547,7 @@
 
 void Coordinator::dispatch()
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Dispatch);
     if (!m_earlierRunsKnown && m_observations.knowsEarlierRuns()) {
         m_earlierRunsKnown = true;
         m_context->log->write(
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -9,6 +9,7 @@
 #include "fescueledge/workflow/fleetsource.h"
 #include "leasekeeper_pvt.h"
 #include "listfreshness_pvt.h"
+#include "loadreport_pvt.h"
 #include "observationsystem_pvt.h"
 #include "ordersystem_pvt.h"
 #include "pacingsystem_pvt.h"
@@ -87,8 +88,6 @@
     void reportStoreContact(bool reachable);
     void reportTermConfirmed(Duration at);
     void tick();
-    /// Logs, once a second, how old the coordinator's knowledge is and how late its loop runs. Called by each tick.
-    void reportLoad(TimePoint now);
     void confirmTermIfDue();
     void removeExpiredJobs();
     void removeUnlistedWorkers();
@@ -107,6 +106,7 @@
     ProgressWriter m_writer;
     CollectionFollower m_jobFollower;
     ListFreshness m_freshness;
+    LoadReport m_loadReport;
     TermLoader m_loader;
     LeaseKeeper m_leaseKeeper;
     TermState m_state; ///< State of earlier terms, until it is applied to the tables.
@@ -133,9 +133,6 @@
     DispatchBudget m_dispatchBudget;
     Duration m_lastDispatchDuration{0}; ///< Duration of the last run, including the wait for the processor.
     TimePoint m_lastCleanupAt{};
-    TimePoint m_tickDueAt{};
-    Duration m_longestTickDelay{0}; ///< Since the last load report.
-    TimePoint m_loadReportedAt{};
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -548,6 +548,7 @@
     context->settings = m_settings;
     context->wallClock = m_parts.wallClock;
     context->sinceBoot = m_parts.sinceBoot;
+    context->processorTime = m_parts.processorTime;
     context->catalogConfirmedAt = [catalogs = m_parts.catalogs] {
         return catalogs->confirmedAt();
     };
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -119,6 +119,7 @@
     const WorkerId id = worker->id;
     const bool leased = order.leaseUntil.count() > 0;
     const std::shared_ptr<Context> shared = m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Observes);
     context.gateway->observe(WorkerRef{id, worker->entry.address}, order, timeout,
                              [this, shared, id, now, leased](const Observation &answer) {
                                  if (!shared->ended) {
@@ -130,6 +131,7 @@
 void ObservationSystem::onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer)
 {
     Context &context = *m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Observations);
     Worker *worker = context.fleet.find(id);
     if (worker == nullptr) {
         return;
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -68,6 +68,7 @@
     ++startsSent;
     const RunRef ref{order.task, order.run, worker->id};
     const std::shared_ptr<Context> shared = m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Starts);
     context.gateway->start(refOf(*worker), order, context.settings.orderTimeout,
                            [this, shared, ref, now](const OrderResult &result) {
                                if (!shared->ended) {
@@ -103,6 +104,7 @@
 void OrderSystem::onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result)
 {
     Context &context = *m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Answers);
     const TimePoint now = context.now();
     context.log->write(LogLine("run_start")
                            .with("job", ref.task.job)
@@ -237,6 +239,7 @@
         return;
     }
     const std::shared_ptr<Context> shared = m_context;
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Stops);
     m_context->gateway->stop(refOf(*worker), ref.task, ref.run, m_context->term, m_context->settings.orderTimeout,
                              [this, shared, ref](const OrderResult &result) {
                                  if (!shared->ended) {
@@ -248,6 +251,7 @@
 void OrderSystem::onStopped(const RunRef &ref, const OrderResult &result)
 {
     Context &context = *m_context;
+    const ActivityMeter::Scope scope(&context.activities, Activity::Answers);
     if (result.outcome == OrderOutcome::StaleTerm) {
         context.superseded();
         return;
@@ -279,6 +283,7 @@
                               .with("run", static_cast<std::int64_t>(run))
                               .with("worker", worker->id));
     const std::shared_ptr<Context> shared = m_context;
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Stops);
     m_context->gateway->stop(refOf(*worker), key, run, m_context->term, m_context->settings.orderTimeout,
                              [shared](const OrderResult &result) {
                                  if (!shared->ended && result.outcome == OrderOutcome::StaleTerm) {
@@ -311,6 +316,7 @@
 
 void OrderSystem::sendPace(Task *task)
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Paces);
     const int percent = task->pace;
     task->pacedAt = m_context->now();
     const RunRef ref{keyOf(*task), task->run, task->worker->id};
@@ -335,6 +341,7 @@
 
 void OrderSystem::onPaced(Task *task, int percent, OrderOutcome outcome) const
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Answers);
     if (task == nullptr || outcome == OrderOutcome::Done) {
         return;
     }
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -115,6 +115,7 @@
 
 void PacingSystem::observe(Worker *worker)
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Pacing);
     updateModel(worker);
     updateOverTarget(worker);
     updatePausedSince(worker);
--- a/src/libworkflow/progresswriter.cpp
+++ b/src/libworkflow/progresswriter.cpp
@@ -315,6 +315,7 @@
 
 void ProgressWriter::flush()
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Writes);
     const std::shared_ptr<Batch> batch = std::make_shared<Batch>();
     TransactionBuilder transaction(m_context->settings.tableLimits, m_random.uniqueId());
     transaction.addCondition(rows::coordinator(), m_chainVersion);
@@ -365,6 +366,7 @@
 
 void ProgressWriter::onCommit(const std::shared_ptr<Batch> &batch, const CommitResult &result)
 {
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Writes);
     m_inFlight = false;
     if (result.status == CommitStatus::Committed) {
         m_chainVersion = result.version;
