--- /dev/null
+++ b/src/libworkflow/dispatchcost_test.cpp
@@ -0,0 +1,93 @@
+// Load pattern: a large fleet whose room is nearly all declared by long-running tasks, a backlog of steps that no
+// worker has room for, and short tasks that go on starting. What a start costs is counted, not timed.
+#include "readyworld_pvt.h"
+#include "workflowworld_pvt.h"
+
+#include <catch2/catch.hpp>
+
+using namespace fescueledge;
+using namespace fescueledge::workflow;
+
+namespace {
+
+constexpr int fleetSize = 1100;
+constexpr std::int64_t cores = 32;
+constexpr int servingImages = 16;
+/// A coordinator on a quarter of a core has 110 us for each of 2,200 starts a second. A look at a worker takes about a
+/// quarter of a microsecond, and the search for a place may take a tenth of the time.
+constexpr double maxConsideredPerStart = 44;
+
+/// The sum of @p key over all lines of event @p event after the first @p skipped lines.
+std::int64_t sumInLog(const MemoryLog &log, const std::string &event, const std::string &key, std::size_t skipped)
+{
+    std::int64_t sum = 0;
+    for (std::size_t i = skipped; i < log.lines.size(); ++i) {
+        const std::string &line = log.lines[i];
+        const std::size_t at = line.find(" " + key + "=");
+        if (line.find("event=" + event + " ") != std::string::npos && at != std::string::npos) {
+            sum += std::stoll(line.substr(at + key.size() + 2));
+        }
+    }
+    return sum;
+}
+
+JobId jobNumber(int i)
+{
+    return "c0000000000" + std::to_string(10000 + i);
+}
+
+/// Serving tasks of several images declare all but two cores of each worker.
+void fillWithServing(WorkflowWorld *world)
+{
+    for (int i = 0; i < servingImages * 2; ++i) {
+        StepSpec step = simpleStep(fleetSize * 5 / (servingImages * 2));
+        step.perTask.milliCores = 6000;
+        step.longRunning = true;
+        step.image = "serving" + std::to_string(i % servingImages);
+        step.tailTarget = Milliseconds(20);
+        world->submit(0, jobNumber(i), workflowOf({step}), "urgent");
+    }
+    world->run(std::chrono::seconds(4));
+}
+
+/// Steps of @p jobs jobs that find no room, each of another size and, where they serve, of another image.
+void submitWithoutRoom(WorkflowWorld *world, int jobs)
+{
+    for (int i = 0; i < jobs; ++i) {
+        StepSpec step = simpleStep(20);
+        step.perTask.milliCores = 9000 - i * 20;
+        step.perTask.memoryMb = 200 + i;
+        step.longRunning = i % 2 == 0;
+        step.image = step.longRunning ? "serving" + std::to_string(i % servingImages) : std::string();
+        step.tailTarget = Milliseconds(step.longRunning ? 20 : 0);
+        step.maxPerWorker = i % 4 == 0 ? 2 : 0;
+        world->submit(0, jobNumber(1000 + i), workflowOf({step}));
+    }
+}
+
+} // namespace
+
+// Guards against a coordinator whose processor is full of searches for places that do not exist (SHORT): each run of
+// the dispatch looked at the whole fleet for each waiting step, so starts took longer the more was waiting.
+TEST_CASE("a backlog without room does not make the starts beside it dearer")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, fleetSize, cores);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job < jobNumber(2000) ? 600000 : 300), false);
+    };
+    fillWithServing(world.get());
+    submitWithoutRoom(world.get(), 80);
+    world->run(std::chrono::seconds(2));
+    MemoryLog &log = world->log(0);
+    const std::size_t linesBefore = log.lines.size();
+    const std::size_t startsBefore = log.count("run_start");
+    for (int i = 0; i < 60; ++i) {
+        world->submitLater(0, jobNumber(2000 + i), workflowOf({simpleStep(40)}), [](const CallerAnswer &) {});
+        world->run(Milliseconds(50));
+    }
+    const double starts = static_cast<double>(log.count("run_start") - startsBefore);
+    const double considered = static_cast<double>(sumInLog(log, "coordinator_load", "considered", linesBefore));
+    CAPTURE(starts, considered, considered / starts);
+    REQUIRE(starts >= 2000);
+    CHECK(considered / starts <= maxConsideredPerStart);
+}
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -151,6 +151,7 @@
 
 PlaceVerdict Placement::basicVerdict(const Worker &worker, const Step &step) const
 {
+    ++m_considered;
     const StepSpec &spec = *step.spec;
     if (worker.entry.service != step.occurrence->job->policy.service) {
         return PlaceVerdict::OtherService;
@@ -303,8 +304,8 @@
 
 void Placement::consider(Worker *worker, const Step &step, int pace, Candidate *best) const
 {
-    ++m_considered;
     if (m_rejected.count(worker) > 0) {
+        ++m_considered;
         return;
     }
     if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
