Search for a place again only where something has changed

Callers of the large deployment got too little of the batch class (SHORT): jobs were accepted and started late or not in time to count.

Cause: each run of the dispatch searched the whole fleet for each waiting step. What no worker has room for was searched again 20 to 140 times a second, by all workers; a memory of failed sizes lasted for one run and for equal images only. The cost of a start grew with what waited, so the coordinator fell behind, more waited, and starts became dearer.

FailedSearches keeps failed searches until something changes: CandidateIndex numbers the workers where room has come free (markFreed) or serving tasks have got headroom (markEased), and the next search for such a task, or a larger one, looks only at those. No other worker can fit it, so the choice stays as good as one of all workers (placementindex_test). Searches leave out workers without enough processor time by the order of the index, groups of workers are weighed once for a step instead of once for a task, and RoomHolds looks only at workers that long-running tasks leave room on.

--- a/src/include/fescueledge/resources.h
+++ b/src/include/fescueledge/resources.h
@@ -20,6 +20,8 @@
 
 Resources operator+(Resources a, const Resources &b);
 Resources operator-(Resources a, const Resources &b);
+/// The larger of each resource.
+Resources largestOf(const Resources &a, const Resources &b);
 bool operator==(const Resources &a, const Resources &b);
 bool operator!=(const Resources &a, const Resources &b);
 
--- a/src/libutil/resources.cpp
+++ b/src/libutil/resources.cpp
@@ -1,5 +1,6 @@
 #include "fescueledge/resources.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace fescueledge {
@@ -35,6 +36,15 @@
     return a -= b;
 }
 
+Resources largestOf(const Resources &a, const Resources &b)
+{
+    Resources out;
+    out.milliCores = std::max(a.milliCores, b.milliCores);
+    out.memoryMb = std::max(a.memoryMb, b.memoryMb);
+    out.accelerators = std::max(a.accelerators, b.accelerators);
+    return out;
+}
+
 bool operator==(const Resources &a, const Resources &b)
 {
     return a.milliCores == b.milliCores && a.memoryMb == b.memoryMb && a.accelerators == b.accelerators;
--- a/src/libworkflow/candidateindex.cpp
+++ b/src/libworkflow/candidateindex.cpp
@@ -64,6 +64,7 @@
 {
     Entry &entry = m_entries[worker];
     insert(worker, &entry);
+    markFreed(worker);
     m_milliCores += entry.milliCores;
 }
 
@@ -72,12 +73,24 @@
     const auto it = m_entries.find(worker);
     if (it != m_entries.end()) {
         erase(worker, &it->second);
+        m_freed.remove(it->second.freed);
+        m_eased.remove(it->second.eased);
         m_milliCores -= it->second.milliCores;
         m_parked.erase(std::remove(m_parked.begin(), m_parked.end(), worker), m_parked.end());
         m_entries.erase(it);
     }
 }
 
+void CandidateIndex::markFreed(Worker *worker)
+{
+    m_freed.add(worker, &m_entries.at(worker).freed);
+}
+
+void CandidateIndex::markEased(Worker *worker)
+{
+    m_eased.add(worker, &m_entries.at(worker).eased);
+}
+
 void CandidateIndex::park(Worker *worker)
 {
     Entry &entry = m_entries.at(worker);
@@ -94,6 +107,7 @@
     });
     for (auto it = kept; it != m_parked.end(); ++it) {
         insert(*it, &m_entries.at(*it));
+        markFreed(*it);
     }
     m_parked.erase(kept, m_parked.end());
 }
@@ -139,10 +153,9 @@
     for (const auto &[image, tasks] : worker->servingImages) {
         images.push_back(image);
     }
-    Group &group = m_groups[GroupKey{entry->service, images, entry->milliCores}];
-    group.images = images;
-    group.milliCores = entry->milliCores;
+    Group &group = *addGroup(GroupKey{entry->service, images, entry->milliCores});
     entry->group = &group;
+    ++m_capacities[entry->milliCores];
     group.mostUsed.emplace(-entry->use, worker);
     group.byBusy.emplace(entry->busy, worker);
     m_byUse[entry->service].emplace(entry->use, worker);
@@ -167,9 +180,51 @@
     entry->group = nullptr;
     group.mostUsed.erase({-entry->use, worker});
     group.byBusy.erase({entry->busy, worker});
+    const auto capacity = m_capacities.find(entry->milliCores);
+    if (--capacity->second == 0) {
+        m_capacities.erase(capacity);
+    }
     if (group.mostUsed.empty()) {
-        m_groups.erase(GroupKey{entry->service, std::vector<std::string>(group.images), group.milliCores});
+        removeGroup(&group, entry->service);
+    }
+}
+
+CandidateIndex::Group *CandidateIndex::addGroup(const GroupKey &key)
+{
+    const auto [it, isNew] = m_groups.try_emplace(key);
+    Group &group = it->second;
+    if (!isNew) {
+        return &group;
+    }
+    ++m_groupsVersion;
+    std::tie(std::ignore, group.images, group.milliCores) = key;
+    for (const std::string &name : group.images) {
+        const auto [image, isNewImage] = m_images.try_emplace(name);
+        if (isNewImage) {
+            const auto unused = std::find(m_imageNames.begin(), m_imageNames.end(), std::string());
+            image->second.number = static_cast<std::size_t>(unused - m_imageNames.begin());
+            if (unused == m_imageNames.end()) {
+                m_imageNames.emplace_back();
+            }
+            m_imageNames[image->second.number] = name;
+        }
+        ++image->second.groups;
+        group.imageNumbers.push_back(image->second.number);
+    }
+    return &group;
+}
+
+void CandidateIndex::removeGroup(Group *group, const std::string &service)
+{
+    ++m_groupsVersion;
+    for (const std::string &name : group->images) {
+        const auto image = m_images.find(name);
+        if (--image->second.groups == 0) {
+            m_imageNames[image->second.number].clear();
+            m_images.erase(image);
+        }
     }
+    m_groups.erase(GroupKey{service, std::vector<std::string>(group->images), group->milliCores});
 }
 
 const CandidateIndex::ByLoad &CandidateIndex::byUse(const std::string &service) const
--- a/src/libworkflow/candidateindex_pvt.h
+++ b/src/libworkflow/candidateindex_pvt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "changeorder_pvt.h"
 #include "entities_pvt.h"
 
 #include <functional>
@@ -19,7 +20,16 @@
 public:
     struct LoadOrder
     {
+        using is_transparent = void;
         bool operator()(const std::pair<double, Worker *> &a, const std::pair<double, Worker *> &b) const;
+        bool operator()(const std::pair<double, Worker *> &a, double load) const
+        {
+            return a.first < load;
+        }
+        bool operator()(double load, const std::pair<double, Worker *> &b) const
+        {
+            return load < b.first;
+        }
     };
     /// Workers by a share of their processors, the least loaded first.
     using ByLoad = std::set<std::pair<double, Worker *>, LoadOrder>;
@@ -28,6 +38,7 @@
     struct Group
     {
         std::vector<std::string> images; ///< Ordered.
+        std::vector<std::size_t> imageNumbers; ///< Their numbers, see imageNames().
         std::int64_t milliCores = 0; ///< Capacity of each worker.
         ByLoad mostUsed; ///< By the share of their processors that is reserved, negated: the most used first.
         ByLoad byBusy; ///< By the share of their processors that is expected to be busy.
@@ -44,6 +55,22 @@
     /// Restores the parked workers for which @p usable holds.
     void restoreIf(const std::function<bool(const Worker &)> &usable);
 
+    /// Records that room has come free on @p worker, or that it gets tasks again, so that it may take some that it did
+    /// not take before.
+    void markFreed(Worker *worker);
+    /// Records that the serving tasks on @p worker may have got more headroom, so that it may take more fillers.
+    void markEased(Worker *worker);
+    /// The workers by their latest markFreed(). They may be parked.
+    const ChangeOrder &freed() const
+    {
+        return m_freed;
+    }
+    /// The workers by their latest markEased(). They may be parked.
+    const ChangeOrder &eased() const
+    {
+        return m_eased;
+    }
+
     /// The workers of @p service, those of them with @p label, or those of them on @p rack, by the share of their
     /// processors that is reserved.
     const ByLoad &byUse(const std::string &service) const;
@@ -51,6 +78,21 @@
     const ByLoad &byUseOnRack(const std::string &service, const std::string &rack) const;
     /// The groups of workers of @p service.
     std::vector<const Group *> groups(const std::string &service) const;
+    /// Changes whenever a group is added or removed.
+    std::uint64_t groupsVersion() const
+    {
+        return m_groupsVersion;
+    }
+    /// The images of all groups by number; a number that is not in use has an empty name.
+    const std::vector<std::string> &imageNames() const
+    {
+        return m_imageNames;
+    }
+    /// Capacity of the largest worker that is not parked.
+    std::int64_t maxMilliCores() const
+    {
+        return m_capacities.empty() ? 0 : m_capacities.rbegin()->first;
+    }
 
     /// Capacity of all workers.
     std::int64_t milliCores() const
@@ -73,18 +115,34 @@
         double use = 0;
         double busy = 0;
         Group *group = nullptr; ///< nullptr if the worker is parked.
+        std::uint64_t freed = 0; ///< Number of its latest markFreed().
+        std::uint64_t eased = 0; ///< Number of its latest markEased().
+    };
+    /// An image of at least one group.
+    struct Image
+    {
+        std::size_t number = 0;
+        std::size_t groups = 0;
     };
 
     void insert(Worker *worker, Entry *entry);
     void erase(Worker *worker, Entry *entry);
     void updateBusy(Worker *worker, Entry *entry);
+    Group *addGroup(const GroupKey &key);
+    void removeGroup(Group *group, const std::string &service);
 
     std::unordered_map<const Worker *, Entry> m_entries;
     std::map<std::string, ByLoad> m_byUse;
     std::map<RackKey, ByLoad> m_byUseOnRack;
     std::map<LabelKey, ByLoad> m_byUseWithLabel;
     std::map<GroupKey, Group> m_groups;
+    std::uint64_t m_groupsVersion = 0;
+    std::map<std::string, Image> m_images;
+    std::vector<std::string> m_imageNames;
+    std::map<std::int64_t, std::size_t> m_capacities; ///< Number of workers that are not parked, by capacity.
     std::vector<Worker *> m_parked;
+    ChangeOrder m_freed;
+    ChangeOrder m_eased;
     std::int64_t m_milliCores = 0;
 };
 
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -62,6 +62,8 @@
     };
     m_observations.observed = [this](Worker *worker) {
         m_pacing.observe(worker);
+        m_placement.invalidateHeadroom(worker);
+        m_context->fleet.candidates().markEased(worker);
     };
     m_pacing.hasBetterPlace = [this](const Task &task) {
         return m_placement.hasPlaceElsewhere(task);
--- a/src/libworkflow/crashledger.cpp
+++ b/src/libworkflow/crashledger.cpp
@@ -291,6 +291,7 @@
         }
         if (worker != nullptr) {
             worker->isolatedFor.clear();
+            m_context->fleet.candidates().markFreed(worker);
         }
         it = m_isolated.erase(it);
         m_context->wakeDispatch();
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -117,9 +117,7 @@
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) {
         return a.first < b.first;
     });
-    m_unplaceable.clear();
-    m_unplaceableOverdue.clear();
-    m_placement->dropStaleHeadroom();
+    m_placement->dropStale();
     const std::uint64_t limit = m_orders->startsSent + std::min(maxStarts, m_orders->window.room());
     holdWorkers(ranked);
     startStarved(ranked, limit);
@@ -198,24 +196,6 @@
     m_startsCounted = m_orders->startsSent;
 }
 
-DispatchSystem::Shape DispatchSystem::shapeOf(const Step &step)
-{
-    return Shape{step.occurrence->job->policy.service, step.spec->requiredLabel, step.spec->image, step.spec->filler};
-}
-
-bool DispatchSystem::isKnownUnplaceable(const Step &step, bool overdue) const
-{
-    const SizesByShape &noPlace = overdue ? m_unplaceableOverdue : m_unplaceable;
-    const auto it = noPlace.find(shapeOf(step));
-    if (it == noPlace.end()) {
-        return false;
-    }
-    const Resources &need = step.spec->perTask;
-    return std::any_of(it->second.begin(), it->second.end(), [&need](const Resources &failed) {
-        return failed.fitsIn(need); // The step needs at least as much of every resource.
-    });
-}
-
 Worker *DispatchSystem::isolatedWorker(const Step &step)
 {
     const Job &job = *step.occurrence->job;
@@ -268,9 +248,6 @@
     if (step->occurrence->job->suspects > 0) {
         startSuspects(step, limit);
     }
-    if (isKnownUnplaceable(*step, m_placement->overdue(*step->occurrence->job))) {
-        return;
-    }
     for (Task &task : step->tasks) {
         if (task.phase != TaskPhase::Idle || m_context->fleet.isAwaited(keyOf(task)) || task.isSuspect()
             || CrashLedger::waitsForSuspects(task)) {
@@ -280,14 +257,9 @@
             return;
         }
         const bool overdue = m_placement->overdue(*step->occurrence->job);
-        const Place place = m_placement->choose(*step, overdue);
+        Worker *held = m_holds.heldWorker(*step);
+        const Place place = held != nullptr ? Place{held} : m_placement->choose(*step, overdue);
         if (place.worker == nullptr) {
-            if (step->spec->maxPerWorker == 0) {
-                m_unplaceable[shapeOf(*step)].push_back(step->spec->perTask);
-            }
-            if (step->spec->maxPerWorker == 0 && overdue) {
-                m_unplaceableOverdue[shapeOf(*step)].push_back(step->spec->perTask);
-            }
             return;
         }
         startOn(&task, place);
@@ -341,7 +313,6 @@
         FleetTable::release(place.first);
         m_placement->invalidateHeadroom(place.second.worker);
     }
-    m_placement->forgetRejections(); // They were made with the gang in place.
     if (places.size() < step->tasksLeft) {
         return;
     }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -5,7 +5,6 @@
 
 #include <map>
 #include <optional>
-#include <tuple>
 
 namespace fescueledge::workflow {
 
@@ -41,16 +40,6 @@
         bool operator<(const Rank &other) const;
     };
 
-    /// The properties besides the size that decide which workers fit a task: service, label, image, and whether it is a
-    /// filler.
-    using Shape = std::tuple<std::string, std::string, std::string, bool>;
-
-    using SizesByShape = std::map<Shape, std::vector<Resources>>;
-
-    static Shape shapeOf(const Step &step);
-    /// Whether a task of the same shape and at most the same size found no worker in this run; if @p overdue, only
-    /// tasks of overdue jobs count.
-    bool isKnownUnplaceable(const Step &step, bool overdue) const;
     Rank rankOf(const Step &step, TimePoint now) const;
     /// Starts tasks by rank; returns whether @p limit ended it.
     bool startInOrder(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit);
@@ -76,8 +65,6 @@
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
     CrashLedger *m_crashes;
-    SizesByShape m_unplaceable; ///< Sizes that found no worker in the current run.
-    SizesByShape m_unplaceableOverdue; ///< The same for tasks of overdue jobs.
     RoomHolds m_holds;
     bool m_startsRanOut = false; ///< The last run ended because of its limit, not because nothing more fitted.
     std::uint64_t m_startsCounted = 0; ///< Starts that are counted in m_startsForStarved.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -16,16 +16,6 @@
 /// Loads below this are rounding errors and count as zero.
 constexpr double negligibleLoad = 1e-9;
 
-/// Capacity that a task reserves on a worker; a filler reserves no processor time.
-Resources reservedResources(const StepSpec &step)
-{
-    Resources need = step.perTask;
-    if (step.filler) {
-        need.milliCores = 0;
-    }
-    return need;
-}
-
 /// Adds @p n to the count of @p key, and erases a key without a count.
 template<typename Key, typename Order>
 void addTo(std::map<Key, int, Order> *counts, const Key &key, int n)
@@ -48,9 +38,9 @@
 {
     const StepSpec &step = *task.step->spec;
     if (sign > 0) {
-        worker->used += reservedResources(step);
+        worker->used += FleetTable::reservedBy(step);
     } else {
-        worker->used -= reservedResources(step);
+        worker->used -= FleetTable::reservedBy(step);
     }
     const bool serves = step.tailTarget.count() > 0;
     const double milliCores = static_cast<double>(step.perTask.milliCores) * expectedPace(task) / fullPace;
@@ -102,12 +92,17 @@
     if (slot->entry.capacity != entry.capacity) {
         slot->life.roomBackoff = RoomBackoff();
     }
+    const bool mayTakeMore = std::tie(slot->entry.capacity, slot->entry.service, slot->entry.labels)
+        != std::tie(entry.capacity, entry.service, entry.labels);
     slot->entry = entry;
     slot->listed = true;
     if (!sameFields || named != namesRuns(*slot)) {
         slot->recordPart->changed = true;
     }
     m_candidates.update(slot.get());
+    if (mayTakeMore) {
+        m_candidates.markFreed(slot.get());
+    }
     return slot.get();
 }
 
@@ -198,6 +193,7 @@
             worker->life.roomBackoff = RoomBackoff();
         }
         addToTotals(worker, *task, -1);
+        worker->candidates->markFreed(worker);
         markRecordChanged(worker);
         --task->step->occurrence->job->placedTasks;
     }
@@ -212,6 +208,7 @@
     task->pace = pace;
     if (task->worker != nullptr) {
         addToTotals(task->worker, *task, 1);
+        task->worker->candidates->markEased(task->worker);
     }
 }
 
@@ -227,7 +224,7 @@
     EarlierRun earlier;
     earlier.task = task;
     earlier.run = run;
-    earlier.reserved = step == nullptr ? Resources{} : reservedResources(*step);
+    earlier.reserved = step == nullptr ? Resources{} : reservedBy(*step);
     worker->used += earlier.reserved;
     worker->candidates->update(worker);
     worker->earlierRuns.push_back(earlier);
@@ -250,6 +247,7 @@
     }
     markRecordChanged(worker);
     worker->candidates->update(worker);
+    worker->candidates->markFreed(worker);
     runs.erase(over, runs.end());
     return true;
 }
@@ -263,7 +261,7 @@
 
 bool FleetTable::hasRoom(const Worker &worker, const StepSpec &step)
 {
-    return (worker.used + reservedResources(step)).fitsIn(worker.entry.capacity);
+    return (worker.used + reservedBy(step)).fitsIn(worker.entry.capacity);
 }
 
 std::uint32_t FleetTable::countOf(const Worker &worker, const Step &step)
@@ -306,6 +304,15 @@
     worker->life.leaseExpiresAt = std::max(worker->life.leaseExpiresAt, now + longestLease(lease));
 }
 
+Resources FleetTable::reservedBy(const StepSpec &step)
+{
+    Resources need = step.perTask;
+    if (step.filler) {
+        need.milliCores = 0;
+    }
+    return need;
+}
+
 Duration FleetTable::longestLease(Milliseconds lease)
 {
     return atSlowestClock(lease) + leaseMargin;
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -61,6 +61,8 @@
         return m_awaited.count(task) > 0;
     }
 
+    /// Capacity that a task of @p step reserves on a worker; a filler reserves no processor time.
+    static Resources reservedBy(const StepSpec &step);
     /// Whether a task of @p step fits on @p worker beside the tasks there.
     static bool hasRoom(const Worker &worker, const StepSpec &step);
     /// Number of tasks of @p step on @p worker.
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace fescueledge::workflow {
 
@@ -44,6 +45,13 @@
     return static_cast<double>(worker.entry.capacity.milliCores) - worker.busyMilliCores;
 }
 
+/// The share of a worker of @p capacity that may be in use beside a task of @p need; both in thousandths of a core.
+double shareBeside(std::int64_t need, std::int64_t capacity)
+{
+    constexpr double roundingError = 1e-9;
+    return 1 - static_cast<double>(need) / static_cast<double>(std::max<std::int64_t>(1, capacity)) + roundingError;
+}
+
 const std::string &nameOf(const std::string &image)
 {
     return image;
@@ -98,22 +106,18 @@
 {
 }
 
-void Placement::forgetRejections()
-{
-    m_rejected.clear();
-    m_rejectedFor = {nullptr, 0};
-}
-
-void Placement::dropStaleHeadroom()
+void Placement::dropStale()
 {
-    forgetRejections();
+    m_now = m_context->now();
+    forgetSearch();
+    m_unplaceableOverdue.clear();
+    m_failed.dropOld(m_now);
     m_context->fleet.candidates().restoreIf([this](const Worker &worker) {
         return workerVerdict(worker) == PlaceVerdict::Fits;
     });
-    const TimePoint now = m_context->now();
-    if (now >= m_headroomAt + headroomCacheTimeout) {
+    if (m_now >= m_headroomAt + headroomCacheTimeout) {
         m_headroom.clear();
-        m_headroomAt = now;
+        m_headroomAt = m_now;
     }
 }
 
@@ -139,8 +143,7 @@
     if (!worker.recorded || worker.recordNamesRuns || worker.recordNamesLeaseEnd) {
         return worker.recorded ? PlaceVerdict::RunsNamed : PlaceVerdict::Unrecorded;
     }
-    if (std::max(worker.life.blockedUntil, worker.life.roomBackoff.until) > m_context->now()
-        || isProbedForRoom(worker)) {
+    if (std::max(worker.life.blockedUntil, worker.life.roomBackoff.until) > m_now || isProbedForRoom(worker)) {
         return PlaceVerdict::Blocked;
     }
     if (m_context->catalog->evacuated.count(worker.entry.dataCentre) > 0) {
@@ -275,11 +278,9 @@
 
 bool Placement::hasPlaceElsewhere(const Task &task)
 {
-    dropStaleHeadroom();
-    const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
-    return std::any_of(workers.begin(), workers.end(), [&](const auto &entry) {
-        return entry.second.get() != task.worker && verdict(*entry.second, *task.step) == PlaceVerdict::Fits;
-    });
+    dropStale();
+    const Worker *worker = cheapestWorker(*task.step, fullPace);
+    return worker != nullptr && worker != task.worker;
 }
 
 double Placement::cost(const Worker &worker, const Step &step) const
@@ -304,23 +305,24 @@
 
 void Placement::consider(Worker *worker, const Step &step, int pace, Candidate *best) const
 {
-    if (m_rejected.count(worker) > 0) {
+    if (m_search.rejected.count(worker) > 0) {
         ++m_considered;
         return;
     }
     if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
-        m_rejected.insert(worker);
+        m_search.rejected.insert(worker);
         if (workerVerdict(*worker) != PlaceVerdict::Fits) {
             m_unusable.push_back(worker);
         }
         return;
     }
     const double c = cost(*worker, step);
-    if (c >= best->cost) {
+    // Equal workers are chosen by id, in whatever order they are considered.
+    if (best->worker != nullptr && std::tie(best->cost, best->worker->id) < std::tie(c, worker->id)) {
         return;
     }
     if (fillerVerdict(*worker, step, pace) != PlaceVerdict::Fits) { // The most expensive check comes last.
-        m_rejected.insert(worker);
+        m_search.rejected.insert(worker);
         return;
     }
     *best = Candidate{worker, c};
@@ -361,8 +363,9 @@
     const CandidateIndex &index = m_context->fleet.candidates();
     const std::string &service = step.occurrence->job->policy.service;
     const std::string &label = step.spec->requiredLabel;
+    const double maxShare = shareBeside(step.spec->perTask.milliCores, index.maxMilliCores());
     for (const auto &[share, worker] : label.empty() ? index.byUse(service) : index.byUseWithLabel(service, label)) {
-        if (share + elsewhere >= best->cost) {
+        if (share + elsewhere >= best->cost || share > maxShare) {
             return;
         }
         consider(worker, step, pace, best);
@@ -371,80 +374,184 @@
 
 void Placement::considerForServing(const Step &step, int pace, double elsewhere, Candidate *best) const
 {
-    using Bound = std::pair<double, const CandidateIndex::Group *>;
+    /// The workers of a group that have enough processor time left.
+    struct Bound
+    {
+        double cost = 0;
+        const CandidateIndex::Group *group = nullptr;
+        CandidateIndex::ByLoad::const_iterator first;
+    };
     std::vector<Bound> bounds;
     for (const CandidateIndex::Group *group :
          m_context->fleet.candidates().groups(step.occurrence->job->policy.service)) {
-        bounds.emplace_back(imageCost(group->images, step.spec->image) + elsewhere, group);
+        const double maxShare = shareBeside(step.spec->perTask.milliCores, group->milliCores);
+        const auto first = group->mostUsed.lower_bound(-maxShare);
+        if (first != group->mostUsed.end()) {
+            bounds.push_back(Bound{imageCost(group->images, step.spec->image) + elsewhere, group, first});
+        }
     }
     std::sort(bounds.begin(), bounds.end(), [](const Bound &a, const Bound &b) {
-        return a.first < b.first;
+        return a.cost < b.cost;
     });
-    for (const auto &[bound, group] : bounds) {
-        for (const auto &[negatedShare, worker] : group->mostUsed) {
-            if (bound + negatedShare >= best->cost) {
+    for (const Bound &bound : bounds) {
+        for (auto it = bound.first; it != bound.group->mostUsed.end(); ++it) {
+            if (bound.cost + it->first >= best->cost) {
                 break;
             }
-            consider(worker, step, pace, best);
+            consider(it->second, step, pace, best);
         }
     }
 }
 
-void Placement::considerForFiller(const Step &step, int pace, double elsewhere, Candidate *best) const
+std::vector<Placement::Walk> Placement::walksFor(const Step &step) const
 {
-    /// The workers of a group that are still to be considered.
-    struct Walk
-    {
-        double taken = 0; ///< Headroom that the filler takes from the serving tasks of the group.
-        const CandidateIndex::Group *group = nullptr;
-        CandidateIndex::ByLoad::const_iterator next;
-
-        double bound() const
-        {
-            return taken + idleProcessorWeight * next->first;
-        }
-    };
-    const auto laterFirst = [](const Walk &a, const Walk &b) {
-        return a.bound() > b.bound();
-    };
+    const CandidateIndex &index = m_context->fleet.candidates();
+    std::vector<double> takenByImage; // By a filler that uses a whole worker.
+    for (const std::string &image : index.imageNames()) {
+        takenByImage.push_back(m_context->interference.takenHeadroom(image, step.spec->image, 1).expected);
+    }
     std::vector<Walk> walks;
-    for (const CandidateIndex::Group *group :
-         m_context->fleet.candidates().groups(step.occurrence->job->policy.service)) {
+    for (const CandidateIndex::Group *group : index.groups(step.occurrence->job->policy.service)) {
         const double share = static_cast<double>(step.spec->perTask.milliCores)
             / static_cast<double>(std::max<std::int64_t>(1, group->milliCores));
-        const double taken = headroomTakenFrom(group->images, step.spec->image, share);
-        walks.push_back(Walk{taken, group, group->byBusy.begin()});
-    }
-    std::make_heap(walks.begin(), walks.end(), laterFirst);
-    while (!walks.empty() && walks.front().bound() + elsewhere < best->cost) {
-        std::pop_heap(walks.begin(), walks.end(), laterFirst);
-        Walk &walk = walks.back();
-        consider(walk.next->second, step, pace, best);
-        if (++walk.next == walk.group->byBusy.end()) {
-            walks.pop_back();
-        } else {
-            std::push_heap(walks.begin(), walks.end(), laterFirst);
+        Walk walk;
+        walk.group = group;
+        for (const std::size_t number : group->imageNumbers) {
+            walk.taken = std::max(walk.taken, takenByImage[number] * share);
         }
+        walk.bound = walk.taken + idleProcessorWeight * group->byBusy.begin()->first;
+        walks.push_back(walk);
     }
+    std::make_heap(walks.begin(), walks.end());
+    return walks;
 }
 
-Worker *Placement::cheapestWorker(const Step &step, int pace) const
+bool Placement::considerWalk(const Step &step, int pace, double elsewhere, Walk *walk, Candidate *best) const
 {
-    if (m_rejectedFor != std::make_pair(&step, pace)) {
-        m_rejectedFor = {&step, pace};
-        m_rejected.clear();
+    const double maxBusy = shareBeside(step.spec->perTask.milliCores * pace / fullPace, walk->group->milliCores);
+    bool isFirst = true;
+    for (const auto &[busy, worker] : walk->group->byBusy) {
+        if (busy > maxBusy) {
+            break;
+        }
+        if (m_search.rejected.count(worker) > 0) {
+            continue;
+        }
+        const double bound = walk->taken + idleProcessorWeight * busy;
+        if (isFirst) {
+            walk->bound = bound;
+            isFirst = false;
+        }
+        if (bound + elsewhere >= best->cost) {
+            break;
+        }
+        consider(worker, step, pace, best);
     }
-    Candidate best;
-    const double elsewhere = considerPreferredRacks(step, pace, &best);
+    return !isFirst;
+}
+
+void Placement::considerForFiller(const Step &step, int pace, double elsewhere, Candidate *best) const
+{
+    if (!m_search.hasWalks) {
+        m_search.walks = walksFor(step);
+        m_search.hasWalks = true;
+    }
+    // Loads only grow during a search, so a bound of an earlier task is still one, if not the closest.
+    std::vector<Walk> &walks = m_search.walks;
+    std::vector<Walk> considered;
+    while (!walks.empty() && walks.front().bound + elsewhere < best->cost) {
+        std::pop_heap(walks.begin(), walks.end());
+        Walk walk = walks.back();
+        walks.pop_back();
+        if (considerWalk(step, pace, elsewhere, &walk, best)) {
+            considered.push_back(walk);
+        }
+    }
+    for (const Walk &walk : considered) {
+        walks.push_back(walk);
+        std::push_heap(walks.begin(), walks.end());
+    }
+}
+
+void Placement::forgetSearch() const
+{
+    m_search = Search{};
+}
+
+void Placement::continueSearch(const Step &step, int pace) const
+{
+    const CandidateIndex &index = m_context->fleet.candidates();
+    if (m_search.step != &step || m_search.pace != pace || m_search.freed != index.freed().count()) {
+        forgetSearch();
+        m_search.step = &step;
+        m_search.pace = pace;
+        m_search.freed = index.freed().count();
+    }
+    if (m_search.groupsVersion != index.groupsVersion()) {
+        m_search.hasWalks = false;
+        m_search.groupsVersion = index.groupsVersion();
+    }
+}
+
+void Placement::considerAll(const Step &step, int pace, Candidate *best) const
+{
+    const double elsewhere = considerPreferredRacks(step, pace, best);
     if (step.spec->tailTarget.count() > 0) {
-        considerForServing(step, pace, elsewhere, &best);
+        considerForServing(step, pace, elsewhere, best);
     } else if (step.spec->filler) {
-        considerForFiller(step, pace, elsewhere, &best);
+        considerForFiller(step, pace, elsewhere, best);
     } else {
-        considerByUse(step, pace, elsewhere, &best);
+        considerByUse(step, pace, elsewhere, best);
+    }
+}
+
+bool Placement::mayHaveRoomSince(std::uint64_t freed, const Step &step) const
+{
+    const ChangeOrder &order = m_context->fleet.candidates().freed();
+    if (m_freedRoom.since != freed || m_freedRoom.count != order.count()) {
+        m_freedRoom = FreedRoom{freed, order.count(), Resources{}};
+        for (auto it = order.after(freed); it != order.end(); ++it) {
+            ++m_considered;
+            Resources left = it->second->entry.capacity;
+            left -= it->second->used;
+            m_freedRoom.most = largestOf(m_freedRoom.most, left);
+        }
+    }
+    return FleetTable::reservedBy(*step.spec).fitsIn(m_freedRoom.most);
+}
+
+void Placement::considerChanged(const Step &step, int pace, const FailedSearches::State &state, Candidate *best) const
+{
+    const CandidateIndex &index = m_context->fleet.candidates();
+    if (mayHaveRoomSince(state.freed, step)) {
+        for (auto it = index.freed().after(state.freed); it != index.freed().end(); ++it) {
+            consider(it->second, step, pace, best);
+        }
+    }
+    if (step.spec->filler) {
+        for (auto it = index.eased().after(state.eased); it != index.eased().end(); ++it) {
+            consider(it->second, step, pace, best);
+        }
+    }
+}
+
+Worker *Placement::cheapestWorker(const Step &step, int pace) const
+{
+    continueSearch(step, pace);
+    CandidateIndex &index = m_context->fleet.candidates();
+    Candidate best;
+    const std::optional<FailedSearches::State> failed = m_failed.find(step, pace);
+    if (failed) {
+        considerChanged(step, pace, *failed, &best);
+    } else {
+        considerAll(step, pace, &best);
+    }
+    if (best.worker == nullptr) {
+        m_failed.record(step, pace,
+                        {index.freed().count(), index.eased().count(), failed ? failed->searchedAt : m_now});
     }
     for (Worker *worker : m_unusable) {
-        m_context->fleet.candidates().park(worker);
+        index.park(worker);
     }
     m_unusable.clear();
     return best.worker;
@@ -493,13 +600,24 @@
     if (!overdue) {
         return Place{};
     }
+    std::vector<Resources> &unplaceable = m_unplaceableOverdue[step.spec->image];
+    const bool isKnown = std::any_of(unplaceable.begin(), unplaceable.end(), [&step](const Resources &need) {
+        return need.fitsIn(step.spec->perTask);
+    });
+    if (isKnown) {
+        return Place{};
+    }
     for (const int pace : reducedPaces) {
         worker = cheapestWorker(step, pace);
         if (worker != nullptr) {
             return Place{worker, pace};
         }
     }
-    return Place{workerWithMostHeadroom(step), minPace, true};
+    worker = workerWithMostHeadroom(step);
+    if (worker == nullptr && step.spec->maxPerWorker == 0) {
+        unplaceable.push_back(step.spec->perTask);
+    }
+    return Place{worker, minPace, true};
 }
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "failedsearches_pvt.h"
 #include "headroom_pvt.h"
 
 #include <limits>
@@ -48,10 +49,8 @@
 public:
     explicit Placement(std::shared_ptr<Context> context);
 
-    /// Drops cached headroom that is out of date; call before a series of queries.
-    void dropStaleHeadroom();
-    /// Forgets which workers do not fit the last step; call when tasks were released since.
-    void forgetRejections();
+    /// Drops what is out of date; call before a series of queries.
+    void dropStale();
     /// Drops the cached headroom of @p worker, because the tasks on it have changed.
     void invalidateHeadroom(const Worker *worker);
     /// The best place for a task of @p step. If its job is @p overdue, a filler may get a place at a reduced pace, or,
@@ -90,8 +89,45 @@
         Worker *worker = nullptr;
         double cost = std::numeric_limits<double>::max();
     };
+    /// The workers of a group that a filler may still be placed on.
+    struct Walk
+    {
+        double bound = 0; ///< Lower bound of the cost on any of them.
+        double taken = 0; ///< Headroom that the filler takes from the serving tasks of the group.
+        const CandidateIndex::Group *group = nullptr;
+
+        bool operator<(const Walk &other) const
+        {
+            return bound > other.bound; // The top of a heap is the cheapest.
+        }
+    };
+    /// What searches for tasks of one step at one pace have found. It holds while tasks are only added.
+    struct Search
+    {
+        const Step *step = nullptr;
+        int pace = 0;
+        std::uint64_t freed = 0; ///< ChangeOrder::count() of CandidateIndex::freed().
+        std::uint64_t groupsVersion = 0;
+        std::unordered_set<const Worker *> rejected; ///< Workers that do not fit.
+        bool hasWalks = false;
+        std::vector<Walk> walks; ///< A heap.
+    };
+
     /// The best worker for a task of @p step at @p pace; nullptr if there is none.
     Worker *cheapestWorker(const Step &step, int pace) const;
+    /// Makes m_search that for tasks of @p step at @p pace.
+    void continueSearch(const Step &step, int pace) const;
+    std::vector<Walk> walksFor(const Step &step) const;
+    /// Considers all workers.
+    void considerAll(const Step &step, int pace, Candidate *best) const;
+    /// Considers the workers that may take a task since a search in @p state found none.
+    void considerChanged(const Step &step, int pace, const FailedSearches::State &state, Candidate *best) const;
+    /// Whether a worker that was freed after change @p freed may have room for a task of @p step.
+    bool mayHaveRoomSince(std::uint64_t freed, const Step &step) const;
+    /// Considers the workers of @p walk while they can cost less than @p best. Returns whether it may be continued for
+    /// another task.
+    bool considerWalk(const Step &step, int pace, double elsewhere, Walk *walk, Candidate *best) const;
+    void forgetSearch() const;
     /// Replaces @p best by @p worker if that fits and costs less.
     void consider(Worker *worker, const Step &step, int pace, Candidate *best) const;
     /// These consider workers in the order of a lower bound of their cost, until none left can cost less than @p best.
@@ -119,12 +155,23 @@
     std::shared_ptr<Context> m_context;
     /// Cached headroom by worker; an entry is dropped when something is placed there.
     mutable std::unordered_map<const Worker *, std::vector<StepHeadroom>> m_headroom;
-    /// Workers that do not fit tasks of the last step at its last pace. They stay unfit while tasks are only added.
-    mutable std::unordered_set<const Worker *> m_rejected;
-    mutable std::pair<const Step *, int> m_rejectedFor{nullptr, 0};
+    mutable Search m_search;
+    mutable FailedSearches m_failed;
+    /// The most of each resource that is free on a worker that was freed after change `since`, when `count` changes had
+    /// been recorded.
+    struct FreedRoom
+    {
+        std::uint64_t since = 0;
+        std::uint64_t count = 0;
+        Resources most;
+    };
+    mutable FreedRoom m_freedRoom;
     mutable std::vector<Worker *> m_unusable; ///< Workers that were found to get no tasks at present.
     mutable std::uint64_t m_considered = 0;
+    /// Sizes of fillers of overdue jobs, by image, that found no worker at any pace since dropStale().
+    mutable std::map<std::string, std::vector<Resources>> m_unplaceableOverdue;
     TimePoint m_headroomAt{}; ///< When the cache was last cleared.
+    TimePoint m_now{}; ///< When dropStale() was last called. A series of queries does not read the clock again.
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/placementindex_test.cpp
+++ b/src/libworkflow/placementindex_test.cpp
@@ -70,7 +70,7 @@
     /// Workers looked at for each start of @p starts.
     double consideredPerStart(int starts)
     {
-        m_placement.dropStaleHeadroom();
+        m_placement.dropStale();
         const std::uint64_t before = m_placement.considered();
         for (int i = 0; i < starts; ++i) {
             startOne();
@@ -184,7 +184,6 @@
         std::swap(m_placed[m_random.below(m_placed.size())], m_placed.back());
         m_placement.invalidateHeadroom(m_placed.back()->worker);
         FleetTable::release(m_placed.back());
-        m_placement.forgetRejections();
         m_placed.pop_back();
     }
 
@@ -219,24 +218,58 @@
 
 } // namespace
 
+namespace {
+
+/// Checks for each step that the index finds a worker that costs as little as the best of all. Returns for how many
+/// there was none.
+int checkChoices(DrawnFleet *fleet)
+{
+    int withoutPlace = 0;
+    for (Step *step : fleet->steps()) {
+        fleet->placement().dropStale();
+        const std::optional<double> lowest = fleet->lowestCost(*step);
+        const Place place = fleet->placement().choose(*step, false);
+        CAPTURE(step->creationIndex);
+        REQUIRE((place.worker != nullptr) == lowest.has_value());
+        if (lowest) {
+            REQUIRE(fleet->placement().verdict(*place.worker, *step) == PlaceVerdict::Fits);
+            REQUIRE(fleet->placement().cost(*place.worker, *step) == Approx(*lowest).margin(1e-9));
+        }
+        withoutPlace += lowest ? 0 : 1;
+    }
+    return withoutPlace;
+}
+
+} // namespace
+
 TEST_CASE("the worker found by the index costs as little as the best of all workers")
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
         DrawnFleet fleet(60, seed);
         for (const double share : {0.1, 0.3, 0.5, 0.9}) {
             fleet.fill(share, 150);
-            for (Step *step : fleet.steps()) {
-                fleet.placement().dropStaleHeadroom();
-                const std::optional<double> lowest = fleet.lowestCost(*step);
-                const Place place = fleet.placement().choose(*step, false);
-                CAPTURE(seed, share, step->creationIndex);
-                REQUIRE((place.worker != nullptr) == lowest.has_value());
-                if (lowest) {
-                    REQUIRE(fleet.placement().verdict(*place.worker, *step) == PlaceVerdict::Fits);
-                    REQUIRE(fleet.placement().cost(*place.worker, *step) == Approx(*lowest).margin(1e-9));
-                }
-            }
+            CAPTURE(seed, share);
+            checkChoices(&fleet);
+        }
+    }
+}
+
+// Guards against tasks that wait beside free room: a search that has failed is continued only with what was freed
+// since.
+TEST_CASE("a search that has failed finds a worker as soon as one fits")
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        DrawnFleet fleet(24, seed);
+        fleet.fill(1, 900);
+        int withoutPlace = 0;
+        for (int round = 0; round < 30; ++round) {
+            CAPTURE(seed, round);
+            withoutPlace += checkChoices(&fleet);
+            fleet.fill(0, 2); // Ends two tasks.
+            withoutPlace += checkChoices(&fleet);
+            fleet.fill(1, 1);
         }
+        CHECK(withoutPlace > 100); // Otherwise the test says little.
     }
 }
 
--- a/src/libworkflow/roomholds.cpp
+++ b/src/libworkflow/roomholds.cpp
@@ -51,6 +51,12 @@
     }
     m_updatedAt = now;
     endStale(waiting);
+    if (std::none_of(waiting.begin(), waiting.end(), [now](const Step *step) {
+            return waitsTooLong(*step, now);
+        })) {
+        return;
+    }
+    findRoom();
     const std::size_t most = std::max<std::size_t>(1, m_context->fleet.all().size() / workersPerHold);
     for (const Step *step : waiting) {
         if (m_holds.size() >= most) {
@@ -79,6 +85,7 @@
         }
         if (worker != nullptr) {
             worker->heldForStep.reset();
+            m_context->fleet.candidates().markFreed(worker);
         }
         return true;
     };
@@ -107,28 +114,58 @@
             .with("waited_ms", std::chrono::duration_cast<Milliseconds>(m_context->now() - step.waitingSince)));
 }
 
+void RoomHolds::findRoom()
+{
+    m_rooms.clear();
+    m_largestRoom = Resources{};
+    for (const auto &[id, worker] : m_context->fleet.all()) {
+        const Resources room = roomBesideLasting(*worker);
+        m_rooms.push_back(Room{worker.get(), room});
+        m_largestRoom = largestOf(m_largestRoom, room);
+    }
+}
+
 Worker *RoomHolds::bestWorker(const Step &step) const
 {
+    const Resources &need = step.spec->perTask;
     Worker *best = nullptr;
-    for (const auto &[id, worker] : m_context->fleet.all()) {
+    if (!need.fitsIn(m_largestRoom)) {
+        return nullptr;
+    }
+    for (const Room &room : m_rooms) {
+        Worker *worker = room.worker;
         const bool belowLimit =
             step.spec->maxPerWorker == 0 || FleetTable::countOf(*worker, step) < step.spec->maxPerWorker;
-        const bool suits = !worker->heldForStep && belowLimit
-            && m_placement->verdict(*worker, step) == PlaceVerdict::Room
-            && step.spec->perTask.fitsIn(roomBesideLasting(*worker));
+        const bool suits = need.fitsIn(room.besideLasting) && !worker->heldForStep && belowLimit
+            && m_placement->verdict(*worker, step) == PlaceVerdict::Room;
         if (suits && (best == nullptr || worker->used.milliCores < best->used.milliCores)) {
-            best = worker.get();
+            best = worker;
         }
     }
     return best;
 }
 
+Worker *RoomHolds::heldWorker(const Step &step) const
+{
+    if (!step.spec->longRunning) {
+        return nullptr;
+    }
+    for (const Hold &hold : m_holds) {
+        Worker *worker = hold.step == step.creationIndex ? m_context->fleet.find(hold.worker) : nullptr;
+        if (worker != nullptr && m_placement->verdict(*worker, step) == PlaceVerdict::Fits) {
+            return worker;
+        }
+    }
+    return nullptr;
+}
+
 void RoomHolds::release(Worker *worker, const Step &step)
 {
     if (worker->heldForStep != step.creationIndex) {
         return;
     }
     worker->heldForStep.reset();
+    m_context->fleet.candidates().markFreed(worker);
     m_holds.erase(std::remove_if(m_holds.begin(), m_holds.end(),
                                  [worker](const Hold &hold) {
                                      return hold.worker == worker->id;
--- a/src/libworkflow/roomholds_pvt.h
+++ b/src/libworkflow/roomholds_pvt.h
@@ -20,6 +20,8 @@
     static bool waitsTooLong(const Step &step, TimePoint now);
     /// Ends holds that have served their purpose, and holds workers for the steps in @p waiting.
     void update(const std::vector<Step *> &waiting);
+    /// A worker that is held for @p step and has room for a task of it; nullptr if there is none.
+    Worker *heldWorker(const Step &step) const;
     /// Ends the hold of @p worker, if there is one, because a task of @p step starts there.
     void release(Worker *worker, const Step &step);
 
@@ -31,6 +33,15 @@
         TimePoint since;
     };
 
+    /// A worker, and what the long-running tasks there leave of its room.
+    struct Room
+    {
+        Worker *worker = nullptr;
+        Resources besideLasting;
+    };
+
+    /// Updates m_rooms and m_largestRoom.
+    void findRoom();
     void endStale(const std::vector<Step *> &waiting);
     void hold(const Step &step);
     /// The worker where room for a task of @p step comes free with the least other work; nullptr if there is none.
@@ -39,6 +50,8 @@
     std::shared_ptr<Context> m_context;
     const Placement *m_placement;
     std::vector<Hold> m_holds;
+    std::vector<Room> m_rooms; ///< As of the current update.
+    Resources m_largestRoom; ///< The most of each resource in any of m_rooms.
     TimePoint m_updatedAt{};
 };
 
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -41,7 +41,7 @@
         return;
     }
     m_ranAt = now;
-    m_placement->dropStaleHeadroom();
+    m_placement->dropStale();
     int left = maxReportsPerInterval;
     for (Step *step : m_context->jobs.openSteps()) {
         if (step->idleTasks == 0 || step->waitingSince == TimePoint{} || step->occurrence->job->ended()) {
