--- a/src/libtelemetry/meteredlog.cpp
+++ b/src/libtelemetry/meteredlog.cpp
@@ -27,6 +27,32 @@
                                                            .Help("How long what an event tells of took.")
                                                            .Register(registry);
     std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
+    /// The metrics of the lines written so far. A look-up in the registry builds and hashes a map of labels.
+    std::map<std::string, std::map<std::string, prometheus::Counter *>, std::less<>> counters; ///< By event, outcome.
+    std::map<std::string, prometheus::Histogram *, std::less<>> histograms; ///< By event.
+
+    prometheus::Counter &counter(std::string_view event, const std::string &outcome)
+    {
+        auto it = counters.find(event);
+        if (it == counters.end()) {
+            it = counters.try_emplace(std::string(event)).first;
+        }
+        prometheus::Counter *&counter = it->second[outcome];
+        if (counter == nullptr) {
+            counter = &events.Add({{"event", std::string(event)}, {"outcome", outcome}});
+        }
+        return *counter;
+    }
+
+    prometheus::Histogram &histogram(std::string_view event)
+    {
+        auto it = histograms.find(event);
+        if (it == histograms.end()) {
+            const std::string name(event);
+            it = histograms.emplace(name, &times.Add({{"event", name}}, bucketBoundaries)).first;
+        }
+        return *it->second;
+    }
 };
 
 MeteredLog::MeteredLog(EventLog *next)
@@ -39,11 +65,9 @@
 
 void MeteredLog::write(const LogLine &line)
 {
-    const std::string event(line.event());
-    m_state->events.Add({{"event", event}, {"outcome", line.outcome()}}).Increment();
+    m_state->counter(line.event(), line.outcome()).Increment();
     if (line.took()) {
-        m_state->times.Add({{"event", event}}, bucketBoundaries)
-            .Observe(static_cast<double>(line.took()->count()) / millisecondsPerSecond);
+        m_state->histogram(line.event()).Observe(static_cast<double>(line.took()->count()) / millisecondsPerSecond);
     }
     m_next->write(line);
 }
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -430,9 +430,11 @@
                                    .with("draining", entry.draining ? 1 : 0));
         }
     }
-    for (const auto &[id, worker] : context.fleet.all()) {
-        if (update.complete && worker->listed && present.count(id) == 0) {
-            FleetTable::setUnlisted(worker.get(), now);
+    if (update.complete) {
+        for (const auto &[id, worker] : context.fleet.all()) {
+            if (worker->listed && present.count(id) == 0) {
+                FleetTable::setUnlisted(worker.get(), now);
+            }
         }
     }
     for (const WorkerId &id : update.removed) {
@@ -454,9 +456,10 @@
         tick();
     }
     m_writer.wake();
-    for (const auto &[id, worker] : context.fleet.all()) {
+    for (const WorkerId &id : present) {
+        Worker *worker = context.fleet.find(id);
         if (worker->contact == WorkerContact::Unadopted) {
-            m_observations.wake(worker.get());
+            m_observations.wake(worker); // Of the others, tick() observes those that are due.
         }
     }
 }
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -223,10 +223,15 @@
     return m_placement->takes(*worker, step) ? worker : nullptr;
 }
 
+bool DispatchSystem::isAwaited(const Task &task) const
+{
+    return m_context->fleet.awaitsRuns() && m_context->fleet.isAwaited(keyOf(task));
+}
+
 void DispatchSystem::startSuspects(Step *step, std::uint64_t limit)
 {
     for (Task &task : step->tasks) {
-        if (task.phase != TaskPhase::Idle || !task.isSuspect() || m_context->fleet.isAwaited(keyOf(task))
+        if (task.phase != TaskPhase::Idle || !task.isSuspect() || isAwaited(task)
             || !CrashLedger::mayStartAgain(task, m_context->now())) {
             continue;
         }
@@ -249,7 +254,7 @@
         startSuspects(step, limit);
     }
     for (Task &task : step->tasks) {
-        if (task.phase != TaskPhase::Idle || m_context->fleet.isAwaited(keyOf(task)) || task.isSuspect()
+        if (task.phase != TaskPhase::Idle || isAwaited(task) || task.isSuspect()
             || CrashLedger::waitsForSuspects(task)) {
             continue;
         }
@@ -285,7 +290,7 @@
     }
     if (std::any_of(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
             return task.phase == TaskPhase::Idle
-                && (m_context->fleet.isAwaited(keyOf(task)) || !CrashLedger::mayStartAgain(task, m_context->now()));
+                && (isAwaited(task) || !CrashLedger::mayStartAgain(task, m_context->now()));
         })) {
         return;
     }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -45,6 +45,8 @@
     bool startInOrder(const std::vector<std::pair<Rank, Step *>> &ranked, std::uint64_t limit);
     /// Starts tasks of @p step until OrderSystem::startsSent reaches @p limit.
     void startStep(Step *step, std::uint64_t limit);
+    /// Whether an earlier run of @p task may still be on some worker.
+    bool isAwaited(const Task &task) const;
     /// Starts the suspects of @p step on the worker that is isolated for its job.
     void startSuspects(Step *step, std::uint64_t limit);
     /// That worker if it can take a task of @p step. If there is none, one is isolated.
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -55,6 +55,11 @@
     bool dropEarlierRuns(Worker *worker, const std::function<bool(const EarlierRun &)> &isOver);
     /// Forgets all earlier runs on @p worker: they are over.
     void clearEarlierRuns(Worker *worker);
+    /// Whether an earlier run of any task may still be on some worker.
+    bool awaitsRuns() const
+    {
+        return !m_awaited.empty();
+    }
     /// Whether an earlier run of @p task may still be on some worker.
     bool isAwaited(const TaskKey &task) const
     {
