Accept the processor time of a VM with any number of decimals

A VM whose share of a processor has more than three decimals could not be used: its daemon refused the settings that the platform had filled in (`cores = 0.0345`) and ended with code 1 at each start.

`cores` orders the candidates for the coordinator, so decimals after the third are ignored. Decimals that operators write themselves are still checked. The test failed before: the value was no number with at most three decimals.

--- a/src/include/fescueledge/settingsschema.h
+++ b/src/include/fescueledge/settingsschema.h
@@ -19,6 +19,7 @@
     Duration, ///< A whole number with `ms`, `s` or `min`.
     Size, ///< A whole number with `MB` or `GB`.
     Decimal, ///< A number with at most three decimals.
+    TruncatedDecimal, ///< The same, but further decimals are ignored: a measure that a platform fills in.
     Integer, ///< A whole number.
     Percent, ///< A whole number with `%`.
     Boolean, ///< `yes` or `no`.
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -185,7 +185,7 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.metrics = value.text;
          }},
-        {{"cores", ValueType::Decimal, false, "1", 1, 1000000,
+        {{"cores", ValueType::TruncatedDecimal, false, "1", 1, 1000000,
           "Processor time of this VM, in cores. Of the nodes that live, the one with the most coordinates."},
          [](WorkflowSettings &target, const SettingValue &value) {
              target.cores = static_cast<double>(value.number) / decimalScale;
--- a/src/libconfig/schematext.cpp
+++ b/src/libconfig/schematext.cpp
@@ -53,6 +53,7 @@
         {ValueType::Duration, "a whole number with ms, s or min"},
         {ValueType::Size, "a whole number with MB or GB"},
         {ValueType::Decimal, "a number with at most three decimals"},
+        {ValueType::TruncatedDecimal, "a number, of which three decimals count"},
         {ValueType::Integer, "a whole number"},
         {ValueType::Percent, "a whole number with %"},
         {ValueType::Boolean, "yes or no"},
@@ -71,6 +72,7 @@
     case ValueType::Size:
         return scaledText(number, mbPerGb, "MB", "GB");
     case ValueType::Decimal:
+    case ValueType::TruncatedDecimal:
         return decimalText(number);
     case ValueType::Percent:
         return std::to_string(number) + "%";
--- a/src/libconfig/settingsparser_test.cpp
+++ b/src/libconfig/settingsparser_test.cpp
@@ -128,6 +128,19 @@
     }
 }
 
+// Guards against nodes that never start: the platform fills in their share of a processor with all its decimals.
+TEST_CASE("the processor time of a VM may have more than three decimals")
+{
+    const auto coresFrom = [](const std::string &value) {
+        return parseSettings(validSettings + "\n[workflow]\ncores = " + value + "\n", "daemon.ini").workflow.cores;
+    };
+    CHECK(coresFrom("0.0345") == Approx(0.034));
+    CHECK(coresFrom("0.33333333333333331") == Approx(0.333));
+    CHECK(coresFrom("2") == Approx(2));
+    CHECK_THROWS_AS(coresFrom("0.0345x"), SettingsError);
+    CHECK_THROWS_AS(coresFrom("0.0001"), SettingsError);
+}
+
 TEST_CASE("all findings are reported at once, in file order")
 {
     Findings findings = findingsOf("[node]\nnam = x\n[listen]\ncaller = here\n");
--- a/src/libconfig/settingvalue.cpp
+++ b/src/libconfig/settingvalue.cpp
@@ -124,6 +124,18 @@
     return checkRange(key, scaled);
 }
 
+ValueResult readTruncatedDecimal(const SettingsKey &key, const std::string &text)
+{
+    constexpr std::size_t decimals = 3;
+    const std::size_t dot = std::min(text.find('.'), text.size());
+    const std::size_t end = std::min(dot + 1 + decimals, text.size());
+    const std::string ignored = text.substr(end);
+    if (!ignored.empty() && !consistsOf(ignored, "0123456789")) {
+        return refused("the value is no number", "write " + rangeText(key));
+    }
+    return readDecimal(key, text.substr(0, end));
+}
+
 ValueResult readBoolean(const SettingsKey &, const std::string &text)
 {
     if (text != "yes" && text != "no") {
@@ -257,11 +269,14 @@
 const std::map<ValueType, Reader> &readers()
 {
     static const std::map<ValueType, Reader> table{
-        {ValueType::Name, readName},         {ValueType::Host, readHost},          {ValueType::UrlPath, readUrlPath},
-        {ValueType::FilePath, readFilePath}, {ValueType::Secret, readSecret},      {ValueType::Address, readAddress},
-        {ValueType::Duration, readDuration}, {ValueType::Size, readSize},          {ValueType::Decimal, readDecimal},
-        {ValueType::Integer, readInteger},   {ValueType::Percent, readPercent},    {ValueType::Boolean, readBoolean},
-        {ValueType::LogLevel, readLogLevel}, {ValueType::MethodList, readMethods}, {ValueType::WorkerList, readWorkers},
+        {ValueType::Name, readName},          {ValueType::Host, readHost},
+        {ValueType::UrlPath, readUrlPath},    {ValueType::FilePath, readFilePath},
+        {ValueType::Secret, readSecret},      {ValueType::Address, readAddress},
+        {ValueType::Duration, readDuration},  {ValueType::Size, readSize},
+        {ValueType::Decimal, readDecimal},    {ValueType::TruncatedDecimal, readTruncatedDecimal},
+        {ValueType::Integer, readInteger},    {ValueType::Percent, readPercent},
+        {ValueType::Boolean, readBoolean},    {ValueType::LogLevel, readLogLevel},
+        {ValueType::MethodList, readMethods}, {ValueType::WorkerList, readWorkers},
     };
     return table;
 }
