Look up images of the interference model by hash

Each observation of a worker looks up the effect of each filler on each serving step there, by two names.

--- a/src/libworkflow/interferencemodel.cpp
+++ b/src/libworkflow/interferencemodel.cpp
@@ -121,7 +121,7 @@
 bool InterferenceModel::decode(const std::string &value)
 {
     try {
-        std::map<std::string, ServingImage> read;
+        std::unordered_map<std::string, ServingImage> read;
         const json in = json::parse(value);
         if (!in.is_object()) {
             return false;
--- a/src/libworkflow/interferencemodel_pvt.h
+++ b/src/libworkflow/interferencemodel_pvt.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace fescueledge::workflow {
 
@@ -51,12 +52,12 @@
     {
         ServingImage();
         double usualHeadroom;
-        std::map<std::string, Effect> effects;
+        std::unordered_map<std::string, Effect> effects;
     };
 
     Effect effectOf(const std::string &serving, const std::string &filler) const;
 
-    std::map<std::string, ServingImage> m_servingImages;
+    std::unordered_map<std::string, ServingImage> m_servingImages;
 };
 
 } // namespace fescueledge::workflow
