Let run ends accumulate while the coordinator's loop is late

Callers of the large deployment got too little of the batch class (SHORT), the more so the slower the processor.

Cause: an answer to an observation lists all that runs on the worker, some nine runs, and each end of a run was fetched in an observation of its own, at once, however late the loop was.

A loop that is late by d now pauses 4 d, 300 ms at most, before it observes a worker without urgent runs again; the next answer then brings several ends. On a loop that is on time nothing changes. Starts and durable ends observe a worker only when it is due; signs of trouble still do so at once.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -57,6 +57,9 @@
     m_orders.wakeObservation = [this](Worker *worker) {
         m_observations.wake(worker);
     };
+    m_orders.observe = [this](Worker *worker) {
+        m_observations.observe(worker);
+    };
     m_orders.workerEnded = [this](Worker *worker, const LifeEnd &end) {
         return m_crashes.recordCrash(worker, end);
     };
@@ -77,7 +80,7 @@
     m_writer.committed = [this] {
         for (const auto &[id, worker] : m_context->fleet.all()) {
             if (worker->life.endsDurable > worker->life.endsAcknowledged) {
-                m_observations.wake(worker.get());
+                m_observations.observe(worker.get());
             }
         }
         scheduleDispatch();
@@ -468,7 +471,7 @@
 {
     Context &context = *m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Tick);
-    m_loadReport.tick(m_freshness.workersAge());
+    m_observations.recordLoopDelay(m_loadReport.tick(m_freshness.workersAge()));
     context.jobs.openAllDueOccurrences(context.wallClock());
     m_observations.tick();
     confirmTermIfDue();
--- a/src/libworkflow/dispatchcost_test.cpp
+++ b/src/libworkflow/dispatchcost_test.cpp
@@ -91,3 +91,37 @@
     REQUIRE(starts >= 2000);
     CHECK(considered / starts <= maxConsideredPerStart);
 }
+
+// Guards against a coordinator that spends its processor time on observations (SHORT): each end of a run was observed
+// by itself, however late the loop was, and each answer lists all runs on the worker.
+TEST_CASE("a coordinator with a late loop collects several run ends in one observation")
+{
+    constexpr int workers = 40;
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(1, workers, cores);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(100 + 10 * (key.index % 20)), false);
+    };
+    const auto observationsPerSecond = [&world](int firstJob, Duration busy, const std::string &queue) {
+        constexpr std::chrono::seconds span{4};
+        constexpr Milliseconds turn{120};
+        MemoryLog &log = world->log(0);
+        const std::size_t linesBefore = log.lines.size();
+        int job = firstJob;
+        for (const TimePoint end = world->world.now() + span; world->world.now() < end;) {
+            world->submit(0, jobNumber(job++), workflowOf({simpleStep(workers)}), queue);
+            world->run(turn - busy);
+            world->pause(0);
+            world->run(busy);
+            world->resume(0);
+        }
+        return sumInLog(log, "coordinator_load", "observations", linesBefore) / span.count();
+    };
+    const std::int64_t onTime = observationsPerSecond(0, Milliseconds(0), "batch");
+    const std::int64_t late = observationsPerSecond(1000, Milliseconds(100), "batch");
+    const std::int64_t urgent = observationsPerSecond(2000, Milliseconds(100), "urgent");
+    CAPTURE(onTime, late, urgent);
+    CHECK(onTime > 5 * workers);
+    CHECK(late <= 5 * workers); // The loop is about 50 ms late, so a pause takes 200 ms.
+    CHECK(urgent > 5 * workers); // The callers of urgent jobs wait for the ends of their runs.
+    CHECK(world->workers.tasksRunTwice().empty());
+}
--- a/src/libworkflow/loadreport.cpp
+++ b/src/libworkflow/loadreport.cpp
@@ -34,16 +34,20 @@
     return m_context->processorTime ? m_context->processorTime() : Duration::zero();
 }
 
-void LoadReport::tick(Duration listAge)
+Duration LoadReport::tick(Duration listAge)
 {
     const TimePoint now = m_context->now();
-    if (m_tickDueAt != TimePoint{}) {
-        m_longestTickDelay = std::max(m_longestTickDelay, now - m_tickDueAt);
-    }
+    const Duration delay = m_tickDueAt == TimePoint{} ? Duration::zero() : now - m_tickDueAt;
+    m_longestTickDelay = std::max(m_longestTickDelay, delay);
     m_tickDueAt = now + m_tickInterval;
-    if (now < m_reportedAt + reportInterval) {
-        return;
+    if (now >= m_reportedAt + reportInterval) {
+        report(now, listAge);
     }
+    return delay;
+}
+
+void LoadReport::report(TimePoint now, Duration listAge)
+{
     m_reportedAt = now;
     const Duration processorTime = processorTimeSoFar();
     const std::uint64_t considered = m_placement->considered();
--- a/src/libworkflow/loadreport_pvt.h
+++ b/src/libworkflow/loadreport_pvt.h
@@ -16,10 +16,11 @@
     LoadReport(std::shared_ptr<Context> context, const OrderSystem *orders, const Placement *placement,
                Milliseconds tickInterval);
 
-    /// @p listAge is the age of the list of workers.
-    void tick(Duration listAge);
+    /// @p listAge is the age of the list of workers. Returns by how much this tick is late.
+    Duration tick(Duration listAge);
 
 private:
+    void report(TimePoint now, Duration listAge);
     Duration processorTimeSoFar() const;
     void addActivities(LogLine *line) const;
 
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -18,6 +18,13 @@
 constexpr Milliseconds quarantineTimeout{2000};
 /// How often a worker is observed, to renew its lease, while run ends wait to become durable.
 constexpr Milliseconds unacknowledgedObserveInterval{400};
+/// A late loop pauses this many times its delay before it observes a worker without urgent runs again, up to a limit.
+/// Run ends accumulate meanwhile: what an observation costs depends on what runs on the worker, not on how much has
+/// ended.
+constexpr int pausePerLoopDelay = 4;
+constexpr Milliseconds maxPause{300};
+/// Weight of each tick in the running average of the loop's delay.
+constexpr int loopDelaySmoothing = 8;
 /// Upper limit of the retry delay for a silent worker, as a multiple of CoordinatorSettings::orderRetryDelay.
 constexpr int maxRetryFactor = 5;
 /// Number of failed adoptions of a worker that are retried at once.
@@ -42,6 +49,20 @@
         || (worker.contact != WorkerContact::Adopted && worker.listed);
 }
 
+void ObservationSystem::recordLoopDelay(Duration delay)
+{
+    m_loopDelay += (std::max(Duration::zero(), delay) - m_loopDelay) / loopDelaySmoothing;
+}
+
+Duration ObservationSystem::pauseFor(const Worker &worker) const
+{
+    const Duration pause = std::min<Duration>(m_loopDelay * pausePerLoopDelay, maxPause);
+    const bool hasUrgentRun = std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task *task) {
+        return !task->step->spec->longRunning && task->step->occurrence->job->policy.priority == 0;
+    });
+    return hasUrgentRun ? Duration::zero() : pause;
+}
+
 void ObservationSystem::wake(Worker *worker)
 {
     worker->nextObservationAt = std::min(worker->nextObservationAt, m_context->now());
@@ -97,7 +118,6 @@
     }
     const bool hasPendingEnds = worker->life.endsApplied > worker->life.endsDurable;
     if (hasPendingEnds && now < worker->observedAt + unacknowledgedObserveInterval) {
-        worker->nextObservationAt = worker->observedAt + unacknowledgedObserveInterval;
         return;
     }
     ObserveOrder order;
@@ -146,7 +166,7 @@
         onNoAnswer(worker, answer);
         return;
     }
-    worker->nextObservationAt = context.now();
+    worker->nextObservationAt = context.now() + pauseFor(*worker);
     if (worker->life.incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
         adopt(worker, answer, leased);
     }
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -15,6 +15,10 @@
 
     /// Observes @p worker as soon as possible.
     void wake(Worker *worker);
+    /// Observes @p worker if it is due and not observed yet.
+    void observe(Worker *worker);
+    /// Records by how much the loop was late at its last tick.
+    void recordLoopDelay(Duration delay);
     /// Observes workers that are due, and marks those whose leases have expired as lost.
     void tick();
     /// To be called when the entry of @p worker was read: if it names another incarnation than the known one, the
@@ -36,7 +40,8 @@
 
 private:
     bool needsObservation(const Worker &worker) const;
-    void observe(Worker *worker);
+    /// The pause after an answer of @p worker before it is observed again.
+    Duration pauseFor(const Worker &worker) const;
     void onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer);
     /// Takes note of whether @p answer has all ends of runs on @p worker.
     void noteListedEnds(Worker *worker, const Observation &answer);
@@ -68,6 +73,7 @@
     OrderSystem *m_orders;
     CrashLedger *m_crashes;
     TimePoint m_earlierRunsUnknownUntil{};
+    Duration m_loopDelay{0}; ///< Running average.
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -142,7 +142,10 @@
         if (task->step->occurrence->job->ended()) {
             stop(task);
         }
-    } else if (result.outcome == OrderOutcome::NoAnswer) {
+        observe(worker);
+        return;
+    }
+    if (result.outcome == OrderOutcome::NoAnswer) {
         context.jobs.setPhase(task, TaskPhase::Uncertain, now);
         ++worker->life.unansweredCalls;
         blockStarts(worker, context.settings.orderRetryDelay);
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -33,6 +33,8 @@
 
     /// Called when a worker should be observed at once.
     std::function<void(Worker *)> wakeObservation;
+    /// Called when a worker has got a run, so that it needs to be observed from now on.
+    std::function<void(Worker *)> observe;
 
     /// Called before the runs on a worker are given up; returns jobs to be ended, because they crash workers.
     std::function<std::vector<Job *>(Worker *, const LifeEnd &)> workerEnded;
