Log what a run is given up by

run_lost now has the phase of the task, whether the worker had shown the run, whether a stop was confirmed, the age of the start order, the known incarnation and the earliest begin of the next one. A start order that outlives an incarnation shows as phase=starting or uncertain with seen=0 and an order older than the next incarnation; a run given up by an old list shows as run_missing without it. No decision changes.

--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -23,6 +23,19 @@
     return names.at(static_cast<std::size_t>(reason));
 }
 
+const char *phaseName(TaskPhase phase)
+{
+    static constexpr std::array<const char *, 6> names{"idle", "starting", "uncertain", "running", "stopping", "done"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
+/// For logs: how long before @p now @p time was; -1 if it is not known.
+Milliseconds ageOf(TimePoint time, TimePoint now)
+{
+    const bool isKnown = time != TimePoint{} && time != TimePoint::max();
+    return isKnown ? std::chrono::duration_cast<Milliseconds>(now - time) : Milliseconds{-1};
+}
+
 WorkerRef refOf(const Worker &worker)
 {
     return WorkerRef{worker.id, worker.entry.address};
@@ -366,6 +379,7 @@
 void OrderSystem::markTasksLost(Worker *worker, const LifeEnd &end)
 {
     const TaskSet tasks = worker->tasks;
+    const TimePoint now = m_context->now();
     const std::vector<Job *> givenUp = workerEnded(worker, end);
     for (Task *task : tasks) {
         m_context->log->write(LogLine("run_lost")
@@ -373,7 +387,13 @@
                                   .with("task", toString(keyOf(*task)))
                                   .with("run", static_cast<std::int64_t>(task->run))
                                   .with("worker", worker->id)
-                                  .with("reason", runsOverName(end.reason)));
+                                  .with("reason", runsOverName(end.reason))
+                                  .with("phase", phaseName(task->phase))
+                                  .with("seen", task->seenOnWorker ? 1 : 0)
+                                  .with("stop_confirmed", task->stopConfirmed ? 1 : 0)
+                                  .with("ordered_ago_ms", ageOf(task->orderedAt, now))
+                                  .with("life", worker->life.incarnation)
+                                  .with("next_life_ago_ms", ageOf(end.nextBegan, now)));
         FleetTable::release(task);
         m_context->jobs.setIdle(task);
     }
