--- a/src/libworkflow/sharedfleet.cpp
+++ b/src/libworkflow/sharedfleet.cpp
@@ -147,7 +147,7 @@
 double SharedFleet::fillerLoad(const SimWorkers::SimWorker &worker) const
 {
     double load = 0;
-    for (const auto &[name, index] : worker.active) {
+    for (const auto &[key, index] : worker.active) {
         const SimWorkers::RunRecord &run = world->workers.runs()[index];
         if (run.task.job != servingJob) {
             load += static_cast<double>(run.pace) / fullSpeed * fillerMilliCores / workerMilliCores;
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -60,7 +60,7 @@
     SimWorker &worker = m_workers.at(id);
     settle(&worker);
     worker.up = false;
-    for (const auto &[name, index] : worker.active) {
+    for (const auto &[key, index] : worker.active) {
         m_runs[index].ended = m_world->now();
         m_runs[index].how = RunEnd::LeaseExpired;
     }
@@ -153,17 +153,17 @@
     worker->ends.push_back(ended);
     RunNumber &last = worker->lastRun[toString(record.task)];
     last = std::max(last, record.run);
-    worker->active.erase(toString(record.task));
+    worker->active.erase({toString(record.task), record.run});
 }
 
 void SimWorkers::settle(SimWorker *worker)
 {
-    const std::map<std::string, std::size_t> active = worker->active;
+    const std::map<std::pair<std::string, RunNumber>, std::size_t> active = worker->active;
     const bool lapsed = worker->leaseUntil.count() > 0 && clockOf(*worker) > worker->leaseUntil;
     if (lapsed) {
         worker->lapsedAt = worker->startedAt + worker->leaseUntil;
     }
-    for (const auto &[name, index] : active) {
+    for (const auto &[key, index] : active) {
         const RunRecord &record = m_runs[index];
         const TimePoint leaseEnd = worker->startedAt + worker->leaseUntil;
         if (record.endsAt <= m_world->now() && (!lapsed || record.endsAt <= leaseEnd)) {
@@ -210,9 +210,8 @@
     }
     extendLease(&worker, order.leaseUntil);
     const std::string name = toString(order.task);
-    const auto it = worker.active.find(name);
     result.outcome = OrderOutcome::Done;
-    if (it != worker.active.end() && m_runs[it->second].run == order.run) {
+    if (worker.active.count({name, order.run}) > 0) {
         return result;
     }
     const auto last = worker.lastRun.find(name);
@@ -233,7 +232,7 @@
     record.endsAt = m_world->now() + (workForOrder ? workForOrder(order) : workOf(order.task).first);
     record.checkpoint = order.checkpoint;
     record.payload = order.payload;
-    worker.active[name] = m_runs.size();
+    worker.active[{name, order.run}] = m_runs.size();
     m_runs.push_back(record);
     if (crashesWorker && crashesWorker(order.task)) {
         crashSoon(id);
@@ -276,8 +275,8 @@
     const std::string name = toString(task);
     RunNumber &last = worker.lastRun[name];
     last = std::max(last, run);
-    const auto it = worker.active.find(name);
-    if (it != worker.active.end() && m_runs[it->second].run == run) {
+    const auto it = worker.active.find({name, run});
+    if (it != worker.active.end()) {
         end(&worker, it->second, RunEnd::Stopped);
     }
     return result;
@@ -304,8 +303,8 @@
         return result;
     }
     result.outcome = OrderOutcome::Rejected;
-    const auto it = worker.active.find(toString(task));
-    if (it != worker.active.end() && m_runs[it->second].run == run) {
+    const auto it = worker.active.find({toString(task), run});
+    if (it != worker.active.end()) {
         const std::size_t index = it->second;
         m_world->after(paceDelay, [this, id, index, percent] {
             settle(&m_workers.at(id));
@@ -337,7 +336,7 @@
     const std::size_t n = std::min(worker.ends.size(), maxListedEnds);
     result.ended.assign(worker.ends.begin(), worker.ends.begin() + static_cast<std::ptrdiff_t>(n));
     result.endsComplete = n < maxListedEnds;
-    for (const auto &[name, index] : worker.active) {
+    for (const auto &[key, index] : worker.active) {
         const RunRecord &record = m_runs[index];
         ActiveRun run;
         run.task = record.task;
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fescueledge {
@@ -50,7 +51,8 @@
         Term highestTerm = 0;
         WorkerTime leaseUntil{0};
         TimePoint lapsedAt{}; ///< When its lease last expired; the epoch if it never has.
-        std::map<std::string, std::size_t> active; ///< Index of the run record by task name.
+        /// Index of the run record by task name and run: a worker may have several runs of a task.
+        std::map<std::pair<std::string, RunNumber>, std::size_t> active;
         std::map<std::string, RunNumber> lastRun; ///< By task name; runs up to this number are refused.
         std::vector<EndedRun> ends;
         std::uint64_t endCount = 0;
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -25,12 +25,7 @@
     void start(const WorkerRef &worker, const StartOrder &order, Milliseconds timeout, OrderHandler handler) override
     {
         if (startDelay > Duration::zero()) {
-            m_world->after(startDelay, [this, worker, order] {
-                if (reaches(worker.id)) {
-                    m_workers->start(worker.id, order);
-                }
-            });
-            answerWithTimeout(timeout, handler);
+            startLater(worker, order, timeout, handler);
             return;
         }
         deliver(worker, timeout, handler, [this, worker, order] {
@@ -85,6 +80,7 @@
     }
 
     Duration startDelay{0};
+    bool answersDelayedStarts = false; ///< Unless the start takes effect after its timeout.
     Duration paceDelay{0};
     Duration answerTime{0}; ///< Processor time that each answer takes; one is handled after the other.
     int stopsToLose = 0; ///< This many following stop orders are not delivered.
@@ -109,6 +105,25 @@
         return before == 0 || before == incarnation || !m_workers->connectionsOutliveCrashes;
     }
 
+    /// Carries out @p order after startDelay, whatever incarnation of the worker is there then.
+    void startLater(const WorkerRef &worker, const StartOrder &order, Milliseconds timeout, const OrderHandler &handler)
+    {
+        const bool isAnswered = answersDelayedStarts && startDelay < timeout;
+        const Duration left = timeout - startDelay;
+        if (!isAnswered) {
+            answerWithTimeout(timeout, handler);
+        }
+        m_world->after(startDelay, [this, worker, order, isAnswered, left, handler] {
+            const bool arrives = reaches(worker.id);
+            const OrderResult result = arrives ? m_workers->start(worker.id, order) : OrderResult{};
+            if (isAnswered) {
+                m_loop->postAfter(arrives ? Duration(latency) : left, [handler, result] {
+                    handler(result);
+                });
+            }
+        });
+    }
+
     void answerWithTimeout(Milliseconds timeout, const OrderHandler &handler)
     {
         m_loop->postAfter(timeout, [handler] {
@@ -468,9 +483,11 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.dropEvery = every;
 }
 
-void WorkflowWorld::delayStarts(int index, Duration delay)
+void WorkflowWorld::delayStarts(int index, Duration delay, bool areAnswered)
 {
-    m_processes[static_cast<std::size_t>(index)]->gateway.startDelay = delay;
+    SimGateway &gateway = m_processes[static_cast<std::size_t>(index)]->gateway;
+    gateway.startDelay = delay;
+    gateway.answersDelayedStarts = areAnswered;
 }
 
 void WorkflowWorld::setAnswerTime(int index, Duration time)
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -58,8 +58,9 @@
     FakeTableService::Faults &storeFaults(int index);
     /// Loses the answer to every @p every-th observation of node @p index; 0 for none.
     void dropObservations(int index, int every);
-    /// Makes each following start order of node @p index take effect after @p delay, and loses its answer.
-    void delayStarts(int index, Duration delay);
+    /// Makes each following start order of node @p index take effect after @p delay, on whatever incarnation of the
+    /// worker is there then. Its answer is lost, unless @p areAnswered and it comes before the order's timeout.
+    void delayStarts(int index, Duration delay, bool areAnswered = false);
 
     /// The same for pace orders.
     void delayPaces(int index, Duration delay);
