Keep a start order awaited until its worker would refuse it

Cause: a worker restarts under its id while a start order is under way. An answer of the next incarnation without the run was taken as the end of all runs on the worker, also of those that had not begun. The task started again, and then the first order reached the next incarnation, which knows neither the lease of the former one nor a stop. The same after a lease that was over: the worker was back before the order arrived, with a clock that begins at zero. And a list composed before a start was carried out could end an earlier run, because dropEarlierRuns() did not ask when the question was sent.

A run whose start is neither answered nor listed becomes an earlier run of its worker, which the task waits for. It is over once the known incarnation has confirmed a stop and the call has ended, and a complete list asked for later lacks it. Another incarnation has to confirm anew. With a worker that does not answer, the order counts until the worker has left the list or 10 s have passed. What was answered or listed is given up as before, so ordinary restarts cost nothing more.

--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -390,11 +390,11 @@
                 continue;
             }
             if (run < task->run || (run == task->run && task->worker != nullptr)) {
-                context.fleet.addEarlierRun(worker, key, run, task->step->spec);
+                context.fleet.addEarlierRun(worker, EarlierRun(key, run), task->step->spec);
                 continue;
             }
             if (task->worker != nullptr) {
-                context.fleet.addEarlierRun(task->worker, key, task->run, task->step->spec);
+                context.fleet.addEarlierRun(task->worker, EarlierRun(key, task->run), task->step->spec);
                 FleetTable::release(task);
             }
             task->run = run;
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Entities that a coordinator keeps in its tables and its systems work on.
@@ -186,12 +187,33 @@
     Lost, ///< It has not answered for longer than its lease, so nothing runs there.
 };
 
-/// A run on a worker that is not the current run of its task: a later one has superseded it, or is known to exist.
+/// Whether a start order may still be carried out.
+enum class StartOrderState {
+    Pending, ///< It has been sent, and its call has not ended.
+    Unanswered, ///< Its call ended without an answer: it may have been carried out, or may still be.
+    Settled, ///< It was answered, or its run was seen, so it can't be carried out again.
+};
+
+/// A run on a worker that is not the current run of its task: a later one has superseded it, its job may have ended, or
+/// its worker has begun another life or fallen silent while its start order was under way.
 struct EarlierRun
 {
+    EarlierRun() = default;
+    EarlierRun(TaskKey key, RunNumber number)
+        : task(std::move(key))
+        , run(number)
+    {
+    }
+
     TaskKey task;
     RunNumber run = 0;
     Resources reserved; ///< What it keeps reserved on the worker.
+    StartOrderState startOrder = StartOrderState::Settled;
+    TimePoint orderedAt{}; ///< When this term sent that order; the epoch if it sent none.
+    /// When its state last changed: an answer to a question sent before says nothing of it.
+    TimePoint changedAt{};
+    bool stopSent = false; ///< A stop order for it has been sent to the known incarnation and not answered yet.
+    bool stopConfirmed = false; ///< The known incarnation of the worker has confirmed a stop, so it refuses the start.
 };
 
 /// A run whose end has been applied to the tables and is not durable yet.
--- a/src/libworkflow/fleetsize_test.cpp
+++ b/src/libworkflow/fleetsize_test.cpp
@@ -273,9 +273,9 @@
         fleet.upsert(entry, TimePoint{})->contact = WorkerContact::Silent;
     }
     for (std::uint32_t i = 0; i < 20; ++i) {
-        fleet.addEarlierRun(fleet.find("a"), TaskKey{job, 0, 0, i}, 1, nullptr);
+        fleet.addEarlierRun(fleet.find("a"), EarlierRun(TaskKey{job, 0, 0, i}, 1), nullptr);
     }
-    fleet.addEarlierRun(fleet.find("b"), TaskKey{job, 0, 1, 0}, 1, nullptr);
+    fleet.addEarlierRun(fleet.find("b"), EarlierRun(TaskKey{job, 0, 1, 0}, 1), nullptr);
     RecordPart part;
     part.add(fleet.find("a"));
     part.add(fleet.find("b"));
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace fescueledge::workflow {
 
@@ -212,24 +213,37 @@
     }
 }
 
-void FleetTable::addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step)
+void FleetTable::addEarlierRun(Worker *worker, EarlierRun run, const StepSpec *step)
 {
-    const bool isKnown =
-        std::any_of(worker->earlierRuns.begin(), worker->earlierRuns.end(), [&](const EarlierRun &known) {
-            return known.run == run && known.task == task;
-        });
-    if (isKnown) {
+    EarlierRun *known = findEarlierRun(worker, run.task, run.run);
+    if (known != nullptr) {
+        if (run.startOrder == StartOrderState::Settled) {
+            known->startOrder = StartOrderState::Settled;
+            known->changedAt = std::max(known->changedAt, run.changedAt);
+        }
         return;
     }
-    EarlierRun earlier;
-    earlier.task = task;
-    earlier.run = run;
-    earlier.reserved = step == nullptr ? Resources{} : reservedBy(*step);
-    worker->used += earlier.reserved;
+    run.reserved = step == nullptr ? Resources{} : reservedBy(*step);
+    worker->used += run.reserved;
     worker->candidates->update(worker);
-    worker->earlierRuns.push_back(earlier);
     markRecordChanged(worker);
-    ++m_awaited[task];
+    ++m_awaited[run.task];
+    worker->earlierRuns.push_back(std::move(run));
+}
+
+bool FleetTable::dropEarlierRun(Worker *worker, const TaskKey &task, RunNumber run)
+{
+    return dropEarlierRuns(worker, [&task, run](const EarlierRun &known) {
+        return known.run == run && known.task == task;
+    });
+}
+
+EarlierRun *FleetTable::findEarlierRun(Worker *worker, const TaskKey &task, RunNumber run)
+{
+    const auto it = std::find_if(worker->earlierRuns.begin(), worker->earlierRuns.end(), [&](const EarlierRun &known) {
+        return known.run == run && known.task == task;
+    });
+    return it == worker->earlierRuns.end() ? nullptr : &*it;
 }
 
 bool FleetTable::dropEarlierRuns(Worker *worker, const std::function<bool(const EarlierRun &)> &isOver)
@@ -252,13 +266,6 @@
     return true;
 }
 
-void FleetTable::clearEarlierRuns(Worker *worker)
-{
-    dropEarlierRuns(worker, [](const EarlierRun &) {
-        return true;
-    });
-}
-
 bool FleetTable::hasRoom(const Worker &worker, const StepSpec &step)
 {
     return (worker.used + reservedBy(step)).fitsIn(worker.entry.capacity);
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -48,13 +48,16 @@
     /// Sets the pace of @p task and updates the load of its worker.
     static void setPace(Task *task, int pace);
 
-    /// Records that @p run, which is not the current run of its task, is on @p worker. While it is, isAwaited() holds
-    /// for the task. @p step is the task's step, or nullptr if that is not known.
-    void addEarlierRun(Worker *worker, const TaskKey &task, RunNumber run, const StepSpec *step);
+    /// Records that @p run, which is not the current run of its task, is on @p worker, or may get there. While it is,
+    /// isAwaited() holds for the task. EarlierRun::reserved is set from @p step, or to nothing if that is nullptr. A
+    /// known run becomes settled if @p run is.
+    void addEarlierRun(Worker *worker, EarlierRun run, const StepSpec *step);
+    /// Forgets that earlier run, if it is known; false if it is not.
+    bool dropEarlierRun(Worker *worker, const TaskKey &task, RunNumber run);
+    /// The earlier run @p run of @p task on @p worker; nullptr if there is none.
+    static EarlierRun *findEarlierRun(Worker *worker, const TaskKey &task, RunNumber run);
     /// Forgets the earlier runs on @p worker for which @p isOver holds; false if there are none.
     bool dropEarlierRuns(Worker *worker, const std::function<bool(const EarlierRun &)> &isOver);
-    /// Forgets all earlier runs on @p worker: they are over.
-    void clearEarlierRuns(Worker *worker);
     /// Whether an earlier run of any task may still be on some worker.
     bool awaitsRuns() const
     {
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -88,11 +88,23 @@
             m_orders->markTasksLost(worker.get(), LifeEnd{RunsOver::LeaseOver});
             FleetTable::setContact(worker.get(), WorkerContact::Lost);
             m_context->wakeDispatch();
+        } else if (worker->contact == WorkerContact::Lost) {
+            forgetLateStarts(worker.get());
         }
         observe(worker.get());
     }
 }
 
+void ObservationSystem::forgetLateStarts(Worker *worker)
+{
+    const TimePoint now = m_context->now();
+    if (m_context->fleet.dropEarlierRuns(worker, [worker, now](const EarlierRun &run) {
+            return !mayReachNextLife(run, *worker, now);
+        })) {
+        m_context->wakeDispatch();
+    }
+}
+
 bool ObservationSystem::knowsEarlierRuns() const
 {
     return m_context->now() >= m_earlierRunsUnknownUntil && awaitedWorker() == nullptr;
@@ -127,7 +139,10 @@
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
     const bool answers =
         worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
-    order.wait = answers && !hasPendingEnds ? context.settings.observeWait : Milliseconds{0};
+    const bool isUnsettled = std::any_of(worker->earlierRuns.begin(), worker->earlierRuns.end(), [](const auto &run) {
+        return run.startOrder != StartOrderState::Settled;
+    });
+    order.wait = answers && !hasPendingEnds && !isUnsettled ? context.settings.observeWait : Milliseconds{0};
     if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
@@ -182,8 +197,8 @@
     worker->lastAnswerAt = context.now();
     worker->life.endsAcknowledged = std::max(worker->life.endsAcknowledged, answer.acknowledged);
     noteListedEnds(worker, answer);
-    if (context.fleet.dropEarlierRuns(worker, [&answer](const EarlierRun &earlier) {
-            return showsOver(answer, earlier.task, earlier.run);
+    if (context.fleet.dropEarlierRuns(worker, [&answer, sentAt](const EarlierRun &earlier) {
+            return showsOver(answer, earlier, sentAt);
         })) {
         context.wakeDispatch();
     }
@@ -203,6 +218,9 @@
     if (!leased && !worker->tasks.empty()) {
         wake(worker); // Adopted runs have only the lease that an earlier coordinator gave them.
     }
+    if (m_orders->stopUnsettledRuns(worker)) {
+        worker->nextObservationAt = context.now() + context.settings.orderRetryDelay; // Sooner once it has confirmed.
+    }
     observed(worker);
     observe(worker);
 }
@@ -300,7 +318,7 @@
         m_crashes->retractRun(task, run.run);
     }
     if (!current && (task == nullptr || task->phase == TaskPhase::Done || !supersedes(*task, run))) {
-        awaitEnd(worker, run.task, run.run, task);
+        awaitEnd(worker, EarlierRun(run.task, run.run), task);
         return;
     }
     if (!current) {
@@ -330,13 +348,13 @@
     return run.run > task.run || (run.run == task.run && task.worker == nullptr);
 }
 
-void ObservationSystem::awaitEnd(Worker *worker, const TaskKey &key, RunNumber run, const Task *task)
+void ObservationSystem::awaitEnd(Worker *worker, const EarlierRun &run, const Task *task)
 {
-    if (worker->contact == WorkerContact::Lost) {
+    if (worker->contact == WorkerContact::Lost && !mayReachNextLife(run, *worker, m_context->now())) {
         return; // Nothing runs there.
     }
-    m_orders->stopUnknownRun(worker, key, run);
-    m_context->fleet.addEarlierRun(worker, key, run, task == nullptr ? nullptr : task->step->spec);
+    m_orders->stopUnknownRun(worker, run.task, run.run);
+    m_context->fleet.addEarlierRun(worker, run, task == nullptr ? nullptr : task->step->spec);
 }
 
 void ObservationSystem::adoptRun(Worker *worker, Task *task, RunNumber run)
@@ -344,18 +362,20 @@
     Context &context = *m_context;
     const TimePoint now = context.now();
     Worker *before = task->worker;
-    const RunNumber superseded = task->run;
+    const EarlierRun superseded = asEarlierRun(*task, now);
+    context.fleet.dropEarlierRun(worker, superseded.task, run);
     if (before != nullptr) {
         context.log->write(LogLine("run_superseded")
                                .with("job", task->step->occurrence->job->id)
                                .with("task", toString(keyOf(*task)))
-                               .with("run", static_cast<std::int64_t>(superseded))
+                               .with("run", static_cast<std::int64_t>(superseded.run))
                                .with("worker", before->id)
                                .with("by_run", static_cast<std::int64_t>(run))
                                .with("by_worker", worker->id));
         FleetTable::release(task);
-        if (before != worker) { // A worker lists all its runs, so one that it does not list is over.
-            awaitEnd(before, keyOf(*task), superseded, task);
+        // A worker lists all its runs, so one that it does not list is over, unless its start is still under way.
+        if (before != worker || superseded.startOrder != StartOrderState::Settled) {
+            awaitEnd(before, superseded, task);
         }
     }
     task->run = run;
@@ -455,15 +475,16 @@
         return;
     }
     Worker *worker = task->worker;
+    const EarlierRun left = asEarlierRun(*task, m_context->now());
     FleetTable::release(task);
     m_context->jobs.setDone(task, m_context->now(), m_context->wallClock());
     if (worker == nullptr || worker->contact == WorkerContact::Lost) {
         return;
     }
-    if (task->run != run) {
-        awaitEnd(worker, keyOf(*task), task->run, task);
+    if (left.run != run) {
+        awaitEnd(worker, left, task);
     } else { // Its end is still to be listed.
-        m_context->fleet.addEarlierRun(worker, keyOf(*task), task->run, task->step->spec);
+        m_context->fleet.addEarlierRun(worker, left, task->step->spec);
     }
 }
 
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -57,7 +57,9 @@
     void adoptRun(Worker *worker, Task *task, RunNumber run);
     /// Stops a run that is not the current one of its task, which can start again when the run is over. @p task is
     /// nullptr if the task is not in the tables.
-    void awaitEnd(Worker *worker, const TaskKey &key, RunNumber run, const Task *task);
+    void awaitEnd(Worker *worker, const EarlierRun &run, const Task *task);
+    /// Forgets start orders to @p worker, which does not answer, that can't reach its next incarnation any more.
+    void forgetLateStarts(Worker *worker);
     void applyRunEnd(Worker *worker, const EndedRun &end);
     void finishRun(Task *task, const EndedRun &end);
     void finishEarlierRun(Task *task, const EndedRun &end);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -1,5 +1,7 @@
 #include "ordersystem_pvt.h"
 
+#include "runevidence_pvt.h"
+
 #include <algorithm>
 #include <array>
 
@@ -12,8 +14,6 @@
 /// After a refusal for lack of room; the next observation shows what runs there. Doubled with each further refusal.
 constexpr Milliseconds noRoomBackoff{150};
 constexpr int maxNoRoomDoublings = 4; ///< 2.4 s, less than a task may wait while a worker has room for it.
-/// An order that was not answered may still take effect within this time, even after newer ones.
-constexpr std::chrono::seconds lateOrderWindow{10};
 /// After a worker reported itself unhealthy or could not be reached.
 constexpr Milliseconds unhealthyBackoff{500};
 
@@ -146,7 +146,11 @@
         return;
     }
     Task *task = findCurrentTask(ref);
-    if (task == nullptr || (task->phase != TaskPhase::Starting && task->phase != TaskPhase::Uncertain)) {
+    if (task == nullptr) {
+        settleEarlierRun(worker, ref, result.outcome);
+        return;
+    }
+    if (task->phase != TaskPhase::Starting && task->phase != TaskPhase::Uncertain) {
         return;
     }
     if (result.outcome == OrderOutcome::Done) {
@@ -168,6 +172,28 @@
     wakeObservation(worker);
 }
 
+void OrderSystem::settleEarlierRun(Worker *worker, const RunRef &ref, OrderOutcome outcome)
+{
+    EarlierRun *run = worker == nullptr ? nullptr : FleetTable::findEarlierRun(worker, ref.task, ref.run);
+    if (run == nullptr || run->startOrder != StartOrderState::Pending) {
+        return;
+    }
+    switch (outcome) {
+    case OrderOutcome::NoAnswer:
+        run->startOrder = StartOrderState::Unanswered;
+        break;
+    case OrderOutcome::Done:
+        run->startOrder = StartOrderState::Settled; // Which incarnation has carried it out is not known.
+        break;
+    default: // It was refused or not sent, so the run has never begun.
+        m_context->fleet.dropEarlierRun(worker, ref.task, ref.run);
+        m_context->wakeDispatch();
+        return;
+    }
+    run->changedAt = m_context->now();
+    wakeObservation(worker);
+}
+
 void OrderSystem::markRunning(Task *task)
 {
     m_context->jobs.setPhase(task, TaskPhase::Running, m_context->now());
@@ -308,6 +334,64 @@
                              });
 }
 
+bool OrderSystem::stopUnsettledRuns(Worker *worker)
+{
+    bool isAwaiting = false;
+    if (worker->contact != WorkerContact::Adopted || !m_context->maySendOrders()) {
+        return isAwaiting;
+    }
+    for (EarlierRun &run : worker->earlierRuns) {
+        if (run.startOrder == StartOrderState::Settled || run.stopConfirmed) {
+            continue;
+        }
+        isAwaiting = true;
+        if (!run.stopSent) {
+            run.stopSent = true;
+            sendConfirmedStop(worker, RunRef{run.task, run.run, worker->id});
+        }
+    }
+    return isAwaiting;
+}
+
+void OrderSystem::sendConfirmedStop(Worker *worker, const RunRef &ref)
+{
+    m_context->log->write(LogLine("run_stop_unsettled")
+                              .with("job", ref.task.job)
+                              .with("task", toString(ref.task))
+                              .with("run", static_cast<std::int64_t>(ref.run))
+                              .with("worker", worker->id)
+                              .with("life", worker->life.incarnation));
+    const std::int64_t incarnation = worker->life.incarnation;
+    const std::shared_ptr<Context> shared = m_context;
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Stops);
+    m_context->gateway->stop(refOf(*worker), ref.task, ref.run, m_context->term, m_context->settings.orderTimeout,
+                             [this, shared, ref, incarnation](const OrderResult &result) {
+                                 if (!shared->ended) {
+                                     onStopConfirmed(ref, incarnation, result.outcome);
+                                 }
+                             });
+}
+
+void OrderSystem::onStopConfirmed(const RunRef &ref, std::int64_t incarnation, OrderOutcome outcome)
+{
+    const ActivityMeter::Scope scope(&m_context->activities, Activity::Answers);
+    if (outcome == OrderOutcome::StaleTerm) {
+        m_context->superseded();
+        return;
+    }
+    Worker *worker = m_context->fleet.find(ref.worker);
+    EarlierRun *run = worker == nullptr ? nullptr : FleetTable::findEarlierRun(worker, ref.task, ref.run);
+    if (run == nullptr || worker->life.incarnation != incarnation) {
+        return;
+    }
+    run->stopSent = false;
+    if (outcome == OrderOutcome::Done) {
+        run->stopConfirmed = true;
+        run->changedAt = m_context->now();
+    }
+    wakeObservation(worker);
+}
+
 void OrderSystem::stopJob(Job *job)
 {
     for (const auto &[number, occurrence] : job->open) {
@@ -395,17 +479,32 @@
                                   .with("life", worker->life.incarnation)
                                   .with("next_life_ago_ms", ageOf(end.nextBegan, now)));
         FleetTable::release(task);
+        if (isStartUnderWay(*task)) {
+            m_context->fleet.addEarlierRun(worker, asEarlierRun(*task, now), task->step->spec);
+        }
         m_context->jobs.setIdle(task);
     }
     for (Job *job : givenUp) {
         m_context->jobs.end(job, JobPhase::Failed, m_context->now());
         stopJob(job);
     }
-    const bool awaited = !worker->earlierRuns.empty();
-    m_context->fleet.clearEarlierRuns(worker);
-    if (!tasks.empty() || awaited) {
+    const bool dropped = endEarlierRuns(worker, end.reason);
+    if (!tasks.empty() || dropped) {
         m_context->wakeDispatch();
     }
 }
 
+bool OrderSystem::endEarlierRuns(Worker *worker, RunsOver reason) const
+{
+    for (EarlierRun &run : worker->earlierRuns) {
+        run.stopSent = false;
+        run.stopConfirmed = false; // The next incarnation does not know of it.
+    }
+    const TimePoint now = m_context->now();
+    return m_context->fleet.dropEarlierRuns(worker, [worker, reason, now](const EarlierRun &run) {
+        return reason == RunsOver::NewLife ? run.startOrder == StartOrderState::Settled
+                                           : !mayReachNextLife(run, *worker, now);
+    });
+}
+
 } // namespace fescueledge::workflow
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -28,7 +28,11 @@
     void orderPace(Task *task, int percent);
     /// Sends the recorded pace of @p task again.
     void resendPace(Task *task);
-    /// Makes all tasks on @p worker idle, because nothing runs there any more.
+    /// Stops the earlier runs on @p worker whose start orders may still be carried out. True if the worker has yet to
+    /// confirm that it refuses one of them.
+    bool stopUnsettledRuns(Worker *worker);
+    /// Makes all tasks on @p worker idle, because nothing runs there any more. Runs whose start orders may still be
+    /// carried out by the next incarnation stay awaited, as earlier runs.
     void markTasksLost(Worker *worker, const LifeEnd &end);
 
     /// Called when a worker should be observed at once.
@@ -59,6 +63,13 @@
     /// Sends @p worker no starts for a while, because it refused one for lack of room; longer with each refusal.
     void waitForRoom(Worker *worker) const;
     void blockStarts(Worker *worker, Milliseconds backoff) const;
+    /// Takes note of the answer to the start of an earlier run on @p worker, which may be nullptr.
+    void settleEarlierRun(Worker *worker, const RunRef &ref, OrderOutcome outcome);
+    void sendConfirmedStop(Worker *worker, const RunRef &ref);
+    /// @p incarnation: the known one when the stop was sent.
+    void onStopConfirmed(const RunRef &ref, std::int64_t incarnation, OrderOutcome outcome);
+    /// Forgets the earlier runs on @p worker that can't go on or begin there; false if there are none.
+    bool endEarlierRuns(Worker *worker, RunsOver reason) const;
     void sendStop(const RunRef &ref);
     void sendPace(Task *task);
     void onPaced(Task *task, int percent, OrderOutcome outcome) const;
--- a/src/libworkflow/runevidence_pvt.h
+++ b/src/libworkflow/runevidence_pvt.h
@@ -4,12 +4,17 @@
 
 /// What shows that a run is over. A task may start again, or its worker's capacity be given away, only on such
 /// evidence: an end that is listed, a complete list without the run, another incarnation, or a lease that has certainly
-/// expired. That a run does not appear is no evidence by itself. See docs/DESIGN.md.
+/// expired. That a run does not appear is no evidence by itself. A start order under way may begin a run on any
+/// incarnation that it reaches, so it is over only once the worker would refuse it. See docs/DESIGN.md.
 namespace fescueledge::workflow {
 
+struct EarlierRun;
 struct Task;
 struct Worker;
 
+/// An order that was not answered may still take effect within this time, even after newer ones.
+constexpr std::chrono::seconds lateOrderWindow{10};
+
 /// Whether @p answer lists run @p run of @p task as active.
 bool listsActive(const Observation &answer, const TaskKey &task, RunNumber run);
 
@@ -20,6 +25,20 @@
 /// order about it was under way.
 bool canTellOf(const Task &task, TimePoint sentAt);
 
+/// Whether a start order of this term for the current run of @p task may still be carried out, as far as its worker has
+/// shown.
+bool isStartUnderWay(const Task &task);
+
+/// The current run of @p task as an earlier run on its worker, at @p now.
+EarlierRun asEarlierRun(const Task &task, TimePoint now);
+
+/// Whether @p answer of a worker, to a question sent at @p sentAt, shows that @p run is over and can't begin there.
+bool showsOver(const Observation &answer, const EarlierRun &run, TimePoint sentAt);
+
+/// Whether the start order of @p run may reach the next incarnation of @p worker, which does not answer, and whose
+/// lease is over at @p now or which has ended.
+bool mayReachNextLife(const EarlierRun &run, const Worker &worker, TimePoint now);
+
 /// Whether the worker may hold runs that this term does not know of: it has not shown all its runs yet.
 bool mayHoldUnknownRuns(const Worker &worker);
 
