Repeat a lost start without waiting for other runs to end

Callers saw tasks start seconds late after a start order was lost: each question about such a start waited for the end of some run on its worker, 0.8 s, four times over: the one sent before the order timed out, the one that showed that the run is not there, the one sent before the stop was confirmed, and the one that showed that it is over.

While a start without an answer is unsettled, observations do not wait for run ends, and the next one goes out when the worker has confirmed the stop. The first of the four may still be waiting.

--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -139,10 +139,7 @@
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
     const bool answers =
         worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
-    const bool isUnsettled = std::any_of(worker->earlierRuns.begin(), worker->earlierRuns.end(), [](const auto &run) {
-        return run.startOrder != StartOrderState::Settled;
-    });
-    order.wait = answers && !hasPendingEnds && !isUnsettled ? context.settings.observeWait : Milliseconds{0};
+    order.wait = answers && !hasPendingEnds && !hasUnsettledStart(*worker) ? context.settings.observeWait : Milliseconds{0};
     if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
@@ -218,7 +215,7 @@
     if (!leased && !worker->tasks.empty()) {
         wake(worker); // Adopted runs have only the lease that an earlier coordinator gave them.
     }
-    if (m_orders->stopUnsettledRuns(worker)) {
+    if (m_orders->stopUnsettledRuns(worker) || awaitsStopOfStart(*worker)) {
         worker->nextObservationAt = context.now() + context.settings.orderRetryDelay; // Sooner once it has confirmed.
     }
     observed(worker);
--- a/src/libworkflow/runevidence.cpp
+++ b/src/libworkflow/runevidence.cpp
@@ -66,6 +66,24 @@
     return answer.endsComplete && isRefused && sentAt > run.changedAt;
 }
 
+bool hasUnsettledStart(const Worker &worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                       [](const Task *task) {
+                           return task->phase != TaskPhase::Starting && isStartUnderWay(*task);
+                       })
+        || std::any_of(worker.earlierRuns.begin(), worker.earlierRuns.end(), [](const EarlierRun &run) {
+               return run.startOrder != StartOrderState::Settled;
+           });
+}
+
+bool awaitsStopOfStart(const Worker &worker)
+{
+    return std::any_of(worker.tasks.begin(), worker.tasks.end(), [](const Task *task) {
+        return task->phase == TaskPhase::Stopping && isStartUnderWay(*task) && !task->stopConfirmed;
+    });
+}
+
 bool mayReachNextLife(const EarlierRun &run, const Worker &worker, TimePoint now)
 {
     return run.startOrder != StartOrderState::Settled && worker.listed && now < run.orderedAt + lateOrderWindow;
--- a/src/libworkflow/runevidence_pvt.h
+++ b/src/libworkflow/runevidence_pvt.h
@@ -35,6 +35,12 @@
 /// Whether @p answer of a worker, to a question sent at @p sentAt, shows that @p run is over and can't begin there.
 bool showsOver(const Observation &answer, const EarlierRun &run, TimePoint sentAt);
 
+/// Whether a run on @p worker can start again only once the worker has shown that it refuses an unanswered start.
+bool hasUnsettledStart(const Worker &worker);
+
+/// Whether @p worker has yet to confirm that it refuses the start of one of its tasks.
+bool awaitsStopOfStart(const Worker &worker);
+
 /// Whether the start order of @p run may reach the next incarnation of @p worker, which does not answer, and whose
 /// lease is over at @p now or which has ended.
 bool mayReachNextLife(const EarlierRun &run, const Worker &worker, TimePoint now);
--- a/src/libworkflow/startafterstop_test.cpp
+++ b/src/libworkflow/startafterstop_test.cpp
@@ -13,7 +13,7 @@
 {
     constexpr int nodes = 3;
     constexpr int workers = 6;
-    for (const int delay : {4000, 5000, 6000}) {
+    for (const int delay : {1500, 2000, 2500, 3000, 4000, 5000, 6000}) {
         INFO("under way for " << delay << " ms");
         const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, workers);
         world->workers.workOf = [](const TaskKey &) {
@@ -27,12 +27,13 @@
             [&world] {
                 return world->countInLogs("run_missing") > 0; // A start has timed out and is stopped.
             },
-            Milliseconds(delay)));
+            std::chrono::seconds(4)));
         for (const char *id : {"w0", "w2", "w4"}) {
             world->workers.crash(id);
             world->workers.restart(id);
         }
         CHECK(reachesState(*world, 0, jobA, "complete", std::chrono::seconds(60)));
+        world->run(Milliseconds(delay)); // Until the last order has arrived.
         CHECK(world->workers.tasksRunTwice().empty());
     }
 }
