Take the clock of a worker only from answers of its known incarnation

Cause: the answer of the former incarnation arrived after the next one had answered, and its clock, far ahead, was taken for the next one's. The next start then carried a lease far in the future there. The worker shortens it to the longest that it accepts, 10 s, and the coordinator reckoned with 4 s: once the worker fell silent, the task started elsewhere while its run went on. A clock far behind was noticed already, one far ahead was not.

Evidence: the new case of startunderway_test runs a task twice without the change, and none with it. A start notes which incarnation was known when it was sent; the clock of its answer counts only while that one is.

--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -80,11 +80,13 @@
     window.recordSent();
     ++startsSent;
     const RunRef ref{order.task, order.run, worker->id};
+    const std::int64_t incarnation = worker->life.incarnation;
     const std::shared_ptr<Context> shared = m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Starts);
     context.gateway->start(refOf(*worker), order, context.settings.orderTimeout,
-                           [this, shared, ref, now](const OrderResult &result) {
+                           [this, shared, ref, incarnation, now](const OrderResult &result) {
                                if (!shared->ended) {
+                                   noteAnswer(shared->fleet.find(ref.worker), incarnation, result);
                                    onStarted(ref, now, result);
                                }
                            });
@@ -114,6 +116,21 @@
     return task;
 }
 
+void OrderSystem::noteAnswer(Worker *worker, std::int64_t incarnation, const OrderResult &result) const
+{
+    const bool isOfKnownLife = worker != nullptr && worker->life.incarnation == incarnation;
+    if (!isOfKnownLife || result.workerClock.count() == 0 || result.outcome == OrderOutcome::OtherIncarnation) {
+        return;
+    }
+    const TimePoint now = m_context->now();
+    worker->lastAnswerAt = now;
+    if (FleetTable::isOfOtherLife(*worker, result.workerClock, now)) {
+        doubtLife(worker, "clock");
+    } else {
+        FleetTable::setClock(worker, result.workerClock, now);
+    }
+}
+
 void OrderSystem::onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result)
 {
     Context &context = *m_context;
@@ -133,14 +150,6 @@
         context.wakeDispatch();
     }
     Worker *worker = context.fleet.find(ref.worker);
-    if (worker != nullptr && result.workerClock.count() > 0 && result.outcome != OrderOutcome::OtherIncarnation) {
-        worker->lastAnswerAt = now;
-        if (FleetTable::isOfOtherLife(*worker, result.workerClock, now)) {
-            doubtLife(worker, "clock");
-        } else {
-            FleetTable::setClock(worker, result.workerClock, now);
-        }
-    }
     if (result.outcome == OrderOutcome::StaleTerm) {
         context.superseded();
         return;
@@ -341,11 +350,12 @@
         return isAwaiting;
     }
     for (EarlierRun &run : worker->earlierRuns) {
-        if (run.startOrder == StartOrderState::Settled || run.stopConfirmed) {
+        if (run.startOrder == StartOrderState::Settled
+            || (run.stopConfirmed && run.startOrder == StartOrderState::Unanswered)) {
             continue;
         }
         isAwaiting = true;
-        if (!run.stopSent) {
+        if (!run.stopSent && !run.stopConfirmed) {
             run.stopSent = true;
             sendConfirmedStop(worker, RunRef{run.task, run.run, worker->id});
         }
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -28,8 +28,8 @@
     void orderPace(Task *task, int percent);
     /// Sends the recorded pace of @p task again.
     void resendPace(Task *task);
-    /// Stops the earlier runs on @p worker whose start orders may still be carried out. True if the worker has yet to
-    /// confirm that it refuses one of them.
+    /// Stops the earlier runs on @p worker whose start orders may still be carried out. True if a list of its runs
+    /// can't tell yet of one of them, because a call about it has not ended.
     bool stopUnsettledRuns(Worker *worker);
     /// Makes all tasks on @p worker idle, because nothing runs there any more. Runs whose start orders may still be
     /// carried out by the next incarnation stay awaited, as earlier runs.
@@ -57,6 +57,9 @@
     };
 
     Task *findCurrentTask(const RunRef &ref) const;
+    /// Takes the clock from an answer of @p worker, which may be nullptr, to an order for @p incarnation. An answer
+    /// that was held up may come when another one is known; its clock is no longer of use.
+    void noteAnswer(Worker *worker, std::int64_t incarnation, const OrderResult &result) const;
     void onStarted(const RunRef &ref, TimePoint sentAt, const OrderResult &result);
     void onRefused(Task *task, Worker *worker, const OrderResult &result);
     /// Sends no starts to @p worker for at least @p backoff.
--- a/src/libworkflow/startunderway_test.cpp
+++ b/src/libworkflow/startunderway_test.cpp
@@ -117,3 +117,48 @@
         }
     }
 }
+
+// Guards against a task at work twice: the answer to a start came from the former incarnation of its worker, after the
+// next one had answered, and its clock was taken for the next one's. The next start had a lease far in the future
+// there, so its run outlasted the lease that the coordinator had reckoned with.
+TEST_CASE("an answer of a former incarnation that was held up does not set the clock of the next one")
+{
+    constexpr Milliseconds heldUp{300};
+    constexpr std::chrono::seconds lostLimit{40}; // Lease, drift and margin, and a run elsewhere.
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 1);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(20000), false);
+    };
+    const auto runsBegun = [&world](const JobId &job) {
+        return world->runUntil(
+            [&world, job] {
+                return !world->workers.runsOf(job).empty();
+            },
+            std::chrono::seconds(1));
+    };
+    world->run(std::chrono::seconds(60));
+    world->delayStartAnswers(world->coordinator(), heldUp);
+    world->submit(0, jobA, workflowOf({simpleStep(1)}));
+    REQUIRE(runsBegun(jobA));
+    world->delayStartAnswers(world->coordinator(), Milliseconds(0));
+    world->workers.crash("w0");
+    world->workers.restart("w0");
+    REQUIRE(world->runUntil(
+        [&world] {
+            return world->countInLogs("run_start") > 0;
+        },
+        heldUp + Milliseconds(100)));
+    world->submit(0, jobB, workflowOf({simpleStep(1)}));
+    REQUIRE(runsBegun(jobB));
+    world->run(Milliseconds(500));
+    Resources capacity;
+    capacity.milliCores = 4000;
+    capacity.memoryMb = 100000;
+    world->workers.add("w9", "dc-a", "r9", capacity);
+    for (int i = 0; i < nodes; ++i) {
+        world->workers.find("w0")->cutFrom.insert("node-" + std::to_string(i));
+    }
+    CHECK(reachesState(*world, 0, jobB, "complete", lostLimit));
+    CHECK(reachesState(*world, 0, jobA, "complete", lostLimit));
+    CHECK(world->workers.tasksRunTwice().empty());
+}
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -28,9 +28,17 @@
             startLater(worker, order, timeout, handler);
             return;
         }
-        deliver(worker, timeout, handler, [this, worker, order] {
-            return m_workers->start(worker.id, order);
-        });
+        const Duration heldUp = startAnswerDelay;
+        deliver(
+            worker, timeout,
+            [this, heldUp, handler](const OrderResult &result) {
+                m_loop->postAfter(heldUp, [handler, result] {
+                    handler(result);
+                });
+            },
+            [this, worker, order] {
+                return m_workers->start(worker.id, order);
+            });
     }
 
     void stop(const WorkerRef &worker, const TaskKey &task, RunNumber run, Term term, Milliseconds timeout,
@@ -80,6 +88,7 @@
     }
 
     Duration startDelay{0};
+    Duration startAnswerDelay{0}; ///< Starts take effect at once, and their answers come after this.
     bool answersDelayedStarts = false; ///< Unless the start takes effect after its timeout.
     Duration paceDelay{0};
     Duration answerTime{0}; ///< Processor time that each answer takes; one is handled after the other.
@@ -490,6 +499,11 @@
     gateway.answersDelayedStarts = areAnswered;
 }
 
+void WorkflowWorld::delayStartAnswers(int index, Duration delay)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.startAnswerDelay = delay;
+}
+
 void WorkflowWorld::setAnswerTime(int index, Duration time)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.answerTime = time;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -62,7 +62,10 @@
     /// worker is there then. Its answer is lost, unless @p areAnswered and it comes before the order's timeout.
     void delayStarts(int index, Duration delay, bool areAnswered = false);
 
-    /// The same for pace orders.
+    /// Holds up the answers to the following start orders of node @p index for @p delay.
+    void delayStartAnswers(int index, Duration delay);
+
+    /// The same as delayStarts() for pace orders.
     void delayPaces(int index, Duration delay);
 
     /// Makes node @p index spend @p time on each answer of a worker, one after the other; an answer that it gets to
