Send starts and leases only to the incarnation that they are for

A connection on which an incarnation has answered leads to no other. Only acknowledgements of run ends were bound to one. Now a start names its incarnation and goes out only on a connection on which that one has answered; where none is idle, the question which incarnation is there goes first on another connection. The lease of an observation, a time on that incarnation's clock, is bound in the same way, so it does not reach the next one, whose clock begins at 0.

A call of which no byte could be written was not sent, instead of not answered.

An incarnation that a start may have reached against this, through a worker that carries orders over its own restart, counts with the longest lease that workers accept.

--- a/src/include/fescueledge/asynchttpclient.h
+++ b/src/include/fescueledge/asynchttpclient.h
@@ -29,6 +29,10 @@
     /// its address are closed as well, but for those that have answered since.
     void call(const std::string &address, HttpCall call, Handler handler);
 
+    /// Marks @p connection to @p address with @p mark, which is not 0, for HttpCall::mark; it has to be idle, as it is
+    /// while its answer is handled. Idle connections to the address with another mark are closed.
+    void mark(const std::string &address, std::uint64_t connection, std::uint64_t mark);
+
 private:
     class Impl;
     std::shared_ptr<Impl> m_impl;
--- a/src/include/fescueledge/httpmessages.h
+++ b/src/include/fescueledge/httpmessages.h
@@ -20,15 +20,15 @@
     std::string body;
     HttpHeaders headers;
     Milliseconds timeout{0}; ///< From the call until the complete answer, including the time to connect.
-    /// If not 0, the call is sent only on this connection, and is NotSent if that is closed or in use. A process that
-    /// was restarted has none of the earlier connections, so it can't receive such a call.
-    std::uint64_t connection = 0;
+    /// If not 0, the call is sent only on an idle connection with this mark, and is NotSent if there is none. A process
+    /// that was restarted has none of the earlier connections, so it can't receive such a call.
+    std::uint64_t mark = 0;
 };
 
 /// The result of a call at the level of the connection.
 enum class HttpCallOutcome {
     Answered, ///< A complete answer arrived; see its status.
-    NotSent, ///< No connection was opened; nothing reached the server.
+    NotSent, ///< No byte of the call was sent: there was no connection, or it had broken before.
     NoAnswer, ///< The connection broke or the call timed out; the server may have run the call, or may still run it.
 };
 
@@ -38,7 +38,7 @@
     HttpCallOutcome callOutcome = HttpCallOutcome::NoAnswer;
     int status = 0; ///< 0 unless answered.
     std::string body;
-    std::uint64_t connection = 0; ///< Identifies the connection, for HttpCall::connection.
+    std::uint64_t connection = 0; ///< Identifies the connection, for AsyncHttpClient::mark().
 };
 
 /// A request received by a listener.
--- a/src/include/fescueledge/workflow/workergateway.h
+++ b/src/include/fescueledge/workflow/workergateway.h
@@ -68,6 +68,7 @@
     std::string checkpoint; ///< Empty to start from the beginning.
     WorkerTime leaseUntil{0}; ///< All runs on the worker are killed at this time unless the lease is renewed.
     Term term = 0;
+    std::int64_t incarnation = 0; ///< The order is for this incarnation of the worker; 0 if none is known.
 };
 
 /// How a run ended.
@@ -107,8 +108,10 @@
 struct ObserveOrder
 {
     Term term = 0;
+    /// The incarnation that the acknowledgement and the lease are for: it has numbered the ends, and the lease is a
+    /// time on its clock. No other is told of them. 0 if none is known.
+    std::int64_t incarnation = 0;
     std::uint64_t acknowledged = 0; ///< Ended runs up to this number are durable and may be discarded.
-    std::int64_t incarnation = 0; ///< The incarnation that numbered them; no other is told to discard anything.
     WorkerTime leaseUntil{0}; ///< 0 to leave the lease unchanged.
     Milliseconds wait{0}; ///< Maximum time that the worker waits for a run to end before it answers.
 };
@@ -120,12 +123,17 @@
     WorkerTime workerClock{0};
     std::int64_t incarnation = 0;
     std::uint64_t acknowledged = 0; ///< ObserveOrder::acknowledged, or 0 if the worker was not told of it.
+    bool leased = false; ///< The worker was told of ObserveOrder::leaseUntil.
     std::vector<ActiveRun> active;
     std::vector<EndedRun> ended; ///< The first ones by number that are not acknowledged.
     bool endsComplete = true; ///< These are all; a worker lists only so many at a time.
 };
 
 /// Sends orders to workers. Handlers run on the caller's loop, exactly once.
+///
+/// A worker may restart under its id while an order is under way. A start, a lease and an acknowledgement reach only
+/// the incarnation that they are for: what the next one would do with them can't be told, as it knows nothing of
+/// before. A start that finds another incarnation is NotSent. Stops and paces may reach any.
 class WorkerGateway
 {
 public:
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -64,6 +64,7 @@
     }
 
     void call(const std::string &address, HttpCall call, Handler handler);
+    void mark(const std::string &address, std::uint64_t connection, std::uint64_t mark);
 
 private:
     /// A connection and the call in progress on it.
@@ -78,6 +79,7 @@
         beast::tcp_stream stream;
         std::string address;
         std::uint64_t id = 0;
+        std::uint64_t mark = 0; ///< Given by the caller; 0 if none was.
         beast::flat_buffer buffer;
         http::request<http::string_body> request;
         std::unique_ptr<http::response_parser<http::string_body>> parser;
@@ -88,9 +90,9 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    /// Takes connection @p id to @p address, or the one used last if @p id is 0, from the idle ones; nullptr if there
-    /// is none.
-    ConnectionPtr takeIdle(const std::string &address, std::uint64_t id);
+    /// Takes the connection used last to @p address from the idle ones, only one with mark @p mark if that is not 0;
+    /// nullptr if there is none.
+    ConnectionPtr takeIdle(const std::string &address, std::uint64_t mark);
     void connect(const ConnectionPtr &connection);
     void send(const ConnectionPtr &connection);
     void receive(const ConnectionPtr &connection);
@@ -114,32 +116,44 @@
     std::uint64_t m_lastConnection = 0;
 };
 
-AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address, std::uint64_t id)
+AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address, std::uint64_t mark)
 {
     std::vector<ConnectionPtr> &idle = m_idle[address];
-    auto it = idle.empty() ? idle.end() : std::prev(idle.end());
-    if (id != 0) {
-        it = std::find_if(idle.begin(), idle.end(), [id](const ConnectionPtr &connection) {
-            return connection->id == id;
-        });
-    }
-    if (it == idle.end()) {
+    const auto last = std::find_if(idle.rbegin(), idle.rend(), [mark](const ConnectionPtr &connection) {
+        return mark == 0 || connection->mark == mark;
+    });
+    if (last == idle.rend()) {
         return nullptr;
     }
-    ConnectionPtr connection = *it;
-    idle.erase(it);
+    ConnectionPtr connection = *last;
+    idle.erase(std::prev(last.base()));
     return connection;
 }
 
+void AsyncHttpClient::Impl::mark(const std::string &address, std::uint64_t connection, std::uint64_t mark)
+{
+    std::vector<ConnectionPtr> &idle = m_idle[address];
+    const auto former = std::remove_if(idle.begin(), idle.end(), [connection, mark](const ConnectionPtr &known) {
+        return known->id != connection && known->mark != 0 && known->mark != mark;
+    });
+    idle.erase(former, idle.end());
+    const auto it = std::find_if(idle.begin(), idle.end(), [connection](const ConnectionPtr &known) {
+        return known->id == connection;
+    });
+    if (it != idle.end()) {
+        (*it)->mark = mark;
+    }
+}
+
 void AsyncHttpClient::Impl::call(const std::string &address, HttpCall call, Handler handler)
 {
     if (isMalformed(call)) {
         postNotSent(m_loop, std::move(handler));
         return;
     }
-    ConnectionPtr connection = takeIdle(address, call.connection);
+    ConnectionPtr connection = takeIdle(address, call.mark);
     const bool reused = connection != nullptr;
-    if (!reused && call.connection != 0) {
+    if (!reused && call.mark != 0) {
         postNotSent(m_loop, std::move(handler));
         return;
     }
@@ -198,10 +212,10 @@
     connection->stream.expires_at(connection->deadline);
     const std::shared_ptr<Impl> self = shared_from_this();
     http::async_write(connection->stream, connection->request,
-                      [self, connection](const beast::error_code &ec, std::size_t) {
+                      [self, connection](const beast::error_code &ec, std::size_t written) {
                           if (ec) {
                               self->closeIdle(*connection);
-                              fail(connection, HttpCallOutcome::NoAnswer);
+                              fail(connection, written == 0 ? HttpCallOutcome::NotSent : HttpCallOutcome::NoAnswer);
                               return;
                           }
                           self->receive(connection);
@@ -260,6 +274,11 @@
 
 AsyncHttpClient::~AsyncHttpClient() = default;
 
+void AsyncHttpClient::mark(const std::string &address, std::uint64_t connection, std::uint64_t mark)
+{
+    m_impl->mark(address, connection, mark);
+}
+
 void AsyncHttpClient::call(const std::string &address, HttpCall call, Handler handler)
 {
     m_impl->call(address, std::move(call), std::move(handler));
--- a/src/libworkflow/leasekeeper.cpp
+++ b/src/libworkflow/leasekeeper.cpp
@@ -34,19 +34,20 @@
                                     }
                                     checkTerm(answer);
                                     if (answer.outcome == OrderOutcome::Done && !answer.active.empty()) {
-                                        sendLease(worker, answer.workerClock);
+                                        sendLease(worker, answer);
                                     }
                                 });
 }
 
-void LeaseKeeper::sendLease(const WorkerRef &worker, WorkerTime clock)
+void LeaseKeeper::sendLease(const WorkerRef &worker, const Observation &seen)
 {
     if (!m_context->maySendOrders()) {
         return;
     }
     ObserveOrder order;
     order.term = m_context->term;
-    order.leaseUntil = clock + m_context->settings.workerLease;
+    order.incarnation = seen.incarnation;
+    order.leaseUntil = seen.workerClock + m_context->settings.workerLease;
     const std::shared_ptr<Context> shared = m_context;
     m_context->gateway->observe(worker, order, m_context->settings.observeTimeout,
                                 [this, shared](const Observation &answer) {
--- a/src/libworkflow/leasekeeper_pvt.h
+++ b/src/libworkflow/leasekeeper_pvt.h
@@ -20,7 +20,8 @@
 private:
     /// Queries the worker's clock, on which its lease is based, and then sends the lease.
     void queryClock(const WorkerRef &worker);
-    void sendLease(const WorkerRef &worker, WorkerTime clock);
+    /// Renews the lease of the runs that @p seen lists, on the clock of the incarnation that listed them.
+    void sendLease(const WorkerRef &worker, const Observation &seen);
     void checkTerm(const Observation &answer);
 
     std::shared_ptr<Context> m_context;
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -139,7 +139,8 @@
     // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
     const bool answers =
         worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
-    order.wait = answers && !hasPendingEnds && !hasUnsettledStart(*worker) ? context.settings.observeWait : Milliseconds{0};
+    order.wait =
+        answers && !hasPendingEnds && !hasUnsettledStart(*worker) ? context.settings.observeWait : Milliseconds{0};
     if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
@@ -149,18 +150,17 @@
         : order.wait + context.settings.observeTimeout;
     worker->observationPending = true;
     const WorkerId id = worker->id;
-    const bool leased = order.leaseUntil.count() > 0;
     const std::shared_ptr<Context> shared = m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Observes);
     context.gateway->observe(WorkerRef{id, worker->entry.address}, order, timeout,
-                             [this, shared, id, now, leased](const Observation &answer) {
+                             [this, shared, id, now](const Observation &answer) {
                                  if (!shared->ended) {
-                                     onAnswer(id, now, leased, answer);
+                                     onAnswer(id, now, answer);
                                  }
                              });
 }
 
-void ObservationSystem::onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer)
+void ObservationSystem::onAnswer(const WorkerId &id, TimePoint sentAt, const Observation &answer)
 {
     Context &context = *m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Observations);
@@ -180,7 +180,7 @@
     }
     worker->nextObservationAt = context.now() + pauseFor(*worker);
     if (worker->life.incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
-        adopt(worker, answer, leased);
+        adopt(worker, answer);
     }
     FleetTable::setClock(worker, answer.workerClock, context.now());
     worker->life.unansweredCalls = 0;
@@ -212,7 +212,7 @@
     if (worker->life.endsApplied > worker->life.endsDurable) {
         context.wakeWriter();
     }
-    if (!leased && !worker->tasks.empty()) {
+    if (!answer.leased && !worker->tasks.empty()) {
         wake(worker); // Adopted runs have only the lease that an earlier coordinator gave them.
     }
     if (m_orders->stopUnsettledRuns(worker) || awaitsStopOfStart(*worker)) {
@@ -268,13 +268,13 @@
     observe(worker);
 }
 
-void ObservationSystem::adopt(Worker *worker, const Observation &answer, bool leased)
+void ObservationSystem::adopt(Worker *worker, const Observation &answer)
 {
     Context &context = *m_context;
     if (worker->life.incarnation == 0) {
         worker->life.incarnation = answer.incarnation;
     } else if (worker->life.incarnation != answer.incarnation) {
-        beginLife(worker, answer, leased);
+        beginLife(worker, answer);
     } else {
         m_crashes->retractCrash(worker); // It was cut off.
     }
@@ -289,18 +289,15 @@
     context.wakeDispatch();
 }
 
-void ObservationSystem::beginLife(Worker *worker, const Observation &answer, bool leased)
+void ObservationSystem::beginLife(Worker *worker, const Observation &answer)
 {
     const CoordinatorSettings &settings = m_context->settings;
     const TimePoint now = m_context->now();
     const TimePoint begun = FleetTable::earliestBegin(answer.workerClock, now);
-    // An order with a lease on the clock of the former incarnation may have reached this one. It may be far off then,
-    // and the worker shortens it.
-    const bool mayHoldLongLease =
-        leased || std::any_of(worker->tasks.begin(), worker->tasks.end(), [begun](const Task *task) {
-            return task->orderedAt >= begun;
-        });
     m_orders->markTasksLost(worker, LifeEnd{RunsOver::NewLife, begun});
+    // A start with a lease on the clock of the former incarnation may reach this one. It may be far off then, and the
+    // worker shortens it.
+    const bool mayHoldLongLease = hasUnsettledStart(*worker);
     FleetTable::beginLife(worker, answer.incarnation, mayHoldLongLease ? settings.maxWorkerLease : settings.workerLease,
                           now);
 }
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -42,14 +42,13 @@
     bool needsObservation(const Worker &worker) const;
     /// The pause after an answer of @p worker before it is observed again.
     Duration pauseFor(const Worker &worker) const;
-    void onAnswer(const WorkerId &id, TimePoint sentAt, bool leased, const Observation &answer);
+    void onAnswer(const WorkerId &id, TimePoint sentAt, const Observation &answer);
     /// Takes note of whether @p answer has all ends of runs on @p worker.
     void noteListedEnds(Worker *worker, const Observation &answer);
     void onNoAnswer(Worker *worker, const Observation &answer);
-    /// @p leased: the observation carried a lease.
-    void adopt(Worker *worker, const Observation &answer, bool leased);
+    void adopt(Worker *worker, const Observation &answer);
     /// Gives up what the former incarnation of @p worker held, and begins with what is known of the one that answered.
-    void beginLife(Worker *worker, const Observation &answer, bool leased);
+    void beginLife(Worker *worker, const Observation &answer);
     void applyActiveRun(Worker *worker, const ActiveRun &run);
     /// Whether @p run, seen at work, is to be the current run of @p task.
     static bool supersedes(const Task &task, const ActiveRun &run);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -76,11 +76,12 @@
     order.checkpoint = task->checkpoint;
     order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
     order.term = context.term;
+    order.incarnation = worker->life.incarnation;
     FleetTable::recordLease(worker, order.leaseUntil);
     window.recordSent();
     ++startsSent;
     const RunRef ref{order.task, order.run, worker->id};
-    const std::int64_t incarnation = worker->life.incarnation;
+    const std::int64_t incarnation = order.incarnation;
     const std::shared_ptr<Context> shared = m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Starts);
     context.gateway->start(refOf(*worker), order, context.settings.orderTimeout,
@@ -193,6 +194,7 @@
         break;
     case OrderOutcome::Done:
         run->startOrder = StartOrderState::Settled; // Which incarnation has carried it out is not known.
+        recordLongestLease(worker);
         break;
     default: // It was refused or not sent, so the run has never begun.
         m_context->fleet.dropEarlierRun(worker, ref.task, ref.run);
@@ -203,6 +205,11 @@
     wakeObservation(worker);
 }
 
+void OrderSystem::recordLongestLease(Worker *worker) const
+{
+    FleetTable::recordForeignLease(worker, m_context->settings.maxWorkerLease, m_context->now());
+}
+
 void OrderSystem::markRunning(Task *task)
 {
     m_context->jobs.setPhase(task, TaskPhase::Running, m_context->now());
@@ -261,6 +268,7 @@
     case OrderOutcome::NotSent:
         ++worker->life.unansweredCalls;
         blockStarts(worker, unhealthyBackoff);
+        doubtLife(worker, "not-sent"); // It has ended, or another incarnation is there.
         break;
     case OrderOutcome::OtherIncarnation:
         markTasksLost(worker, LifeEnd{RunsOver::OtherLife, FleetTable::earliestBegin(result.workerClock, now)});
@@ -398,6 +406,7 @@
     if (outcome == OrderOutcome::Done) {
         run->stopConfirmed = true;
         run->changedAt = m_context->now();
+        recordLongestLease(worker);
     }
     wakeObservation(worker);
 }
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -68,6 +68,9 @@
     void blockStarts(Worker *worker, Milliseconds backoff) const;
     /// Takes note of the answer to the start of an earlier run on @p worker, which may be nullptr.
     void settleEarlierRun(Worker *worker, const RunRef &ref, OrderOutcome outcome);
+    /// A start that reached another incarnation of @p worker than it was for may have given it any lease, also if it
+    /// was refused.
+    void recordLongestLease(Worker *worker) const;
     void sendConfirmedStop(Worker *worker, const RunRef &ref);
     /// @p incarnation: the known one when the stop was sent.
     void onStopConfirmed(const RunRef &ref, std::int64_t incarnation, OrderOutcome outcome);
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -329,8 +329,12 @@
         return result;
     }
     worker.highestTerm = order.term;
-    extendLease(&worker, order.leaseUntil);
-    result.acknowledged = order.incarnation == worker.entry.incarnation ? order.acknowledged : 0;
+    const bool isAddressed = order.incarnation == worker.entry.incarnation;
+    result.leased = isAddressed && order.leaseUntil.count() > 0;
+    if (result.leased) {
+        extendLease(&worker, order.leaseUntil);
+    }
+    result.acknowledged = isAddressed ? order.acknowledged : 0;
     acknowledge(&worker, result.acknowledged);
     result.outcome = OrderOutcome::Done;
     const std::size_t n = std::min(worker.ends.size(), maxListedEnds);
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -37,7 +37,9 @@
                 });
             },
             [this, worker, order] {
-                return m_workers->start(worker.id, order);
+                OrderResult notSent;
+                notSent.outcome = OrderOutcome::NotSent;
+                return isAddressed(worker.id, order) ? m_workers->start(worker.id, order) : notSent;
             });
     }
 
@@ -102,6 +104,13 @@
         return worker != nullptr && worker->up && worker->cutFrom.count(m_self) == 0;
     }
 
+    /// Whether the incarnation of the worker that is there now is the one that @p order is for.
+    bool isAddressed(const WorkerId &id, const StartOrder &order) const
+    {
+        const SimWorkers::SimWorker *worker = m_workers->find(id);
+        return order.incarnation == 0 || worker == nullptr || worker->entry.incarnation == order.incarnation;
+    }
+
     /// Whether an order that is sent now reaches the worker; see SimWorkers::connectionsOutliveCrashes.
     bool connects(const WorkerId &id)
     {
