Take no list made before a start was answered for the end of its run

Callers saw a task at work twice after several workers had restarted at the same time: a start reached the next incarnation, which answered it, and the first list of that incarnation, made before, came later.

OrderSystem::markTasksLost() kept only starts that were neither answered nor listed. The answer to a start doesn't name the incarnation, so its run counted as seen on the former one, and as ended with it. endEarlierRuns() dropped earlier runs whose start had been answered in the same way.

A run now stays awaited, as settled, if its state changed after the question was sent that the next incarnation has answered; a list asked for later decides. The next observation doesn't wait in that case, and the incarnation may hold the longest lease, since the start's lease was on the former clock.

--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -177,6 +177,9 @@
     /// The incarnation that answers there now began no earlier, so what was ordered later can't have ended the former
     /// one. Not known by default.
     TimePoint nextBegan = TimePoint::max();
+    /// For RunsOver::NewLife: when the question was sent that the next incarnation has answered. It may have carried
+    /// out a start since that was answered later.
+    TimePoint askedAt = TimePoint::max();
 };
 
 /// State of the contact with a worker.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -180,7 +180,7 @@
     }
     worker->nextObservationAt = context.now() + pauseFor(*worker);
     if (worker->life.incarnation != answer.incarnation || worker->contact != WorkerContact::Adopted) {
-        adopt(worker, answer);
+        adopt(worker, sentAt, answer);
     }
     FleetTable::setClock(worker, answer.workerClock, context.now());
     worker->life.unansweredCalls = 0;
@@ -268,13 +268,13 @@
     observe(worker);
 }
 
-void ObservationSystem::adopt(Worker *worker, const Observation &answer)
+void ObservationSystem::adopt(Worker *worker, TimePoint sentAt, const Observation &answer)
 {
     Context &context = *m_context;
     if (worker->life.incarnation == 0) {
         worker->life.incarnation = answer.incarnation;
     } else if (worker->life.incarnation != answer.incarnation) {
-        beginLife(worker, answer);
+        beginLife(worker, sentAt, answer);
     } else {
         m_crashes->retractCrash(worker); // It was cut off.
     }
@@ -289,12 +289,12 @@
     context.wakeDispatch();
 }
 
-void ObservationSystem::beginLife(Worker *worker, const Observation &answer)
+void ObservationSystem::beginLife(Worker *worker, TimePoint sentAt, const Observation &answer)
 {
     const CoordinatorSettings &settings = m_context->settings;
     const TimePoint now = m_context->now();
     const TimePoint begun = FleetTable::earliestBegin(answer.workerClock, now);
-    m_orders->markTasksLost(worker, LifeEnd{RunsOver::NewLife, begun});
+    m_orders->markTasksLost(worker, LifeEnd{RunsOver::NewLife, begun, sentAt});
     // A start with a lease on the clock of the former incarnation may reach this one. It may be far off then, and the
     // worker shortens it.
     const bool mayHoldLongLease = hasUnsettledStart(*worker);
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -46,9 +46,9 @@
     /// Takes note of whether @p answer has all ends of runs on @p worker.
     void noteListedEnds(Worker *worker, const Observation &answer);
     void onNoAnswer(Worker *worker, const Observation &answer);
-    void adopt(Worker *worker, const Observation &answer);
+    void adopt(Worker *worker, TimePoint sentAt, const Observation &answer);
     /// Gives up what the former incarnation of @p worker held, and begins with what is known of the one that answered.
-    void beginLife(Worker *worker, const Observation &answer);
+    void beginLife(Worker *worker, TimePoint sentAt, const Observation &answer);
     void applyActiveRun(Worker *worker, const ActiveRun &run);
     /// Whether @p run, seen at work, is to be the current run of @p task.
     static bool supersedes(const Task &task, const ActiveRun &run);
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -498,7 +498,8 @@
                                   .with("life", worker->life.incarnation)
                                   .with("next_life_ago_ms", ageOf(end.nextBegan, now)));
         FleetTable::release(task);
-        if (isStartUnderWay(*task)) {
+        const bool isOrderedHere = task->orderedAt != TimePoint{}; // Not in an earlier term.
+        if (isStartUnderWay(*task) || (isOrderedHere && !canTellOf(*task, end.askedAt))) {
             m_context->fleet.addEarlierRun(worker, asEarlierRun(*task, now), task->step->spec);
         }
         m_context->jobs.setIdle(task);
@@ -507,22 +508,23 @@
         m_context->jobs.end(job, JobPhase::Failed, m_context->now());
         stopJob(job);
     }
-    const bool dropped = endEarlierRuns(worker, end.reason);
+    const bool dropped = endEarlierRuns(worker, end);
     if (!tasks.empty() || dropped) {
         m_context->wakeDispatch();
     }
 }
 
-bool OrderSystem::endEarlierRuns(Worker *worker, RunsOver reason) const
+bool OrderSystem::endEarlierRuns(Worker *worker, const LifeEnd &end) const
 {
     for (EarlierRun &run : worker->earlierRuns) {
         run.stopSent = false;
         run.stopConfirmed = false; // The next incarnation does not know of it.
     }
     const TimePoint now = m_context->now();
-    return m_context->fleet.dropEarlierRuns(worker, [worker, reason, now](const EarlierRun &run) {
-        return reason == RunsOver::NewLife ? run.startOrder == StartOrderState::Settled
-                                           : !mayReachNextLife(run, *worker, now);
+    return m_context->fleet.dropEarlierRuns(worker, [worker, &end, now](const EarlierRun &run) {
+        return end.reason == RunsOver::NewLife
+            ? run.startOrder == StartOrderState::Settled && end.askedAt > run.changedAt
+            : !mayReachNextLife(run, *worker, now);
     });
 }
 
--- a/src/libworkflow/ordersystem_pvt.h
+++ b/src/libworkflow/ordersystem_pvt.h
@@ -75,7 +75,7 @@
     /// @p incarnation: the known one when the stop was sent.
     void onStopConfirmed(const RunRef &ref, std::int64_t incarnation, OrderOutcome outcome);
     /// Forgets the earlier runs on @p worker that can't go on or begin there; false if there are none.
-    bool endEarlierRuns(Worker *worker, RunsOver reason) const;
+    bool endEarlierRuns(Worker *worker, const LifeEnd &end) const;
     void sendStop(const RunRef &ref);
     void sendPace(Task *task);
     void onPaced(Task *task, int percent, OrderOutcome outcome) const;
--- a/src/libworkflow/runevidence.cpp
+++ b/src/libworkflow/runevidence.cpp
@@ -72,8 +72,8 @@
                        [](const Task *task) {
                            return task->phase != TaskPhase::Starting && isStartUnderWay(*task);
                        })
-        || std::any_of(worker.earlierRuns.begin(), worker.earlierRuns.end(), [](const EarlierRun &run) {
-               return run.startOrder != StartOrderState::Settled;
+        || std::any_of(worker.earlierRuns.begin(), worker.earlierRuns.end(), [&worker](const EarlierRun &run) {
+               return run.startOrder != StartOrderState::Settled || run.changedAt >= worker.observedAt;
            });
 }
 
--- a/src/libworkflow/runevidence_pvt.h
+++ b/src/libworkflow/runevidence_pvt.h
@@ -35,7 +35,8 @@
 /// Whether @p answer of a worker, to a question sent at @p sentAt, shows that @p run is over and can't begin there.
 bool showsOver(const Observation &answer, const EarlierRun &run, TimePoint sentAt);
 
-/// Whether a run on @p worker can start again only once the worker has shown that it refuses an unanswered start.
+/// Whether a run on @p worker can start again only once the worker has shown that it refuses an unanswered start, or
+/// has answered a question that was sent after the start was answered.
 bool hasUnsettledStart(const Worker &worker);
 
 /// Whether @p worker has yet to confirm that it refuses the start of one of its tasks.
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -91,6 +91,7 @@
 
     Duration startDelay{0};
     Duration startAnswerDelay{0}; ///< Starts take effect at once, and their answers come after this.
+    Duration observationAnswerDelay{0}; ///< Lists are made at once, and come after this.
     bool answersDelayedStarts = false; ///< Unless the start takes effect after its timeout.
     Duration paceDelay{0};
     Duration answerTime{0}; ///< Processor time that each answer takes; one is handled after the other.
@@ -198,10 +199,13 @@
         }
         const Observation seen = m_workers->observe(worker.id, order);
         if (seen.outcome != OrderOutcome::Done || !seen.ended.empty() || m_world->now() >= until) {
+            const Duration heldUp = observationAnswerDelay;
             answerBy(
                 deadline,
-                [handler, seen] {
-                    handler(seen);
+                [loop, heldUp, handler, seen] {
+                    loop->postAfter(heldUp, [handler, seen] {
+                        handler(seen);
+                    });
                 },
                 [handler] {
                     handler(Observation{});
@@ -513,6 +517,11 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.startAnswerDelay = delay;
 }
 
+void WorkflowWorld::delayObservationAnswers(int index, Duration delay)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.observationAnswerDelay = delay;
+}
+
 void WorkflowWorld::setAnswerTime(int index, Duration time)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.answerTime = time;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -65,6 +65,9 @@
     /// Holds up the answers to the following start orders of node @p index for @p delay.
     void delayStartAnswers(int index, Duration delay);
 
+    /// Holds up the lists that node @p index gets from workers for @p delay.
+    void delayObservationAnswers(int index, Duration delay);
+
     /// The same as delayStarts() for pace orders.
     void delayPaces(int index, Duration delay);
 
