Repeat a refused stop of an unanswered start at intervals only

Other refused stops are repeated after orderRetryDelay.

The observation is woken only when the stop was confirmed; onAnswer() has scheduled the next one after orderRetryDelay otherwise.

--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -402,13 +402,13 @@
     if (run == nullptr || worker->life.incarnation != incarnation) {
         return;
     }
-    run->stopSent = false;
+    run->stopSent = false; // Unless it was confirmed, it is sent again after the next observation.
     if (outcome == OrderOutcome::Done) {
         run->stopConfirmed = true;
         run->changedAt = m_context->now();
         recordLongestLease(worker);
+        wakeObservation(worker);
     }
-    wakeObservation(worker);
 }
 
 void OrderSystem::stopJob(Job *job)
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -51,7 +51,13 @@
             answerWithTimeout(timeout, handler);
             return;
         }
+        ++stopsSent;
         deliver(worker, timeout, handler, [this, worker, task, run, term] {
+            if (refusesStops) {
+                OrderResult refused;
+                refused.outcome = OrderOutcome::Unhealthy;
+                return refused;
+            }
             return m_workers->stop(worker.id, task, run, term);
         });
     }
@@ -95,6 +101,8 @@
     bool answersDelayedStarts = false; ///< Unless the start takes effect after its timeout.
     Duration paceDelay{0};
     Duration answerTime{0}; ///< Processor time that each answer takes; one is handled after the other.
+    bool refusesStops = false; ///< Workers answer stop orders as unhealthy ones do.
+    int stopsSent = 0; ///< Stop orders that were not lost.
     int stopsToLose = 0; ///< This many following stop orders are not delivered.
     int dropEvery = 0; ///< Every observation with a multiple of this number gets no answer; 0 for none.
 
@@ -517,6 +525,16 @@
     m_processes[static_cast<std::size_t>(index)]->gateway.startAnswerDelay = delay;
 }
 
+void WorkflowWorld::refuseStops(int index, bool areRefused)
+{
+    m_processes[static_cast<std::size_t>(index)]->gateway.refusesStops = areRefused;
+}
+
+int WorkflowWorld::stopsSent(int index) const
+{
+    return m_processes[static_cast<std::size_t>(index)]->gateway.stopsSent;
+}
+
 void WorkflowWorld::delayObservationAnswers(int index, Duration delay)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.observationAnswerDelay = delay;
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -65,6 +65,11 @@
     /// Holds up the answers to the following start orders of node @p index for @p delay.
     void delayStartAnswers(int index, Duration delay);
 
+    /// Makes workers refuse the stop orders of node @p index, as unhealthy ones do, if @p areRefused.
+    void refuseStops(int index, bool areRefused);
+    /// Number of stop orders that node @p index has sent.
+    int stopsSent(int index) const;
+
     /// Holds up the lists that node @p index gets from workers for @p delay.
     void delayObservationAnswers(int index, Duration delay);
 
