Count the longest lease for an incarnation that already has runs

The lease in the start is a time on the former incarnation's clock, far ahead on the next one's, which shortens it to the longest that it accepts. The coordinator allowed for that only while the start was unsettled. An answer settles it, so the lease counted as one of usual length, and the task started elsewhere while the worker was still at work. Starts on bound connections don't reach the next incarnation; this holds where something between carries them over a restart.

An incarnation whose first answer lists runs has had such an order: the coordinator has sent it none itself. So the longest lease counts then, as with an unsettled start. Its cost is a longer wait if such a worker falls silent before its lease is over.

The new case of startunderway_test failed before (a task run twice) and passes now, as do its other cases, workerlife_test and workerfaults_test.

--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -296,8 +296,9 @@
     const TimePoint begun = FleetTable::earliestBegin(answer.workerClock, now);
     m_orders->markTasksLost(worker, LifeEnd{RunsOver::NewLife, begun});
     // A start with a lease on the clock of the former incarnation may reach this one. It may be far off then, and the
-    // worker shortens it.
-    const bool mayHoldLongLease = hasUnsettledStart(*worker);
+    // worker shortens it. An answer to it settles it, but then its run is listed.
+    const bool hasBegunRuns = !answer.active.empty() || !answer.ended.empty();
+    const bool mayHoldLongLease = hasBegunRuns || hasUnsettledStart(*worker);
     FleetTable::beginLife(worker, answer.incarnation, mayHoldLongLease ? settings.maxWorkerLease : settings.workerLease,
                           now);
 }
--- a/src/libworkflow/startunderway_test.cpp
+++ b/src/libworkflow/startunderway_test.cpp
@@ -162,3 +162,39 @@
     CHECK(reachesState(*world, 0, jobA, "complete", lostLimit));
     CHECK(world->workers.tasksRunTwice().empty());
 }
+
+// Guards against a task at work twice: a start for the former incarnation of a worker, with a lease on that one's
+// clock, was carried out and answered by the next one before that was known. The answer settled the order, so the lease
+// was taken for one of usual length; the worker was cut off, and its run outlasted it.
+TEST_CASE("a start that the next incarnation has answered counts with the longest lease on it")
+{
+    constexpr Milliseconds delay{300};
+    constexpr std::chrono::seconds lostLimit{60}; // The longest lease, drift and margin, and a run elsewhere.
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 1);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(20000), false);
+    };
+    world->run(std::chrono::seconds(60));
+    world->delayStarts(world->coordinator(), delay, true);
+    world->submit(0, jobA, workflowOf({simpleStep(1)}));
+    world->run(Milliseconds(100));
+    world->delayStarts(world->coordinator(), Milliseconds(0));
+    world->workers.crash("w0");
+    world->workers.restart("w0", false);
+    const std::size_t adopted = world->countInLogs("worker_adopted");
+    REQUIRE(world->runUntil(
+        [&world, adopted] {
+            return world->countInLogs("worker_adopted") > adopted && !world->workers.runsOf(jobA).empty();
+        },
+        std::chrono::seconds(1)));
+    REQUIRE(world->countInLogs("run_start") == 1);
+    Resources capacity;
+    capacity.milliCores = 4000;
+    capacity.memoryMb = 100000;
+    world->workers.add("w9", "dc-a", "r9", capacity);
+    for (int i = 0; i < nodes; ++i) {
+        world->workers.find("w0")->cutFrom.insert("node-" + std::to_string(i));
+    }
+    CHECK(reachesState(*world, 0, jobA, "complete", lostLimit));
+    CHECK(world->workers.tasksRunTwice().empty());
+}
