Test starts under way in random worlds

Three to nine workers restart, announced or not, once or several times, while starts are under way or their answers are held up; workers are cut off, unlisted and list few ends, answers to observations are lost, the store is silent, jobs are cancelled, coordinators are killed and paused. Jobs have mixed steps, gangs and long-running tasks. No task runs twice, and every job comes to its end; a job may be given up only if two runs of a task, or starts without an answer, were on workers that crashed.

In the first case a start reaches whatever incarnation is there. Two orders that nothing but the connections holds back are left out by construction: one whose stop a later incarnation has confirmed, before a further restart, and one of a replaced coordinator. So each worker restarts at most once while an order may be under way, before the order's call ends. In the case with all faults a start reaches only the incarnation that it is for (SimWorkers::bindsDelayedStarts).

--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -1,6 +1,7 @@
 #include "workflowworld_pvt.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fescueledge::workflow {
 
@@ -123,7 +124,8 @@
         return before == 0 || before == incarnation || !m_workers->connectionsOutliveCrashes;
     }
 
-    /// Carries out @p order after startDelay, whatever incarnation of the worker is there then.
+    /// Carries out @p order after startDelay, whatever incarnation of the worker is there then, unless delayed starts
+    /// are bound to theirs.
     void startLater(const WorkerRef &worker, const StartOrder &order, Milliseconds timeout, const OrderHandler &handler)
     {
         const bool isAnswered = answersDelayedStarts && startDelay < timeout;
@@ -132,7 +134,8 @@
             answerWithTimeout(timeout, handler);
         }
         m_world->after(startDelay, [this, worker, order, isAnswered, left, handler] {
-            const bool arrives = reaches(worker.id);
+            const bool isBarred = m_workers->bindsDelayedStarts && !isAddressed(worker.id, order);
+            const bool arrives = reaches(worker.id) && !isBarred;
             const OrderResult result = arrives ? m_workers->start(worker.id, order) : OrderResult{};
             if (isAnswered) {
                 m_loop->postAfter(arrives ? Duration(latency) : left, [handler, result] {
@@ -365,11 +368,16 @@
 
 } // namespace
 
-std::size_t MemoryLog::count(const std::string &event) const
+bool MemoryLog::isOf(const std::string &line, const std::string &event)
 {
     const std::string head = "event=" + event;
-    return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&head](const std::string &line) {
-        return line == head || line.compare(0, head.size() + 1, head + " ") == 0;
+    return line == head || line.compare(0, head.size() + 1, head + " ") == 0;
+}
+
+std::size_t MemoryLog::count(const std::string &event) const
+{
+    return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&event](const std::string &line) {
+        return isOf(line, event);
     }));
 }
 
@@ -547,6 +555,20 @@
     return n;
 }
 
+std::vector<std::string> WorkflowWorld::linesOf(const std::string &event) const
+{
+    std::vector<std::string> out;
+    for (const auto *processes : {&m_ended, &m_processes}) {
+        for (const std::unique_ptr<Process> &process : *processes) {
+            std::copy_if(process->log.lines.begin(), process->log.lines.end(), std::back_inserter(out),
+                         [&event](const std::string &line) {
+                             return MemoryLog::isOf(line, event);
+                         });
+        }
+    }
+    return out;
+}
+
 void WorkflowWorld::delayPaces(int index, Duration delay)
 {
     m_processes[static_cast<std::size_t>(index)]->gateway.paceDelay = delay;
@@ -609,6 +631,14 @@
         .outcome;
 }
 
+void WorkflowWorld::cancelLater(int index, const JobId &id)
+{
+    Process *process = m_processes[static_cast<std::size_t>(index)].get();
+    process->loop.post([process, id] {
+        process->node->cancel(id, Milliseconds(3000), [](const CallerAnswer &) {});
+    });
+}
+
 std::string WorkflowWorld::state(int index, const JobId &id)
 {
     return ask(index,
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -28,6 +28,8 @@
     }
     /// Number of lines of event @p event.
     std::size_t count(const std::string &event) const;
+    /// Whether @p line is of event @p event.
+    static bool isOf(const std::string &line, const std::string &event);
 
     std::vector<std::string> lines;
 };
@@ -59,7 +61,8 @@
     /// Loses the answer to every @p every-th observation of node @p index; 0 for none.
     void dropObservations(int index, int every);
     /// Makes each following start order of node @p index take effect after @p delay, on whatever incarnation of the
-    /// worker is there then. Its answer is lost, unless @p areAnswered and it comes before the order's timeout.
+    /// worker is there then (see SimWorkers::bindsDelayedStarts). Its answer is lost, unless @p areAnswered and it
+    /// comes before the order's timeout.
     void delayStarts(int index, Duration delay, bool areAnswered = false);
 
     /// Holds up the answers to the following start orders of node @p index for @p delay.
@@ -85,6 +88,8 @@
     /// Submits without waiting for the answer.
     void submitLater(int index, const JobId &id, const WorkflowSpec &spec, const WorkflowNode::AnswerHandler &handler);
     CallerOutcome cancel(int index, const JobId &id);
+    /// Cancels without waiting for the answer.
+    void cancelLater(int index, const JobId &id);
     /// The state of job @p id that node @p index reports; empty if it reports none.
     std::string state(int index, const JobId &id);
     std::optional<std::size_t> pending(int index, const std::string &queue);
@@ -95,6 +100,8 @@
     MemoryLog &log(int index);
     /// Number of lines of event @p event in the logs of all nodes.
     std::size_t countInLogs(const std::string &event);
+    /// The lines of event @p event in the logs of all processes, also of those that were killed.
+    std::vector<std::string> linesOf(const std::string &event) const;
 
     SimWorld world;
     MemoryTable rows;
