Test that a refused start does not lengthen a lease unawares

The simulated workers take the lease of a refused start over, as the protocol leaves it open; it is a time on the former clock, so it counts for up to the longest lease from then on. The coordinator allows for that from the confirmed stop, not from an arrival that nothing tells it of.

--- a/src/libworkflow/startafterstop_test.cpp
+++ b/src/libworkflow/startafterstop_test.cpp
@@ -37,3 +37,37 @@
         CHECK(world->workers.tasksRunTwice().empty());
     }
 }
+
+// Guards against a task at work twice: its worker had confirmed the stop of an earlier start that had been sent to the
+// former incarnation. That start then arrived and was refused, but its lease, a time on the former clock, was taken
+// over; the worker was cut off, and its other runs outlasted the lease that the coordinator had reckoned with.
+TEST_CASE("the lease of a start that was stopped and refused does not let other runs outlast the known lease")
+{
+    constexpr int nodes = 3;
+    constexpr Milliseconds delay{6000};
+    constexpr std::chrono::seconds jobLimit{90};
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 1);
+    world->workers.workOf = [](const TaskKey &) {
+        return std::make_pair(Milliseconds(20000), false);
+    };
+    world->run(std::chrono::seconds(60));
+    world->delayStarts(world->coordinator(), delay);
+    world->submit(0, jobA, workflowOf({simpleStep(1)}));
+    const TimePoint sentAt = world->world.now();
+    world->run(Milliseconds(100));
+    world->delayStarts(world->coordinator(), Milliseconds(0));
+    world->workers.crash("w0");
+    world->workers.restart("w0");
+    world->run(std::chrono::seconds(3));
+    REQUIRE(world->workers.runsOf(jobA).size() == 1); // It has been stopped, and started again.
+    world->run(sentAt + Duration(delay) + Milliseconds(50) - world->world.now());
+    Resources capacity;
+    capacity.milliCores = 4000;
+    capacity.memoryMb = 100000;
+    world->workers.add("w9", "dc-a", "r9", capacity);
+    for (int i = 0; i < nodes; ++i) {
+        world->workers.find("w0")->cutFrom.insert("node-" + std::to_string(i));
+    }
+    CHECK(reachesState(*world, 0, jobA, "complete", jobLimit));
+    CHECK(world->workers.tasksRunTwice().empty());
+}
