Let nobody at a former address of a worker end its runs

An entry of a worker may name its former incarnation, with the address of that one: its write of the entry may be carried out late, and the list is only as new as what workers have written. If another worker uses that address by now, it refused the observation, and that was taken for the end of the present incarnation, whose runs went on beside the next ones.

Such a refusal counts now only if the entry named the known incarnation, or none, when the order was sent. Otherwise an observation counts as not answered, and a start as not sent; the lease or the next entry decides.

--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -152,11 +152,14 @@
     const WorkerId id = worker->id;
     const std::shared_ptr<Context> shared = m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Observes);
+    const bool isElsewhere = isListedAsOther(*worker);
     context.gateway->observe(WorkerRef{id, worker->entry.address}, order, timeout,
-                             [this, shared, id, now](const Observation &answer) {
-                                 if (!shared->ended) {
-                                     onAnswer(id, now, answer);
+                             [this, shared, id, now, isElsewhere](const Observation &answer) {
+                                 if (shared->ended) {
+                                     return;
                                  }
+                                 const bool isForeign = answer.outcome == OrderOutcome::OtherIncarnation && isElsewhere;
+                                 onAnswer(id, now, isForeign ? Observation{} : answer);
                              });
 }
 
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -82,14 +82,19 @@
     ++startsSent;
     const RunRef ref{order.task, order.run, worker->id};
     const std::int64_t incarnation = order.incarnation;
+    const bool isElsewhere = isListedAsOther(*worker);
     const std::shared_ptr<Context> shared = m_context;
     const ActivityMeter::Scope scope(&context.activities, Activity::Starts);
     context.gateway->start(refOf(*worker), order, context.settings.orderTimeout,
-                           [this, shared, ref, incarnation, now](const OrderResult &result) {
-                               if (!shared->ended) {
-                                   noteAnswer(shared->fleet.find(ref.worker), incarnation, result);
-                                   onStarted(ref, now, result);
+                           [this, shared, ref, incarnation, now, isElsewhere](OrderResult result) {
+                               if (shared->ended) {
+                                   return;
                                }
+                               if (result.outcome == OrderOutcome::OtherIncarnation && isElsewhere) {
+                                   result = OrderResult{OrderOutcome::NotSent}; // Not to the worker.
+                               }
+                               noteAnswer(shared->fleet.find(ref.worker), incarnation, result);
+                               onStarted(ref, now, result);
                            });
 }
 
--- a/src/libworkflow/runevidence.cpp
+++ b/src/libworkflow/runevidence.cpp
@@ -66,6 +66,12 @@
     return answer.endsComplete && isRefused && sentAt > run.changedAt;
 }
 
+bool isListedAsOther(const Worker &worker)
+{
+    const std::int64_t listed = worker.entry.incarnation;
+    return listed != 0 && worker.life.incarnation != 0 && listed != worker.life.incarnation;
+}
+
 bool hasUnsettledStart(const Worker &worker)
 {
     return std::any_of(worker.tasks.begin(), worker.tasks.end(),
--- a/src/libworkflow/runevidence_pvt.h
+++ b/src/libworkflow/runevidence_pvt.h
@@ -35,6 +35,10 @@
 /// Whether @p answer of a worker, to a question sent at @p sentAt, shows that @p run is over and can't begin there.
 bool showsOver(const Observation &answer, const EarlierRun &run, TimePoint sentAt);
 
+/// Whether the entry of @p worker names another incarnation than the known one. Its address may then be a former one,
+/// and who answers there says nothing of the known incarnation.
+bool isListedAsOther(const Worker &worker);
+
 /// Whether a run on @p worker can start again only once the worker has shown that it refuses an unanswered start, or
 /// has answered a question that was sent after the start was answered.
 bool hasUnsettledStart(const Worker &worker);
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -113,6 +113,13 @@
         return worker != nullptr && worker->up && worker->cutFrom.count(m_self) == 0;
     }
 
+    /// Whether the worker is at that address; another one answers there otherwise.
+    bool isAt(const WorkerRef &worker) const
+    {
+        const SimWorkers::SimWorker *known = m_workers->find(worker.id);
+        return known == nullptr || known->entry.address == worker.address;
+    }
+
     /// Whether the incarnation of the worker that is there now is the one that @p order is for.
     bool isAddressed(const WorkerId &id, const StartOrder &order) const
     {
@@ -167,7 +174,11 @@
         }
         const TimePoint deadline = m_world->now() + timeout;
         m_world->after(latency, [this, worker, timeout, deadline, handler, order] {
-            const OrderResult result = order();
+            OrderResult result;
+            result.outcome = OrderOutcome::OtherIncarnation;
+            if (isAt(worker)) {
+                result = order();
+            }
             if (!reaches(worker.id)) { // It crashed before it answered.
                 answerWithTimeout(timeout, handler);
                 return;
@@ -205,7 +216,11 @@
             });
             return;
         }
-        const Observation seen = m_workers->observe(worker.id, order);
+        Observation seen;
+        seen.outcome = OrderOutcome::OtherIncarnation;
+        if (isAt(worker)) {
+            seen = m_workers->observe(worker.id, order);
+        }
         if (seen.outcome != OrderOutcome::Done || !seen.ended.empty() || m_world->now() >= until) {
             const Duration heldUp = observationAnswerDelay;
             answerBy(
