Give work to workers that close their connections

The connections kept for a worker are used as they are needed: unbound calls prefer those that no incarnation has answered on, and a ninth one replaces the one used least recently, instead of the one that was asked for a start a moment before.

--- a/src/include/fescueledge/httpmessages.h
+++ b/src/include/fescueledge/httpmessages.h
@@ -39,6 +39,7 @@
     int status = 0; ///< 0 unless answered.
     std::string body;
     std::uint64_t connection = 0; ///< Identifies the connection, for AsyncHttpClient::mark().
+    bool isKept = false; ///< The connection stays open for further calls.
 };
 
 /// A request received by a listener.
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -90,8 +90,8 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
-    /// Takes the connection used last to @p address from the idle ones, only one with mark @p mark if that is not 0;
-    /// nullptr if there is none.
+    /// Takes the connection with mark @p mark that was used last to @p address from the idle ones, or, if @p mark is 0
+    /// and all are marked, any of them; nullptr if there is none.
     ConnectionPtr takeIdle(const std::string &address, std::uint64_t mark);
     void connect(const ConnectionPtr &connection);
     void send(const ConnectionPtr &connection);
@@ -119,9 +119,12 @@
 AsyncHttpClient::Impl::ConnectionPtr AsyncHttpClient::Impl::takeIdle(const std::string &address, std::uint64_t mark)
 {
     std::vector<ConnectionPtr> &idle = m_idle[address];
-    const auto last = std::find_if(idle.rbegin(), idle.rend(), [mark](const ConnectionPtr &connection) {
-        return mark == 0 || connection->mark == mark;
+    auto last = std::find_if(idle.rbegin(), idle.rend(), [mark](const ConnectionPtr &connection) {
+        return connection->mark == mark;
     });
+    if (last == idle.rend() && mark == 0) {
+        last = idle.rbegin(); // Marked ones are left to the calls that need them as long as there are others.
+    }
     if (last == idle.rend()) {
         return nullptr;
     }
@@ -261,7 +264,11 @@
     Handler handler;
     handler.swap(connection->handler);
     std::vector<ConnectionPtr> &idle = m_idle[connection->address];
-    if (reusable && idle.size() < maxIdlePerAddress) {
+    answer.isKept = reusable;
+    if (reusable) {
+        if (idle.size() >= maxIdlePerAddress) {
+            idle.erase(idle.begin()); // The one used least recently.
+        }
         idle.push_back(connection);
     }
     handler(answer);
