--- a/src/libworkflow/startunderway_random_test.cpp
+++ b/src/libworkflow/startunderway_random_test.cpp
@@ -111,7 +111,8 @@
             const bool isCancelled = m_cancelled.count(job) > 0 && state == "cancelled" && !isAnyAtWork(job);
             const bool isAtWork = m_longRunning.count(job) > 0 && state == "in_progress" && allAtWork(job);
             if (state != "complete" && !isCancelled && !isAtWork && (state != "failed" || !hasCrashedTwice(job))) {
-                out.push_back(job + " " + state);
+                out.push_back(job);
+                out.back().append(" ").append(state);
             }
         }
         return out;
@@ -140,7 +141,7 @@
     /// Workers are busy, a job's starts are under way, and then faults come.
     void playRound()
     {
-        submit(1 + m_random.below(static_cast<std::size_t>(2 * m_workers)));
+        submit(1 + m_random.below(2 * static_cast<std::size_t>(m_workers)));
         world->run(Milliseconds(200 + m_random.below(300)));
         const Milliseconds delay = Milliseconds(m_faults.minDelayMs) + drawn(m_faults.maxDelayMs - m_faults.minDelayMs);
         const bool areAnswered = m_random.chance(0.7);
