Acknowledge no ends to a worker that leaves calls unanswered

Cause: a start was carried out by the next incarnation, and the acknowledgement of the former one's ends reached that one as well, which dropped the end unread: ends are numbered from 1 in each incarnation.

A worker that is in doubt, or has left a call unanswered, gets no acknowledgement before its next answer, as it gets no lease. What is not acknowledged is listed again and counts once. Acknowledgements that go out before there is any sign can still cross over such a connection.

--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -134,11 +134,12 @@
     }
     ObserveOrder order;
     order.term = context.term;
-    order.acknowledged = worker->life.endsDurable;
     order.incarnation = worker->life.incarnation;
-    // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
+    // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired. Nor
+    // are ends acknowledged: another incarnation may be there by now, whose ends have other numbers.
     const bool answers =
         worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
+    order.acknowledged = answers ? worker->life.endsDurable : 0;
     order.wait =
         answers && !hasPendingEnds && !hasUnsettledStart(*worker) ? context.settings.observeWait : Milliseconds{0};
     if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -334,7 +334,7 @@
     if (result.leased) {
         extendLease(&worker, order.leaseUntil);
     }
-    result.acknowledged = isAddressed ? order.acknowledged : 0;
+    result.acknowledged = isAddressed || !bindsAcknowledgements ? order.acknowledged : 0;
     acknowledge(&worker, result.acknowledged);
     result.outcome = OrderOutcome::Done;
     const std::size_t n = std::min(worker.ends.size(), maxListedEnds);
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -114,6 +114,8 @@
     /// Whether a start that is under way reaches only the incarnation that it is for, as the platform's client has it;
     /// otherwise it reaches any. See WorkflowWorld::delayStarts().
     bool bindsDelayedStarts = false;
+    /// Whether an acknowledgement reaches only the incarnation that it is for, as the platform's client has it.
+    bool bindsAcknowledgements = true;
     std::size_t maxListedEnds = 500; ///< A worker lists at most this many ends at a time.
     Milliseconds maxLease{10000}; ///< A longer lease is shortened to this.
     /// Called when the list of workers has changed.
--- a/src/libworkflow/startunderway_test.cpp
+++ b/src/libworkflow/startunderway_test.cpp
@@ -198,3 +198,37 @@
     CHECK(reachesState(*world, 0, jobA, "complete", lostLimit));
     CHECK(world->workers.tasksRunTwice().empty());
 }
+
+// Guards against a task that starts after it is done: the next incarnation of its worker had carried the start out, and
+// an acknowledgement of the former one's ends reached it, over a connection that outlived the restart, and dropped the
+// end unread.
+TEST_CASE("a worker that has left a call unanswered gets no acknowledgement before it has answered")
+{
+    constexpr Milliseconds downTime{10}; // An observation is lost.
+    for (const int delay : {20, 50, 100, 200, 300}) {
+        for (const bool isAnnounced : {true, false}) {
+            INFO("under way for " << delay << " ms, announced " << isAnnounced);
+            const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 2);
+            world->workers.bindsAcknowledgements = false;
+            world->workers.workOf = [](const TaskKey &) {
+                return std::make_pair(Milliseconds(20), false);
+            };
+            world->submit(0, jobB, workflowOf({simpleStep(8), simpleStep(8)}));
+            REQUIRE(reachesState(*world, 0, jobB, "complete", std::chrono::seconds(10)));
+            world->delayStarts(world->coordinator(), Milliseconds(delay), true);
+            world->submit(0, jobA, workflowOf({simpleStep(2)}));
+            world->run(Milliseconds(3));
+            for (const char *id : {"w0", "w1"}) {
+                world->workers.crash(id);
+            }
+            world->run(downTime);
+            for (const char *id : {"w0", "w1"}) {
+                world->workers.restart(id, isAnnounced);
+            }
+            world->run(Milliseconds(100));
+            world->delayStarts(world->coordinator(), Milliseconds(0));
+            CHECK(reachesState(*world, 0, jobA, "complete", jobLimit));
+            CHECK(world->workers.tasksRunTwice().empty());
+        }
+    }
+}
