--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -135,8 +135,8 @@
     ObserveOrder order;
     order.term = context.term;
     order.incarnation = worker->life.incarnation;
-    // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired. Nor
-    // are ends acknowledged: another incarnation may be there by now, whose ends have other numbers.
+    // The lease of a worker that does not answer is not extended, otherwise it would never be known to have expired.
+    // Nor are ends acknowledged: another incarnation may be there by now, whose ends have other numbers.
     const bool answers =
         worker->contact == WorkerContact::Adopted && worker->life.unansweredCalls == 0 && !worker->life.isDoubted;
     order.acknowledged = answers ? worker->life.endsDurable : 0;
