--- a/review/rig-2/rig.sh
+++ b/review/rig-2/rig.sh
@@ -23,6 +23,7 @@
     (cd "$root" && exec "$@") > "$dir/$name.log" 2>&1 &
     eval "pid_$name=$!"
     pids="$pids $!"
+    disown $!
 }
 
 stop_all() {
@@ -31,7 +32,6 @@
         kill -CONT "$pid" 2> /dev/null
         kill -KILL "$pid" 2> /dev/null
     done
-    wait 2> /dev/null
     [ -n "${KEEP_LOGS:-}" ] && cp "$dir"/*.log "$KEEP_LOGS" 2> /dev/null
     rm -rf "$dir"
 }
@@ -156,3 +156,13 @@
         's/.*"acknowledged":([a-z]+),"began_ms":([0-9]+),"ended_ms":([0-9a-z]+),"how":"([a-z]*)",.*"run":([0-9]+),"task":"([^"]+)","term":[0-9]+,"worker":"([^"]+)".*/\6 \5 \7 \2 \3 \4 \1/'
 }
 note_runs() { runs_of "$1" | while read -r line; do note "run (task, number, worker, began, ended, how, noted): $line"; done; }
+
+# find_coordinator: sets $coordinator to the number of the node that coordinates.
+coordinates() { http $(($(caller_port "$1") + 4)) GET /metrics; [[ $body =~ coordinates(\{[^}]*\})?\ 1 ]]; }
+has_coordinator() {
+    for coordinator in 1 2 3; do
+        coordinates $coordinator && return 0
+    done
+    return 1
+}
+find_coordinator() { wait_until 10 has_coordinator || cannot "no node coordinates"; }
