--- a/review/rig-2/rig.sh
+++ b/review/rig-2/rig.sh
@@ -83,6 +83,18 @@
 
 # Ports: store base, control base+1, worker i base+10+i, node n (from 1) base+200+10n and the ones after it.
 control() { http $((base + 1)) POST "/control/$1" "$2"; [ "$status" = 200 ] || cannot "control $1: $status $body"; }
+# control_at_once KIND BODY BODY: two commands in one piece, so that nothing comes between them.
+control_at_once() {
+    local content answer
+    exec 9<> "/dev/tcp/$host/$((base + 1))" || cannot "control $1"
+    content=$(printf 'POST /control/%s HTTP/1.1\r\nHost: control\r\nContent-Length: %d\r\n\r\n%s' "$1" ${#2} "$2")
+    content+=$(printf 'POST /control/%s HTTP/1.1\r\nHost: control\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s' \
+        "$1" ${#3} "$3")
+    printf '%s' "$content" >&9
+    answer=$(timeout 4 cat <&9)
+    exec 9>&-
+    [ "$(grep -o 'HTTP/1.1 200' <<< "$answer" | wc -l)" = 2 ] || cannot "control $1: $answer"
+}
 caller_port() { echo $((base + 200 + 10 * $1)); }
 
 # start_platform WORKERS
