--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -2,6 +2,7 @@
 # A step that lasts and allows one of its tasks to be unavailable: no order may stop another task meanwhile.
 case=$(cd "$(dirname "$0")" && pwd)
 . "$case/../rig-2/rig.sh"
+trouble=${TROUBLE:-1}
 
 lasting=00000000000000a8
 serving=00000000000000b8
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -2,6 +2,7 @@
 # A job whose DELETE was answered with 410 must not run afterwards. The node that got the POST is frozen for 4 s.
 case=$(cd "$(dirname "$0")" && pwd)
 . "$case/../rig-2/rig.sh"
+trouble=${TROUBLE:-1}
 
 job=00000000000000a7
 cancel_ms=3000
--- a/review/rig-2/rig.sh
+++ b/review/rig-2/rig.sh
@@ -4,7 +4,6 @@
 daemon=$root/target/src/fescueledged/fescueledged
 standin=$root/target/platform/fescueledge-standin-platform
 record=$case/record.txt
-trouble=${TROUBLE:-1}
 host=127.0.0.1
 pids=""
 
