--- a/src/include/fescueledge/testing/faketableservice.h
+++ b/src/include/fescueledge/testing/faketableservice.h
@@ -20,6 +20,8 @@
         bool watchesSilent = false; ///< Watches end without an answer after their wait; all other calls work.
         double loseRequest = 0; ///< Probability that a commit is lost before it takes effect.
         double loseAnswer = 0; ///< Probability that the answer to a commit that took effect is lost.
+        /// If it is not zero, commits take effect so much later, and their answers are lost.
+        Milliseconds requestDelay{0};
         int scanRounds = 1; ///< Number of sequential calls that a scan of a whole collection takes: for its partitions.
         Milliseconds latency{5}; ///< Half of it elapses before the effect, half after it.
         Milliseconds timeout{500}; ///< Time after which a lost answer is detected.
--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -52,6 +52,7 @@
     NoJob, ///< No such job.
     Invalid, ///< The workflow is not valid.
     Unavailable, ///< The request was not carried out and will not be.
+    Cancelled, ///< The job was cancelled before it was stored, so it never runs; a repetition has the same result.
     Unknown, ///< The request may have been carried out; the caller should repeat it with the same id.
 };
 
@@ -88,10 +89,13 @@
     /// Peer address of @p node; empty if unknown.
     std::string peerAddress(const NodeId &node) const;
 
-    /// Submits @p spec as job @p id to @p queue. The job is durable if the outcome is Ok.
+    /// Submits @p spec as job @p id to @p queue. The job is durable if the outcome is Ok. A job that was cancelled
+    /// before is not stored.
     void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds callerTimeout,
                 const AnswerHandler &handler);
     void status(const JobId &id, const AnswerHandler &handler);
+    /// Cancels job @p id. NoJob means that there is none, and that a submission that is still under way will not be
+    /// stored: this is kept for CoordinatorSettings::statusRetention.
     void cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler);
     void pending(const QueuePolicy &queue, const AnswerHandler &handler);
 
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -76,16 +76,18 @@
         });
         return;
     }
-    const bool answerLost = m_random.chance(faults.loseAnswer);
+    const bool answerLost = faults.requestDelay.count() > 0 || m_random.chance(faults.loseAnswer);
     const Duration half = faults.latency / 2;
     MemoryTable *table = m_table;
-    m_world->after(half, [loop, half, table, transaction, handler, answerLost, timeout, world = m_world] {
+    if (answerLost) {
+        loop->postAfter(half + timeout, [handler] {
+            handler(CommitResult{CommitStatus::Unknown, 0});
+        });
+    }
+    m_world->after(half + faults.requestDelay, [loop, half, table, transaction, handler, answerLost, world = m_world] {
         CommitResult result = table->commit(transaction);
         result.serviceTime = serviceTimeOf(*world);
         if (answerLost) {
-            loop->postAfter(timeout, [handler] {
-                handler(CommitResult{CommitStatus::Unknown, 0});
-            });
             return;
         }
         loop->postAfter(half, [handler, result] {
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -50,6 +50,7 @@
     , m_loadReport(m_context, &m_orders, &m_placement, tickInterval)
     , m_loader(m_context, table)
     , m_leaseKeeper(m_context)
+    , m_cancellations(m_context, table, seed + 1)
 {
     m_context->term = start.term;
     m_termStartVersion = start.chainVersion;
@@ -205,7 +206,7 @@
     }
     const std::string name = row.key.substr(row.key.rfind('/') + 1);
     if (endsWith(name, cancelSuffix)) {
-        cancel(name.substr(0, name.size() - std::string(cancelSuffix).size()));
+        cancel(name.substr(0, name.size() - std::string(cancelSuffix).size()), row.version);
         return;
     }
     if (m_context->jobs.find(name) != nullptr) {
@@ -225,19 +226,19 @@
         if (it != m_state.progress.end()) {
             m_context->jobs.applyProgress(job, it->second, now, m_context->wallClock());
         }
-        if (m_earlyCancellations.erase(name) > 0) {
-            cancel(name);
+        if (m_cancellations.take(name)) {
+            cancel(name, 0);
         }
     } catch (const nlohmann::json::exception &error) {
         m_context->log->write(LogLine("job_row_unreadable").with("job", name).with("detail", error.what()));
     }
 }
 
-void Coordinator::cancel(const JobId &id)
+void Coordinator::cancel(const JobId &id, RowVersion version)
 {
     Job *job = m_context->jobs.find(id);
     if (job == nullptr) {
-        m_earlyCancellations.insert(id);
+        m_cancellations.add(id, version);
         return;
     }
     if (job->ended()) {
@@ -279,9 +280,7 @@
 
 void Coordinator::handleCancellation(const JobId &id)
 {
-    if (m_context->jobs.find(id) != nullptr) {
-        cancel(id);
-    }
+    cancel(id, 0);
 }
 
 void Coordinator::onJobsLoaded()
@@ -484,6 +483,7 @@
         m_lastCleanupAt = now;
         removeExpiredJobs();
         removeUnlistedWorkers();
+        m_cancellations.removeExpired();
     }
     if (!context.jobs.openSteps().empty()) {
         m_waitReport.run();
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -16,6 +16,7 @@
 #include "placement_pvt.h"
 #include "progresswriter_pvt.h"
 #include "termloader_pvt.h"
+#include "unmatchedcancellations_pvt.h"
 #include "waitreport_pvt.h"
 
 #include <optional>
@@ -50,7 +51,7 @@
     /// Handles the notice of an accepted job, sent by the node that accepted it so that the job doesn't wait for the
     /// watch. Its row is @p value at @p version.
     void handleAcceptedJob(const JobId &id, const std::string &value, RowVersion version);
-    /// Handles the notice of a request to cancel a job.
+    /// Handles the notice of a request to cancel a job, which may come before the notice of the job itself.
     void handleCancellation(const JobId &id);
     /// How long the pending write has been waiting for the store's answer; zero if there is none.
     Duration pendingWriteAge() const
@@ -74,7 +75,8 @@
     /// Starts processing once the jobs and the state of earlier terms are loaded.
     void startIfLoaded();
     void applyJobRow(const Row &row);
-    void cancel(const JobId &id);
+    /// Cancels job @p id, now or when it is read. @p version is that of the cancellation's row, 0 if not known.
+    void cancel(const JobId &id, RowVersion version);
     void onJobsLoaded();
     void readWorkerRecord(const std::vector<Row> &record);
     /// The longest lease that an earlier coordinator can still give, from the moment at which this term was begun.
@@ -120,7 +122,7 @@
     RowVersion m_termStartVersion = 0; ///< Row version of the write that began the term.
     /// Jobs unknown to earlier coordinators whose notice came before their rows were read.
     std::set<JobId> m_acceptedThisTerm;
-    std::set<JobId> m_earlyCancellations; ///< Cancellations that were read before their jobs.
+    UnmatchedCancellations m_cancellations;
     Duration m_termConfirmedAt{0}; ///< Time since boot at which the store still had this term as the latest.
     Duration m_confirmAskedAt{0}; ///< Time since boot at which the store was last asked for that alone.
     std::function<void(bool)> m_storeContact;
--- a/src/libworkflow/frontanswers.cpp
+++ b/src/libworkflow/frontanswers.cpp
@@ -72,12 +72,13 @@
 {
     switch (status) {
     case CommitStatus::Committed:
-    case CommitStatus::Conflict: // Already written by an earlier attempt, or by another caller with the same id.
         return outcomeAnswer(CallerOutcome::Ok);
     case CommitStatus::Unavailable:
         return unavailable("the store refused the write");
     case CommitStatus::Rejected:
         return outcomeAnswer(CallerOutcome::Invalid, "the job is too long to be stored");
+    case CommitStatus::Conflict:
+        return outcomeAnswer(CallerOutcome::Unknown, "the rows of the job are changing");
     case CommitStatus::Unknown:
         break;
     }
--- a/src/libworkflow/rows_pvt.h
+++ b/src/libworkflow/rows_pvt.h
@@ -28,7 +28,12 @@
     return "job/" + id.substr(0, 1) + "/" + id;
 }
 
-/// A request to cancel a job.
+inline bool isSamePartition(const JobId &a, const JobId &b)
+{
+    return a.compare(0, 1, b, 0, 1) == 0;
+}
+
+/// A request to cancel a job. Where there is no job, it keeps the job from being stored.
 inline std::string cancellation(const JobId &id)
 {
     return job(id) + ".cancel";
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -10,6 +10,7 @@
 #include "rows_pvt.h"
 
 #include <algorithm>
+#include <deque>
 #include <nlohmann/json.hpp>
 
 namespace fescueledge::workflow {
@@ -31,6 +32,11 @@
 /// A coordinator whose term the store has confirmed within this time tells states from its tables. A replaced one is
 /// silent for longer before another takes over and ends a job.
 constexpr Milliseconds statusFreshness{300};
+/// A cancellation whose rows change between read and write is tried this often.
+constexpr int cancelAttempts = 4;
+/// Cancellations of unknown jobs that a node stores within CoordinatorSettings::statusRetention. They stay for that
+/// time, and a new coordinator reads them all.
+constexpr std::size_t maxAbsentCancellations = 500;
 
 Milliseconds commitTimeoutFor(Milliseconds callerTimeout)
 {
@@ -50,6 +56,7 @@
         , m_resolver(m_parts.loop, m_parts.table)
         , m_random(self.seed + 1)
         , m_election(parts, self, settings)
+        , m_statusRetention(settings.statusRetention)
     {
     }
 
@@ -78,19 +85,35 @@
         std::uint64_t number = 0; ///< Key in m_submissions.
         AnswerHandler handler;
     };
+    /// A caller's request to cancel a job.
+    struct Cancellation
+    {
+        JobId id;
+        Milliseconds callerTimeout{0};
+        AnswerHandler handler;
+        int attempts = 0;
+    };
 
     void setReceivers();
     void onAcceptedNotice(const json &body);
-    void onJobWritten(const Submission &submission, const CommitResult &result);
+    void onJobWritten(const std::shared_ptr<Submission> &submission, const CommitResult &result);
+    /// Answers a submission that the store refused because of a row that is there already: the job, or its
+    /// cancellation.
+    void resolveConflict(const std::shared_ptr<Submission> &submission);
     void notifyCoordinator(const char *kind, const json &body);
     /// Whether state @p phase, which the local coordinator has for job @p id, can be told without a look at the store.
     bool isConfirmed(const JobId &id, JobPhase phase) const;
     /// @p otherwise, the state that the coordinator tells, is told unless the store has an end of the job; empty if
     /// no coordinator answers.
     void statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler);
-    void onCancelRows(const JobId &id, Milliseconds callerTimeout, const ReadResult &result,
-                      const AnswerHandler &handler);
-    void logSubmission(const JobId &id, const std::string &queue, CommitStatus status, TimePoint since);
+    void readCancelRows(const std::shared_ptr<Cancellation> &request);
+    void onCancelRows(const std::shared_ptr<Cancellation> &request, const ReadResult &result);
+    /// Stores the cancellation of a job whose row has version @p job; 0 if there is none.
+    void writeCancellation(const std::shared_ptr<Cancellation> &request, RowVersion job);
+    void onCancellationWritten(const std::shared_ptr<Cancellation> &request, bool isAbsent, const CommitResult &result);
+    /// Counts the cancellation of an unknown job; false if there are too many.
+    bool admitAbsentCancellation();
+    void logSubmission(const Submission &submission, const char *outcome);
     void recordCommit(std::uint64_t submission, CommitStatus status);
     bool isStoreUnavailable() const;
 
@@ -103,6 +126,8 @@
     bool m_storeInDoubt = false; ///< The last write that ended was not answered, so one write is tried at a time.
     std::uint64_t m_nextSubmission = 0;
     std::map<std::uint64_t, TimePoint> m_submissions; ///< Start times of the pending writes.
+    Milliseconds m_statusRetention;
+    std::deque<TimePoint> m_absentCancellations; ///< When cancellations of unknown jobs were last stored.
 };
 
 void WorkflowNode::Impl::start()
@@ -195,14 +220,14 @@
     m_writeAnsweredAt = bad ? m_writeAnsweredAt : m_parts.loop->now();
 }
 
-void WorkflowNode::Impl::logSubmission(const JobId &id, const std::string &queue, CommitStatus status, TimePoint since)
+void WorkflowNode::Impl::logSubmission(const Submission &submission, const char *outcome)
 {
-    const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - since);
+    const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - submission.since);
     m_parts.log->write(LogLine("job_submit")
-                           .with("job", id)
-                           .with("queue", queue)
+                           .with("job", submission.id)
+                           .with("queue", submission.queue)
                            .with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
-                           .with("outcome", commitName(status))
+                           .with("outcome", outcome)
                            .with("took_ms", took));
 }
 
@@ -215,9 +240,13 @@
         handler(outcomeAnswer(CallerOutcome::Invalid, error.what()));
         return;
     }
-    const TimePoint since = m_parts.loop->now();
+    const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
+    submission->id = id;
+    submission->queue = queue.name;
+    submission->since = m_parts.loop->now();
+    submission->handler = handler;
     if (isStoreUnavailable()) {
-        logSubmission(id, queue.name, CommitStatus::Unavailable, since);
+        logSubmission(*submission, commitName(CommitStatus::Unavailable));
         handler(unavailable("the store is not available"));
         return;
     }
@@ -225,35 +254,58 @@
     row.spec = spec;
     row.policy = queue;
     row.acceptedAt = m_parts.wallClock();
-    const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
-    submission->id = id;
-    submission->queue = queue.name;
     submission->row = encodeJobRow(row);
-    submission->since = since;
     submission->number = m_nextSubmission++;
-    submission->handler = handler;
-    m_submissions.emplace(submission->number, since);
+    m_submissions.emplace(submission->number, submission->since);
     Transaction transaction;
     transaction.writeId = m_random.uniqueId();
     transaction.conditions.push_back({rows::job(id), 0});
+    // The caller may have given up on this submission, cancelled the job elsewhere and been told that there is none.
+    transaction.conditions.push_back({rows::cancellation(id), 0});
     transaction.puts.push_back({rows::job(id), submission->row});
     const std::shared_ptr<Impl> self = shared_from_this();
     m_resolver.commit(transaction, commitTimeoutFor(callerTimeout), [self, submission](const CommitResult &result) {
-        self->onJobWritten(*submission, result);
+        self->onJobWritten(submission, result);
     });
 }
 
-void WorkflowNode::Impl::onJobWritten(const Submission &submission, const CommitResult &result)
+void WorkflowNode::Impl::onJobWritten(const std::shared_ptr<Submission> &submission, const CommitResult &result)
 {
-    recordCommit(submission.number, result.status);
-    logSubmission(submission.id, submission.queue, result.status, submission.since);
+    recordCommit(submission->number, result.status);
+    if (result.status == CommitStatus::Conflict) {
+        resolveConflict(submission);
+        return;
+    }
+    logSubmission(*submission, commitName(result.status));
     if (result.status == CommitStatus::Committed) {
         notifyCoordinator("job-accepted",
-                          json{{"id", submission.id},
-                               {"row", json::binary({submission.row.begin(), submission.row.end()})},
+                          json{{"id", submission->id},
+                               {"row", json::binary({submission->row.begin(), submission->row.end()})},
                                {"version", result.version}});
     }
-    submission.handler(commitAnswer(result.status));
+    submission->handler(commitAnswer(result.status));
+}
+
+void WorkflowNode::Impl::resolveConflict(const std::shared_ptr<Submission> &submission)
+{
+    const std::vector<std::string> keys{rows::job(submission->id), rows::cancellation(submission->id)};
+    const std::shared_ptr<Impl> self = shared_from_this();
+    m_parts.table->read(keys, [self, submission, keys](const ReadResult &result) {
+        if (result.find(keys.front()) != nullptr) {
+            // Written by an earlier attempt, or by another caller with the same id.
+            self->logSubmission(*submission, commitName(CommitStatus::Conflict));
+            submission->handler(outcomeAnswer(CallerOutcome::Ok));
+        } else if (result.find(keys.back()) != nullptr) {
+            self->logSubmission(*submission, "cancelled");
+            submission->handler(
+                outcomeAnswer(CallerOutcome::Cancelled, "the job was cancelled before it was accepted"));
+        } else {
+            // The store doesn't answer, or the row has been removed since.
+            self->logSubmission(*submission, commitName(CommitStatus::Unknown));
+            submission->handler(
+                outcomeAnswer(CallerOutcome::Unknown, "the store does not tell whether it has the job"));
+        }
+    });
 }
 
 void WorkflowNode::Impl::notifyCoordinator(const char *kind, const json &body)
@@ -348,42 +400,92 @@
 
 void WorkflowNode::Impl::cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler)
 {
+    const std::shared_ptr<Cancellation> request = std::make_shared<Cancellation>();
+    request->id = id;
+    request->callerTimeout = callerTimeout;
+    request->handler = handler;
+    readCancelRows(request);
+}
+
+void WorkflowNode::Impl::readCancelRows(const std::shared_ptr<Cancellation> &request)
+{
+    ++request->attempts;
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_parts.table->read({rows::job(id), rows::cancellation(id)},
-                        [self, id, callerTimeout, handler](const ReadResult &result) {
-                            self->onCancelRows(id, callerTimeout, result, handler);
+    m_parts.table->read({rows::job(request->id), rows::cancellation(request->id)},
+                        [self, request](const ReadResult &result) {
+                            self->onCancelRows(request, result);
                         });
 }
 
-void WorkflowNode::Impl::onCancelRows(const JobId &id, Milliseconds callerTimeout, const ReadResult &result,
-                                      const AnswerHandler &handler)
+void WorkflowNode::Impl::onCancelRows(const std::shared_ptr<Cancellation> &request, const ReadResult &result)
 {
     if (!result.available) {
-        handler(unavailable("the store does not answer"));
+        request->handler(unavailable("the store does not answer"));
         return;
     }
-    const Row *job = result.find(rows::job(id));
-    if (job == nullptr) {
-        handler(outcomeAnswer(CallerOutcome::NoJob));
+    const Row *job = result.find(rows::job(request->id));
+    if (result.find(rows::cancellation(request->id)) != nullptr) {
+        request->handler(outcomeAnswer(job == nullptr ? CallerOutcome::NoJob : CallerOutcome::Ok));
         return;
     }
-    if (result.find(rows::cancellation(id)) != nullptr) {
-        handler(outcomeAnswer(CallerOutcome::Ok));
+    if (job == nullptr && !admitAbsentCancellation()) {
+        m_parts.log->write(LogLine("job_cancel").with("job", request->id).with("outcome", "too_many_unknown"));
+        request->handler(unavailable("too many cancellations of unknown jobs"));
         return;
     }
+    writeCancellation(request, job == nullptr ? 0 : job->version);
+}
+
+void WorkflowNode::Impl::writeCancellation(const std::shared_ptr<Cancellation> &request, RowVersion job)
+{
+    // Written for an unknown job too: its submission may be on its way, in a slow node or in the store, and is refused
+    // once this row is there.
     Transaction transaction;
     transaction.writeId = m_random.uniqueId();
-    transaction.conditions.push_back({rows::cancellation(id), 0});
-    transaction.conditions.push_back({rows::job(id), job->version});
-    transaction.puts.push_back({rows::cancellation(id), "{}"});
+    transaction.conditions.push_back({rows::cancellation(request->id), 0});
+    transaction.conditions.push_back({rows::job(request->id), job});
+    transaction.puts.push_back({rows::cancellation(request->id), "{}"});
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_resolver.commit(transaction, commitTimeoutFor(callerTimeout), [self, id, handler](const CommitResult &commit) {
-        self->m_parts.log->write(LogLine("job_cancel").with("job", id).with("outcome", commitName(commit.status)));
-        if (commit.status == CommitStatus::Committed) {
-            self->notifyCoordinator("job-cancelled", json{{"id", id}});
-        }
-        handler(commitAnswer(commit.status));
-    });
+    m_resolver.commit(transaction, commitTimeoutFor(request->callerTimeout),
+                      [self, request, isAbsent = job == 0](const CommitResult &result) {
+                          self->onCancellationWritten(request, isAbsent, result);
+                      });
+}
+
+void WorkflowNode::Impl::onCancellationWritten(const std::shared_ptr<Cancellation> &request, bool isAbsent,
+                                               const CommitResult &result)
+{
+    if (result.status == CommitStatus::Conflict && request->attempts < cancelAttempts) {
+        readCancelRows(request); // The job has just been stored or removed, or somebody else has cancelled it.
+        return;
+    }
+    const bool isCommitted = result.status == CommitStatus::Committed;
+    m_parts.log->write(LogLine("job_cancel")
+                           .with("job", request->id)
+                           .with("known", isAbsent ? 0 : 1)
+                           .with("attempts", request->attempts)
+                           .with("outcome", commitName(result.status)));
+    if (isCommitted && !isAbsent) {
+        notifyCoordinator("job-cancelled", json{{"id", request->id}});
+    }
+    if (isCommitted) {
+        request->handler(outcomeAnswer(isAbsent ? CallerOutcome::NoJob : CallerOutcome::Ok));
+    } else {
+        request->handler(commitAnswer(result.status));
+    }
+}
+
+bool WorkflowNode::Impl::admitAbsentCancellation()
+{
+    const TimePoint now = m_parts.loop->now();
+    while (!m_absentCancellations.empty() && now - m_absentCancellations.front() > m_statusRetention) {
+        m_absentCancellations.pop_front();
+    }
+    if (m_absentCancellations.size() >= maxAbsentCancellations) {
+        return false;
+    }
+    m_absentCancellations.push_back(now);
+    return true;
 }
 
 void WorkflowNode::Impl::pending(const QueuePolicy &queue, const AnswerHandler &handler)
--- a/testsuite/platform-path/run.sh
+++ b/testsuite/platform-path/run.sh
@@ -63,6 +63,9 @@
 check "a long-running job is at work" wait_until 5 state_is 1 00000000000000b1 in_progress
 say "its cancellation: $(call 3 DELETE /orders/00000000000000b1)"
 check "it is shown as cancelled" wait_until 5 state_is 1 00000000000000b1 cancelled
+say "the cancellation of an unknown job: $(call 3 DELETE /orders/00000000000000e1)"
+say "its submission, which was on its way: $(call 2 POST /orders/00000000000000e1 "$endless")"
+say "the job stays unknown: $(call 1 GET /orders/00000000000000e1)"
 
 first=$(grep -l event=term_begun "$dir"/node?.log | sed 's/.*node\(.\)\.log/\1/')
 other=$((first % 3 + 1))
