--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -207,6 +207,12 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.drainNotice = Milliseconds(value.number);
          }},
+        {{"stop-grace", ValueType::Duration, false, "1s", 1, 60000,
+          "Time that a worker takes at most to stop a task. After a takeover, a task that may be on the way out counts "
+          "as at work only after that time."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.stopGrace = Milliseconds(value.number);
+         }},
         {{"row-bytes", ValueType::Integer, false, "65536", 4096, 16777216,
           "Length of the longest value that the store accepts in a row."},
          [](WorkflowSettings &target, const SettingValue &value) {
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -82,6 +82,7 @@
     bool hasUnlistedEnd = false;
     bool stopConfirmed = false; ///< The worker has confirmed the stop order, so it refuses a late start of the run.
     int percentAtWork = 0; ///< ActiveRun::percentAtWork, as reported by the worker.
+    bool hasStartedUp = false; ///< The worker has reported the run fully at work, before any order to slow it down.
     TimePoint progressAt{}; ///< When the percentage last changed.
     std::int64_t gauge = 0; ///< ActiveRun::gauge, as reported by the worker.
     int pace = fullPace; ///< Last ordered pace in percent, or unknownPace.
@@ -116,6 +117,7 @@
     bool listed = false; ///< It is in JobTable::openSteps().
     TimePoint waitingSince{}; ///< Since when it has had idle tasks and started none of them; otherwise the epoch.
     TimePoint waitLoggedAt{}; ///< When its wait was last logged; the epoch if it was not.
+    TimePoint deferralLoggedAt{}; ///< When a deferred move of one of its tasks was last logged.
     ServingTrend trend; ///< Headroom trend under its own load, for serving tasks.
 };
 
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -336,6 +336,7 @@
         task->percentAtWork = run.percentAtWork;
         task->progressAt = now;
     }
+    task->hasStartedUp = task->hasStartedUp || run.percentAtWork >= fullPace;
     task->gauge = run.gauge;
     if (task->step->occurrence->job->ended()) {
         m_orders->stop(task);
@@ -383,6 +384,7 @@
     context.jobs.setPhase(task, TaskPhase::Running, now);
     task->progressAt = now;
     task->stopConfirmed = false;
+    task->hasStartedUp = false;
     task->atWorkSince = TimePoint{};
     task->lasted = false;
 }
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -67,6 +67,7 @@
     task->seenOnWorker = false;
     task->stopConfirmed = false;
     task->hasUnlistedEnd = false;
+    task->hasStartedUp = false;
     task->atWorkSince = TimePoint{};
     task->lasted = false;
     StartOrder order;
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -62,6 +62,7 @@
 PacingSystem::PacingSystem(std::shared_ptr<Context> context, OrderSystem *orders)
     : m_context(std::move(context))
     , m_orders(orders)
+    , m_budget(m_context)
 {
 }
 
@@ -258,7 +259,7 @@
             task->slowSince = TimePoint{};
         } else if (task->slowSince == TimePoint{}) {
             task->slowSince = now;
-        } else if (now - task->slowSince > slowedFillerTimeout && hasBetterPlace(*task)) {
+        } else if (now - task->slowSince > slowedFillerTimeout && hasBetterPlace(*task) && m_budget.allowsMove(*task)) {
             m_context->log->write(LogLine("run_moved_away")
                                       .with("job", task->step->occurrence->job->id)
                                       .with("task", toString(keyOf(*task)))
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context_pvt.h"
+#include "disruptionbudget_pvt.h"
 
 namespace fescueledge::workflow {
 
@@ -39,6 +40,7 @@
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
+    DisruptionBudget m_budget;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -276,9 +276,19 @@
     RunNumber &last = worker.lastRun[name];
     last = std::max(last, run);
     const auto it = worker.active.find({name, run});
-    if (it != worker.active.end()) {
+    if (it == worker.active.end()) {
+        return result;
+    }
+    if (stopDelay == Duration::zero()) {
         end(&worker, it->second, RunEnd::Stopped);
+        return result;
     }
+    m_world->after(stopDelay, [this, id, index = it->second] {
+        settle(&m_workers.at(id));
+        if (m_runs[index].ended == TimePoint{}) {
+            end(&m_workers.at(id), index, RunEnd::Stopped);
+        }
+    });
     return result;
 }
 
@@ -345,7 +355,7 @@
         ActiveRun run;
         run.task = record.task;
         run.run = record.run;
-        run.percentAtWork = 100;
+        run.percentAtWork = m_world->now() - record.began < startupTime ? 0 : fullPace;
         run.gauge = gaugeOf(worker, record);
         run.checkpoint = checkpointOf ? checkpointOf(worker, record) : std::string();
         result.active.push_back(run);
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -96,6 +96,8 @@
     /// How long a run works, and whether it then fails. By default 100 ms without a failure.
     std::function<std::pair<Milliseconds, bool>(const TaskKey &)> workOf;
     Duration paceDelay{0}; ///< Delay between the answer to a pace order and its effect.
+    Duration stopDelay{0}; ///< The same for stop orders; the run stays listed as active meanwhile.
+    Duration startupTime{0}; ///< From the start of a run until it is at work.
     /// The gauge of a run.
     std::function<std::int64_t(const SimWorker &, const RunRecord &)> gaugeOf;
     /// How long a run that an order starts works; if it is not set, workOf decides.
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -506,6 +506,14 @@
     network.setIsolated(process.name, true);
 }
 
+void WorkflowWorld::resign(int index)
+{
+    Process *process = m_processes[static_cast<std::size_t>(index)].get();
+    process->loop.post([process] {
+        process->node->resign();
+    });
+}
+
 void WorkflowWorld::pause(int index)
 {
     m_processes[static_cast<std::size_t>(index)]->loop.pause();
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -53,6 +53,8 @@
     /// Starts the process of node @p index, or restarts it if it was killed.
     void startNode(int index);
     void kill(int index);
+    /// Lets node @p index give up coordination, as before a planned end.
+    void resign(int index);
     void pause(int index);
     void resume(int index);
     /// The index of the node that coordinates; -1 if there is none.
