Keep runs of a job that hasn't been read yet (AVAIL)

What callers would have seen: around a takeover, all tasks of a lasting step with max_unavailable 1 are stopped at once and start again.

Cause: a run whose job isn't in the tables was stopped at once. A predecessor that doesn't know of its replacement yet may have accepted the job and started it, while this coordinator's watch of the jobs is silent or behind.

Fix: the run is kept as an earlier run of its task, so the task starts nowhere else, and the lease of its worker is renewed. A job is stored before its tasks start: once the jobs have been read as of a time after the run was first listed, the run becomes the task's, or is stopped.

--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -28,6 +28,8 @@
     TimePoint tookOverAt{};
     bool ended = false; ///< The term is over: late answers are ignored.
     const Catalog *catalog = nullptr;
+    /// The time since boot up to which all accepted jobs are in the tables.
+    std::function<Duration()> jobsConfirmedAt;
     std::function<Duration()> catalogConfirmedAt; ///< CatalogSource::confirmedAt().
     JobTable jobs;
     FleetTable fleet;
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -72,6 +72,9 @@
     m_pacing.hasBetterPlace = [this](const Task &task) {
         return m_placement.hasPlaceElsewhere(task);
     };
+    m_context->jobsConfirmedAt = [this] {
+        return m_jobFollower.confirmedAt();
+    };
     m_context->wakeDispatch = [this] {
         scheduleDispatch();
     };
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -217,6 +217,8 @@
     TimePoint orderedAt{}; ///< When this term sent that order; the epoch if it sent none.
     /// When its state last changed: an answer to a question sent before says nothing of it.
     TimePoint changedAt{};
+    /// When it was first listed while its job was not in the tables, as time since boot; otherwise zero.
+    Duration listedWithoutJobAt{0};
     bool stopSent = false; ///< A stop order for it has been sent to the known incarnation and not answered yet.
     bool stopConfirmed = false; ///< The known incarnation of the worker has confirmed a stop, so it refuses the start.
 };
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -142,7 +142,7 @@
     order.acknowledged = answers ? worker->life.endsDurable : 0;
     order.wait =
         answers && !hasPendingEnds && !hasUnsettledStart(*worker) ? context.settings.observeWait : Milliseconds{0};
-    if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && !worker->tasks.empty()) {
+    if (answers && !worker->recordNamesLeaseEnd && worker->life.clock.count() > 0 && hasRunsToKeep(*worker)) {
         order.leaseUntil = FleetTable::clockAt(*worker, now) + context.settings.workerLease;
         FleetTable::recordLease(worker, order.leaseUntil);
     }
@@ -216,7 +216,7 @@
     if (worker->life.endsApplied > worker->life.endsDurable) {
         context.wakeWriter();
     }
-    if (!answer.leased && !worker->tasks.empty()) {
+    if (!answer.leased && hasRunsToKeep(*worker)) {
         wake(worker); // Adopted runs have only the lease that an earlier coordinator gave them.
     }
     if (m_orders->stopUnsettledRuns(worker) || awaitsStopOfStart(*worker)) {
@@ -316,6 +316,9 @@
     if (task != nullptr) {
         m_crashes->retractRun(task, run.run);
     }
+    if (task == nullptr && keepUnreadRun(worker, run)) {
+        return;
+    }
     if (!current && (task == nullptr || task->phase == TaskPhase::Done || !supersedes(*task, run))) {
         awaitEnd(worker, EarlierRun(run.task, run.run), task);
         return;
@@ -343,6 +346,40 @@
     }
 }
 
+bool ObservationSystem::keepUnreadRun(Worker *worker, const ActiveRun &run)
+{
+    Context &context = *m_context;
+    if (context.jobs.find(run.task.job) != nullptr) {
+        return false;
+    }
+    // A job is stored before its tasks start, so it was when the run was first listed.
+    const EarlierRun *known = FleetTable::findEarlierRun(worker, run.task, run.run);
+    if (known != nullptr) {
+        return known->listedWithoutJobAt > context.jobsConfirmedAt();
+    }
+    EarlierRun kept(run.task, run.run);
+    kept.listedWithoutJobAt = context.sinceBoot();
+    context.log->write(
+        LogLine("run_of_unread_job")
+            .with("job", run.task.job)
+            .with("task", toString(run.task))
+            .with("run", static_cast<std::int64_t>(run.run))
+            .with("worker", worker->id)
+            .with("jobs_age_ms",
+                  std::chrono::duration_cast<Milliseconds>(kept.listedWithoutJobAt - context.jobsConfirmedAt())));
+    context.fleet.addEarlierRun(worker, kept, nullptr);
+    return true;
+}
+
+bool ObservationSystem::hasRunsToKeep(const Worker &worker) const
+{
+    const Duration confirmedAt = m_context->jobsConfirmedAt();
+    return !worker.tasks.empty()
+        || std::any_of(worker.earlierRuns.begin(), worker.earlierRuns.end(), [confirmedAt](const EarlierRun &run) {
+               return run.listedWithoutJobAt > confirmedAt;
+           });
+}
+
 bool ObservationSystem::supersedes(const Task &task, const ActiveRun &run)
 {
     return run.run > task.run || (run.run == task.run && task.worker == nullptr);
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -50,6 +50,11 @@
     /// Gives up what the former incarnation of @p worker held, and begins with what is known of the one that answered.
     void beginLife(Worker *worker, TimePoint sentAt, const Observation &answer);
     void applyActiveRun(Worker *worker, const ActiveRun &run);
+    /// Whether the job of @p run, listed by @p worker and not in the tables, may have been accepted and not been read
+    /// yet. Then the run is kept as an earlier one, so that its task starts nowhere else meanwhile.
+    bool keepUnreadRun(Worker *worker, const ActiveRun &run);
+    /// Whether @p worker has runs that are to go on.
+    bool hasRunsToKeep(const Worker &worker) const;
     /// Whether @p run, seen at work, is to be the current run of @p task.
     static bool supersedes(const Task &task, const ActiveRun &run);
     /// Makes run @p run on @p worker the current run of @p task.
