--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -162,6 +162,7 @@
     }
     m_earlyJobRows.clear();
     m_jobsLoaded = true;
+    m_jobsAppliedUpTo = m_jobFollower.seenUpTo();
     for (const auto &[id, progress] : m_state.progress) {
         if (m_context->jobs.find(id) == nullptr) {
             m_writer.removeProgress(id); // The removal of the job was interrupted.
@@ -185,6 +186,7 @@
         }
         applyJobRow(row);
     }
+    m_jobsAppliedUpTo = m_jobFollower.seenUpTo();
     scheduleDispatch();
 }
 
@@ -215,6 +217,12 @@
     if (m_context->jobs.find(name) != nullptr) {
         return;
     }
+    if (row.version <= m_jobsAppliedUpTo) {
+        // Read before the job was removed, and answered after it.
+        m_context->log->write(
+            LogLine("job_row_old").with("job", name).with("version", static_cast<std::int64_t>(row.version)));
+        return;
+    }
     try {
         const JobRow accepted = decodeJobRow(row.value);
         const QueuePolicy *policy =
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -118,6 +118,8 @@
     bool m_stateLoaded = false;
     bool m_jobsRead = false;
     std::vector<Row> m_earlyJobRows; ///< Job rows that were read before the state.
+    /// The tables have had all job rows up to this version; those that they don't have have been removed since.
+    RowVersion m_jobsAppliedUpTo = 0;
     std::vector<FleetUpdate> m_earlyFleetUpdates; ///< Fleet updates received before all jobs were loaded.
     RowVersion m_termStartVersion = 0; ///< Row version of the write that began the term.
     /// Jobs unknown to earlier coordinators whose notice came before their rows were read.
