Move the cancellation of jobs out of WorkflowNode

JobCanceller has the reads, the conditional writes and the limit of cancellations; the node only tells the coordinator.

--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -6,11 +6,11 @@
 #include "fescueledge/peertransport.h"
 #include "fescueledge/workflow/catalogsource.h"
 #include "frontanswers_pvt.h"
+#include "jobcanceller_pvt.h"
 #include "jobrow_pvt.h"
 #include "rows_pvt.h"
 
 #include <algorithm>
-#include <deque>
 #include <nlohmann/json.hpp>
 
 namespace fescueledge::workflow {
@@ -32,11 +32,6 @@
 /// A coordinator whose term the store has confirmed within this time tells states from its tables. A replaced one is
 /// silent for longer before another takes over and ends a job.
 constexpr Milliseconds statusFreshness{300};
-/// A cancellation whose rows change between read and write is tried this often.
-constexpr int cancelAttempts = 4;
-/// Cancellations of unknown jobs that a node stores within CoordinatorSettings::statusRetention. They stay for that
-/// time, and a new coordinator reads them all.
-constexpr std::size_t maxAbsentCancellations = 500;
 
 Milliseconds commitTimeoutFor(Milliseconds callerTimeout)
 {
@@ -56,7 +51,7 @@
         , m_resolver(m_parts.loop, m_parts.table)
         , m_random(self.seed + 1)
         , m_election(parts, self, settings)
-        , m_statusRetention(settings.statusRetention)
+        , m_canceller(std::make_shared<JobCanceller>(parts, settings.statusRetention, self.seed + 2))
     {
     }
 
@@ -85,14 +80,6 @@
         std::uint64_t number = 0; ///< Key in m_submissions.
         AnswerHandler handler;
     };
-    /// A caller's request to cancel a job.
-    struct Cancellation
-    {
-        JobId id;
-        Milliseconds callerTimeout{0};
-        AnswerHandler handler;
-        int attempts = 0;
-    };
 
     void setReceivers();
     void onAcceptedNotice(const json &body);
@@ -106,13 +93,6 @@
     /// @p otherwise, the state that the coordinator tells, is told unless the store has an end of the job; empty if
     /// no coordinator answers.
     void statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler);
-    void readCancelRows(const std::shared_ptr<Cancellation> &request);
-    void onCancelRows(const std::shared_ptr<Cancellation> &request, const ReadResult &result);
-    /// Stores the cancellation of a job whose row has version @p job; 0 if there is none.
-    void writeCancellation(const std::shared_ptr<Cancellation> &request, RowVersion job);
-    void onCancellationWritten(const std::shared_ptr<Cancellation> &request, bool isAbsent, const CommitResult &result);
-    /// Counts the cancellation of an unknown job; false if there are too many.
-    bool admitAbsentCancellation();
     void logSubmission(const Submission &submission, const char *outcome);
     void recordCommit(std::uint64_t submission, CommitStatus status);
     bool isStoreUnavailable() const;
@@ -126,14 +106,19 @@
     bool m_storeInDoubt = false; ///< The last write that ended was not answered, so one write is tried at a time.
     std::uint64_t m_nextSubmission = 0;
     std::map<std::uint64_t, TimePoint> m_submissions; ///< Start times of the pending writes.
-    Milliseconds m_statusRetention;
-    std::deque<TimePoint> m_absentCancellations; ///< When cancellations of unknown jobs were last stored.
+    std::shared_ptr<JobCanceller> m_canceller; ///< Shared with its pending calls.
 };
 
 void WorkflowNode::Impl::start()
 {
     setReceivers();
     const std::weak_ptr<Impl> weak = shared_from_this();
+    m_canceller->cancelled = [weak](const JobId &id) {
+        const std::shared_ptr<Impl> self = weak.lock();
+        if (self) {
+            self->notifyCoordinator("job-cancelled", json{{"id", id}});
+        }
+    };
     m_parts.catalogs->follow([weak](const std::shared_ptr<const Catalog> &newest) {
         const std::shared_ptr<Impl> self = weak.lock();
         if (!self) {
@@ -400,92 +385,7 @@
 
 void WorkflowNode::Impl::cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler)
 {
-    const std::shared_ptr<Cancellation> request = std::make_shared<Cancellation>();
-    request->id = id;
-    request->callerTimeout = callerTimeout;
-    request->handler = handler;
-    readCancelRows(request);
-}
-
-void WorkflowNode::Impl::readCancelRows(const std::shared_ptr<Cancellation> &request)
-{
-    ++request->attempts;
-    const std::shared_ptr<Impl> self = shared_from_this();
-    m_parts.table->read({rows::job(request->id), rows::cancellation(request->id)},
-                        [self, request](const ReadResult &result) {
-                            self->onCancelRows(request, result);
-                        });
-}
-
-void WorkflowNode::Impl::onCancelRows(const std::shared_ptr<Cancellation> &request, const ReadResult &result)
-{
-    if (!result.available) {
-        request->handler(unavailable("the store does not answer"));
-        return;
-    }
-    const Row *job = result.find(rows::job(request->id));
-    if (result.find(rows::cancellation(request->id)) != nullptr) {
-        request->handler(outcomeAnswer(job == nullptr ? CallerOutcome::NoJob : CallerOutcome::Ok));
-        return;
-    }
-    if (job == nullptr && !admitAbsentCancellation()) {
-        m_parts.log->write(LogLine("job_cancel").with("job", request->id).with("outcome", "too_many_unknown"));
-        request->handler(unavailable("too many cancellations of unknown jobs"));
-        return;
-    }
-    writeCancellation(request, job == nullptr ? 0 : job->version);
-}
-
-void WorkflowNode::Impl::writeCancellation(const std::shared_ptr<Cancellation> &request, RowVersion job)
-{
-    // Written for an unknown job too: its submission may be on its way, in a slow node or in the store, and is refused
-    // once this row is there.
-    Transaction transaction;
-    transaction.writeId = m_random.uniqueId();
-    transaction.conditions.push_back({rows::cancellation(request->id), 0});
-    transaction.conditions.push_back({rows::job(request->id), job});
-    transaction.puts.push_back({rows::cancellation(request->id), "{}"});
-    const std::shared_ptr<Impl> self = shared_from_this();
-    m_resolver.commit(transaction, commitTimeoutFor(request->callerTimeout),
-                      [self, request, isAbsent = job == 0](const CommitResult &result) {
-                          self->onCancellationWritten(request, isAbsent, result);
-                      });
-}
-
-void WorkflowNode::Impl::onCancellationWritten(const std::shared_ptr<Cancellation> &request, bool isAbsent,
-                                               const CommitResult &result)
-{
-    if (result.status == CommitStatus::Conflict && request->attempts < cancelAttempts) {
-        readCancelRows(request); // The job has just been stored or removed, or somebody else has cancelled it.
-        return;
-    }
-    const bool isCommitted = result.status == CommitStatus::Committed;
-    m_parts.log->write(LogLine("job_cancel")
-                           .with("job", request->id)
-                           .with("known", isAbsent ? 0 : 1)
-                           .with("attempts", request->attempts)
-                           .with("outcome", commitName(result.status)));
-    if (isCommitted && !isAbsent) {
-        notifyCoordinator("job-cancelled", json{{"id", request->id}});
-    }
-    if (isCommitted) {
-        request->handler(outcomeAnswer(isAbsent ? CallerOutcome::NoJob : CallerOutcome::Ok));
-    } else {
-        request->handler(commitAnswer(result.status));
-    }
-}
-
-bool WorkflowNode::Impl::admitAbsentCancellation()
-{
-    const TimePoint now = m_parts.loop->now();
-    while (!m_absentCancellations.empty() && now - m_absentCancellations.front() > m_statusRetention) {
-        m_absentCancellations.pop_front();
-    }
-    if (m_absentCancellations.size() >= maxAbsentCancellations) {
-        return false;
-    }
-    m_absentCancellations.push_back(now);
-    return true;
+    m_canceller->cancel(id, commitTimeoutFor(callerTimeout), handler);
 }
 
 void WorkflowNode::Impl::pending(const QueuePolicy &queue, const AnswerHandler &handler)
