Give stop-grace a default that holds for all known workers

The default, now 2 s, is more than twice the longest time that a worker of the known deployments takes to stop a task. It only spaces moves of one step further apart; maxunavailable_test passes as before (410 checks).

--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -29,7 +29,7 @@
     /// How long after a worker has announced its shutdown tasks may still start there.
     Milliseconds drainNotice{2000};
     /// Time that a worker takes at most to stop a run. It lists the run as active meanwhile.
-    Milliseconds stopGrace{1000};
+    Milliseconds stopGrace{2000};
     /// How long the state of an ended job can be queried.
     Milliseconds statusRetention{130000};
     /// Minimum time between two writes of progress; limits the calls to the store.
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -207,7 +207,7 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.drainNotice = Milliseconds(value.number);
          }},
-        {{"stop-grace", ValueType::Duration, false, "1s", 1, 60000,
+        {{"stop-grace", ValueType::Duration, false, "2s", 1, 60000,
           "Time that a worker takes at most to stop a task. After a takeover, a task that may be on the way out counts "
           "as at work only after that time."},
          [](WorkflowSettings &target, const SettingValue &value) {
