--- a/src/libworkflow/unmatchedcancellations_pvt.h
+++ b/src/libworkflow/unmatchedcancellations_pvt.h
@@ -30,11 +30,6 @@
     /// Removes the rows that are no longer needed, a limited number at a time.
     void removeExpired();
 
-    std::size_t size() const
-    {
-        return m_entries.size();
-    }
-
 private:
     struct Entry
     {
