Add client accounts to the catalog and to jobs, and a check of request headers

AccountPolicy, Catalog::accounts, QueuePolicy::isPublic and the account of a job and of its row are the types that admission and limits share; nothing reads them yet. AsyncHttpServer can answer a request from its headers alone: the rest of its body is discarded for a second, since closing a connection with unread bytes resets it and loses the answer (asynchttp_test).

--- a/src/include/fescueledge/asynchttpserver.h
+++ b/src/include/fescueledge/asynchttpserver.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fescueledge {
@@ -19,6 +20,9 @@
     /// Answers a request by calling the responder once, now or later, on the loop.
     using Handler = std::function<void(const HttpRequest &, const Responder &)>;
 
+    /// Decides from the headers of a request, whose body is still empty, whether it is answered without its body.
+    using HeaderCheck = std::function<std::optional<HttpReply>(const HttpRequest &)>;
+
     /// Limits on each connection.
     struct Limits
     {
@@ -34,6 +38,9 @@
     AsyncHttpServer &operator=(const AsyncHttpServer &) = delete;
 
     void setLimits(const Limits &limits);
+    /// Sets a check of each request whose headers are complete. A reply is sent at once, and the connection closed
+    /// unless the whole request has been received.
+    void setHeaderCheck(HeaderCheck check);
     /// Number of requests received and not yet answered.
     std::size_t inFlight() const;
     /// Closes idle connections now and every other connection after its next answer.
--- a/src/include/fescueledge/httpmessages.h
+++ b/src/include/fescueledge/httpmessages.h
@@ -48,6 +48,7 @@
     std::string method;
     std::string target;
     std::string host;
+    std::string authorization; ///< Value of the `Authorization` header; empty if there is none.
     std::string body;
     Milliseconds callerTimeout{0}; ///< How long the client waits for the answer; 0 if unknown.
 };
--- a/src/include/fescueledge/workflow/catalog.h
+++ b/src/include/fescueledge/workflow/catalog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescueledge/account/accountpolicy.h"
 #include "fescueledge/types.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
     std::uint32_t maxAttempts = 1; ///< Failed runs of one task after which its job fails.
     double slackFactor = 1; ///< The objective is this times the critical path, plus `target`.
     Milliseconds target{0};
+    bool isPublic = false; ///< Requests need no key of an account.
 };
 
 /// A kind of worker.
@@ -45,6 +47,7 @@
     std::uint64_t version = 0;
     std::vector<QueuePolicy> queues;
     std::map<std::string, ServicePolicy> services;
+    std::map<std::string, account::AccountPolicy> accounts; ///< By name; empty if the deployment has no accounts.
     std::set<DataCentreId> evacuated; ///< Data centres whose workers get no new tasks.
     std::size_t maxBodyBytes = 262144;
     std::size_t maxHeaderBytes = 16384;
--- a/src/libhttp/asynchttp_test.cpp
+++ b/src/libhttp/asynchttp_test.cpp
@@ -246,3 +246,40 @@
     });
     thread.join();
 }
+
+// Guards against a request without a valid key whose body is read, and against its answer being lost in a reset,
+// because the connection was closed while the body was still arriving.
+TEST_CASE("a request that the header check rejects is answered without its body")
+{
+    const std::string authorization = GENERATE("Token bad", "Token good", "");
+    const std::size_t bytes = GENERATE(std::size_t{0}, std::size_t{10}, largeBodyBytes);
+    CAPTURE(authorization, bytes);
+    int handled = 0;
+    AsioLoop loop;
+    AsyncHttpServer server(&loop, "127.0.0.1:19572",
+                           [&handled](const HttpRequest &, const AsyncHttpServer::Responder &respond) {
+                               ++handled;
+                               respond(replyOf("handled"));
+                           });
+    server.setHeaderCheck([](const HttpRequest &request) {
+        HttpReply reply;
+        reply.status = 401;
+        return request.authorization == "Token good" ? std::nullopt : std::optional<HttpReply>(reply);
+    });
+    AsyncHttpClient client(&loop, Milliseconds(300));
+    HttpCall call;
+    call.method = "POST";
+    call.target = "/";
+    call.body = std::string(bytes, 'j');
+    call.timeout = Milliseconds(3000);
+    call.headers = {{"Authorization", authorization}};
+    HttpAnswer got;
+    client.call("127.0.0.1:19572", std::move(call), [&loop, &got](const HttpAnswer &answer) {
+        got = answer;
+        loop.stop();
+    });
+    loop.run();
+    const bool good = authorization == "Token good";
+    CHECK(got.status == (good ? 200 : 401));
+    CHECK(handled == (good ? 1 : 0));
+}
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -28,6 +28,10 @@
 
 constexpr Milliseconds maxCallerTimeout{86'400'000}; ///< A day.
 constexpr const char *deadlineHeader = "X-Deadline-Ms";
+/// After an answer to an incomplete request, what still arrives is discarded for this time: closing a connection with
+/// unread bytes resets it, and the client may lose the answer.
+constexpr Milliseconds lingerTimeout{1000};
+constexpr std::size_t discardBytes = 4096; ///< Read and discarded at a time.
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
 
 /// Zero, for an unknown one, unless @p text is a positive number; at most maxCallerTimeout.
@@ -41,6 +45,18 @@
     return std::clamp(Milliseconds(count), Milliseconds(0), maxCallerTimeout);
 }
 
+/// The request in @p message without its body.
+HttpRequest requestOf(const http::request<http::string_body> &message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.host = std::string(message[http::field::host]);
+    request.authorization = std::string(message[http::field::authorization]);
+    request.callerTimeout = parseTimeout(std::string(message[deadlineHeader]));
+    return request;
+}
+
 } // namespace
 
 class AsyncHttpServer::Impl : public std::enable_shared_from_this<AsyncHttpServer::Impl>
@@ -62,6 +78,7 @@
     }
 
     Limits limits;
+    HeaderCheck headerCheck;
     std::size_t inFlight = 0;
     bool closing = false; ///< Responses carry `Connection: close`.
 
@@ -83,8 +100,12 @@
     using SessionPtr = std::shared_ptr<Session>;
 
     void read(const SessionPtr &session);
+    /// Whether the rest of the request is to be read; if not, it has been answered.
+    bool acceptHeader(const SessionPtr &session);
     void dispatch(const SessionPtr &session);
     void write(const SessionPtr &session, const HttpReply &reply, bool keepAlive);
+    /// Discards the rest of an incomplete request that has been answered, at most Limits::bodyBytes, then closes.
+    void linger(const SessionPtr &session, std::size_t discarded);
     void closeSession(const SessionPtr &session)
     {
         boost::system::error_code ec;
@@ -141,28 +162,42 @@
     session->parser->body_limit(limits.bodyBytes);
     session->stream.expires_after(limits.headerTimeout);
     const std::shared_ptr<Impl> self = shared_from_this();
-    readMessage(&session->stream, &session->buffer, &*session->parser, [self, session](const beast::error_code &ec) {
-        if (ec == http::error::body_limit || ec == http::error::header_limit) {
-            HttpReply reply;
-            reply.status = ec == http::error::body_limit ? 413 : 431;
-            self->write(session, reply, false);
-        } else if (ec) {
-            self->closeSession(session);
-        } else {
-            self->dispatch(session);
-        }
-    });
+    readMessage(
+        &session->stream, &session->buffer, &*session->parser,
+        [self, session] {
+            return self->acceptHeader(session);
+        },
+        [self, session](const beast::error_code &ec) {
+            if (ec == http::error::body_limit || ec == http::error::header_limit) {
+                HttpReply reply;
+                reply.status = ec == http::error::body_limit ? 413 : 431;
+                self->write(session, reply, false);
+            } else if (ec) {
+                self->closeSession(session);
+            } else {
+                self->dispatch(session);
+            }
+        });
+}
+
+bool AsyncHttpServer::Impl::acceptHeader(const SessionPtr &session)
+{
+    if (!headerCheck) {
+        return true;
+    }
+    const std::optional<HttpReply> reply = headerCheck(requestOf(session->parser->get()));
+    if (!reply) {
+        return true;
+    }
+    write(session, *reply, session->parser->is_done() && session->parser->get().keep_alive());
+    return false;
 }
 
 void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
 {
     const http::request<http::string_body> &message = session->parser->get();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.host = std::string(message[http::field::host]);
+    HttpRequest request = requestOf(message);
     request.body = message.body();
-    request.callerTimeout = parseTimeout(std::string(message[deadlineHeader]));
     const bool keepAlive = message.keep_alive();
     session->stream.expires_never();
     session->busy = true;
@@ -197,14 +232,33 @@
     const std::shared_ptr<Impl> self = shared_from_this();
     http::async_write(session->stream, session->response, [self, session](const beast::error_code &ec, std::size_t) {
         session->busy = false;
-        if (ec || !session->response.keep_alive()) {
-            self->closeSession(session);
-        } else {
+        if (!ec && session->response.keep_alive()) {
             self->read(session);
+        } else if (!ec && !session->parser->is_done()) {
+            boost::system::error_code ignored;
+            session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+            session->stream.expires_after(lingerTimeout);
+            self->linger(session, 0);
+        } else {
+            self->closeSession(session);
         }
     });
 }
 
+void AsyncHttpServer::Impl::linger(const SessionPtr &session, std::size_t discarded)
+{
+    session->buffer.clear();
+    const std::shared_ptr<Impl> self = shared_from_this();
+    session->stream.async_read_some(session->buffer.prepare(discardBytes),
+                                    [self, session, discarded](const beast::error_code &ec, std::size_t n) {
+                                        if (ec || discarded + n > self->limits.bodyBytes) {
+                                            self->closeSession(session);
+                                        } else {
+                                            self->linger(session, discarded + n);
+                                        }
+                                    });
+}
+
 void AsyncHttpServer::Impl::drain()
 {
     closing = true;
@@ -232,6 +286,11 @@
     m_impl->limits = limits;
 }
 
+void AsyncHttpServer::setHeaderCheck(HeaderCheck check)
+{
+    m_impl->headerCheck = std::move(check);
+}
+
 std::size_t AsyncHttpServer::inFlight() const
 {
     return m_impl->inFlight;
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -230,6 +230,7 @@
         const TimePoint now = m_context->now();
         Job *job = m_context->jobs.add(name, accepted.spec, policy == nullptr ? accepted.policy : *policy,
                                        accepted.acceptedAt, now, m_context->wallClock());
+        job->account = accepted.account;
         job->rowVersion = row.version;
         // An earlier coordinator that has not seen this term may have been notified of the job.
         job->fromEarlierTerm = m_acceptedThisTerm.erase(name) == 0 && !m_earlierRunsKnown;
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -138,6 +138,7 @@
 {
     JobId id;
     WorkflowSpec spec;
+    std::string account; ///< Client account that it belongs to; empty if it has none.
     QueuePolicy policy; ///< Policy of its queue, from the newest catalog that has the queue.
     JobPhase phase = JobPhase::Queued;
     bool phaseDurable = true; ///< The phase is stored in the progress row.
--- a/src/libworkflow/jobrow.cpp
+++ b/src/libworkflow/jobrow.cpp
@@ -8,14 +8,17 @@
 
 std::string encodeJobRow(const JobRow &row)
 {
-    const json out{{"spec", row.spec},
-                   {"queue", row.policy.name},
-                   {"service", row.policy.service},
-                   {"priority", row.policy.priority},
-                   {"attempts", row.policy.maxAttempts},
-                   {"slack", row.policy.slackFactor},
-                   {"target", row.policy.target.count()},
-                   {"accepted", row.acceptedAt.time_since_epoch().count()}};
+    json out{{"spec", row.spec},
+             {"queue", row.policy.name},
+             {"service", row.policy.service},
+             {"priority", row.policy.priority},
+             {"attempts", row.policy.maxAttempts},
+             {"slack", row.policy.slackFactor},
+             {"target", row.policy.target.count()},
+             {"accepted", row.acceptedAt.time_since_epoch().count()}};
+    if (!row.account.empty()) {
+        out["account"] = row.account;
+    }
     const std::vector<std::uint8_t> bytes = json::to_cbor(out);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -32,6 +35,7 @@
     row.policy.slackFactor = in.at("slack").get<double>();
     row.policy.target = Milliseconds(in.at("target").get<std::int64_t>());
     row.acceptedAt = WallTime(Milliseconds(in.at("accepted").get<std::int64_t>()));
+    row.account = in.value("account", std::string());
     return row;
 }
 
--- a/src/libworkflow/jobrow_pvt.h
+++ b/src/libworkflow/jobrow_pvt.h
@@ -12,6 +12,7 @@
 {
     WorkflowSpec spec;
     QueuePolicy policy; ///< Policy of its queue when it was accepted, without host and path.
+    std::string account; ///< Client account that the job belongs to; empty if it has none.
     WallTime acceptedAt{};
 };
 
