Serve client accounts: keys, rates and limits

Where key-revocation-timeout is set, a node whose configuration was confirmed longer ago than nine tenths of it serves no request with a key and is not ready. What runs for an account on all workers stays within its limit, also after a takeover: a worker of which it isn't known what runs counts as full. Jobs beyond the rate of their account wait behind those of others.

--- a/src/include/fescueledge/daemonsettings.h
+++ b/src/include/fescueledge/daemonsettings.h
@@ -3,6 +3,7 @@
 #include "fescueledge/types.h"
 #include "fescueledge/workflow/coordinatorsettings.h"
 
+#include <optional>
 #include <string>
 
 namespace fescueledge {
@@ -74,6 +75,9 @@
     std::string ready; ///< Listener for the load balancer's readiness check.
     std::string metrics; ///< Listener for the metrics page; empty for none.
     double cores = 1; ///< CPU capacity of this VM, in cores.
+    /// A revoked key is refused after this time, also by a node that doesn't learn of it; without it, a node admits the
+    /// keys that it knows.
+    std::optional<Milliseconds> keyRevocationTimeout;
     workflow::CoordinatorSettings times;
 };
 
--- a/src/include/fescueledge/workflow/catalog.h
+++ b/src/include/fescueledge/workflow/catalog.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fescueledge::workflow {
@@ -47,7 +48,10 @@
     std::uint64_t version = 0;
     std::vector<QueuePolicy> queues;
     std::map<std::string, ServicePolicy> services;
-    std::map<std::string, account::AccountPolicy> accounts; ///< By name; empty if the deployment has no accounts.
+    std::map<std::string, account::AccountPolicy> accounts; ///< By name.
+    bool asksForKeys = false; ///< The deployment has accounts, if perhaps none that is valid.
+    /// Accounts that are left out because their entry is invalid, with what is wrong. The name may be missing.
+    std::vector<std::pair<std::string, std::string>> invalidAccounts;
     std::set<DataCentreId> evacuated; ///< Data centres whose workers get no new tasks.
     std::size_t maxBodyBytes = 262144;
     std::size_t maxHeaderBytes = 16384;
--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -52,10 +52,19 @@
     NoJob, ///< No such job.
     Invalid, ///< The workflow is not valid.
     Unavailable, ///< The request was not carried out and will not be.
+    OtherAccount, ///< The job belongs to an account that the request is not for.
     Cancelled, ///< The job was cancelled before it was stored, so it never runs; a repetition has the same result.
     Unknown, ///< The request may have been carried out; the caller should repeat it with the same id.
 };
 
+/// Who makes a request, and how long it waits for the answer.
+struct Caller
+{
+    std::string account; ///< Client account that the request is for; empty if it has none.
+    bool ownJobsOnly = true; ///< Jobs of other accounts are closed to it.
+    Milliseconds timeout{0}; ///< 0 if unknown.
+};
+
 /// The answer to a caller's request about a workflow.
 struct CallerAnswer
 {
@@ -89,14 +98,15 @@
     /// Peer address of @p node; empty if unknown.
     std::string peerAddress(const NodeId &node) const;
 
-    /// Submits @p spec as job @p id to @p queue. The job is durable if the outcome is Ok. A job that was cancelled
-    /// before is not stored.
-    void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds callerTimeout,
+    /// Submits @p spec as job @p id to @p queue, for the account of @p caller. The job is durable if the outcome is Ok.
+    /// A job that was cancelled before is not stored. Requests about a job that belongs to another account than that of
+    /// @p caller end with OtherAccount.
+    void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, const Caller &caller,
                 const AnswerHandler &handler);
-    void status(const JobId &id, const AnswerHandler &handler);
+    void status(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     /// Cancels job @p id. NoJob means that there is none, and that a submission that is still under way will not be
     /// stored: this is kept for CoordinatorSettings::statusRetention.
-    void cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler);
+    void cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     void pending(const QueuePolicy &queue, const AnswerHandler &handler);
 
 private:
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -218,6 +218,14 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.tableLimits.rowBytes = static_cast<std::size_t>(value.number);
          }},
+        {{"key-revocation-timeout", ValueType::Duration, false, "", 100, 600000,
+          "Time after which a withdrawn key is refused by every node. A node that has not heard for nine tenths of it "
+          "that "
+          "its configuration is the newest serves no request with a key. Without it, keys are served until a newer "
+          "configuration is read."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.keyRevocationTimeout = Milliseconds(value.number);
+         }},
         {{"status-retention", ValueType::Duration, false, "130s", 1000, 86400000,
           "How long the state of an ended workflow can be asked for."},
          [](WorkflowSettings &target, const SettingValue &value) {
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -42,7 +42,8 @@
     , m_observations(m_context, &m_orders, &m_crashes)
     , m_placement(m_context)
     , m_dispatch(m_context, &m_orders, &m_placement, &m_observations, &m_crashes)
-    , m_waitReport(m_context, &m_placement, &m_observations)
+    , m_waitReport(m_context, &m_placement, &m_observations, &m_dispatch.accounts())
+    , m_accountReport(m_context)
     , m_pacing(m_context, &m_orders)
     , m_writer(m_context, table, start.chainVersion, start.chainValue, seed)
     , m_jobFollower(m_context->loop, table, "job", m_context->settings.watchTimeout)
@@ -163,6 +164,7 @@
     m_earlyJobRows.clear();
     m_jobsLoaded = true;
     m_jobsAppliedUpTo = m_jobFollower.seenUpTo();
+    markExcessJobs();
     for (const auto &[id, progress] : m_state.progress) {
         if (m_context->jobs.find(id) == nullptr) {
             m_writer.removeProgress(id); // The removal of the job was interrupted.
@@ -231,6 +233,7 @@
         Job *job = m_context->jobs.add(name, accepted.spec, policy == nullptr ? accepted.policy : *policy,
                                        accepted.acceptedAt, now, m_context->wallClock());
         job->account = accepted.account;
+        job->isExcess = m_jobsLoaded && isExcess(*job);
         job->rowVersion = row.version;
         // An earlier coordinator that has not seen this term may have been notified of the job.
         job->fromEarlierTerm = m_acceptedThisTerm.erase(name) == 0 && !m_earlierRunsKnown;
@@ -246,6 +249,32 @@
     }
 }
 
+bool Coordinator::isExcess(const Job &job)
+{
+    if (m_context->catalog == nullptr) {
+        return false;
+    }
+    const auto it = m_context->catalog->accounts.find(job.account);
+    return it != m_context->catalog->accounts.end()
+        && !m_rates.conforms(job.account, it->second.weight, job.acceptedAt);
+}
+
+void Coordinator::markExcessJobs()
+{
+    std::vector<Job *> jobs;
+    for (const auto &[id, job] : m_context->jobs.all()) {
+        if (!job->account.empty()) {
+            jobs.push_back(job.get());
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const Job *a, const Job *b) {
+        return std::tie(a->acceptedAt, a->id) < std::tie(b->acceptedAt, b->id);
+    });
+    for (Job *job : jobs) {
+        job->isExcess = isExcess(*job);
+    }
+}
+
 void Coordinator::cancel(const JobId &id, RowVersion version)
 {
     Job *job = m_context->jobs.find(id);
@@ -401,11 +430,11 @@
                 continue;
             }
             if (run < task->run || (run == task->run && task->worker != nullptr)) {
-                context.fleet.addEarlierRun(worker, EarlierRun(key, run), task->step->spec);
+                context.fleet.addEarlierRun(worker, EarlierRun(key, run), task->step);
                 continue;
             }
             if (task->worker != nullptr) {
-                context.fleet.addEarlierRun(task->worker, EarlierRun(key, task->run), task->step->spec);
+                context.fleet.addEarlierRun(task->worker, EarlierRun(key, task->run), task->step);
                 FleetTable::release(task);
             }
             task->run = run;
@@ -499,6 +528,7 @@
     }
     if (!context.jobs.openSteps().empty()) {
         m_waitReport.run();
+        m_accountReport.run();
         scheduleDispatch();
     }
     const std::shared_ptr<Context> shared = m_context;
@@ -639,6 +669,12 @@
     return job->phaseDurable ? job->phase : JobPhase::InProgress;
 }
 
+std::string Coordinator::accountOf(const JobId &id) const
+{
+    const Job *job = m_context->jobs.find(id);
+    return job == nullptr ? std::string() : job->account;
+}
+
 bool Coordinator::isEnding(const JobId &id) const
 {
     const Job *job = m_context->jobs.find(id);
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "accountreport_pvt.h"
 #include "context_pvt.h"
 #include "crashledger_pvt.h"
 #include "dispatchbudget_pvt.h"
 #include "dispatchsystem_pvt.h"
+#include "fescueledge/account/rateconformance.h"
 #include "fescueledge/watchabletable.h"
 #include "fescueledge/workflow/collectionfollower.h"
 #include "fescueledge/workflow/fleetsource.h"
@@ -43,6 +45,8 @@
 
     /// Phase of job @p id as reported to callers, which is always durable. Empty if the job is not (yet) known.
     std::optional<JobPhase> status(const JobId &id) const;
+    /// The client account of job @p id; empty if it has none or is not known.
+    std::string accountOf(const JobId &id) const;
     /// Whether job @p id has ended but the end is not known to be durable. The store may have it already.
     bool isEnding(const JobId &id) const;
     /// Number of pending jobs of @p queue; empty until all accepted jobs are loaded.
@@ -78,6 +82,10 @@
     /// Cancels job @p id, now or when it is read. @p version is that of the cancellation's row, 0 if not known.
     void cancel(const JobId &id, RowVersion version);
     void onJobsLoaded();
+    /// Whether @p job is beyond the rate of its account; jobs have to come in the order in which they were accepted.
+    bool isExcess(const Job &job);
+    /// Decides that for the jobs that were read together.
+    void markExcessJobs();
     void readWorkerRecord(const std::vector<Row> &record);
     /// The longest lease that an earlier coordinator can still give, from the moment at which this term was begun.
     Milliseconds longestForeignLease() const;
@@ -104,6 +112,8 @@
     Placement m_placement;
     DispatchSystem m_dispatch;
     WaitReport m_waitReport;
+    AccountReport m_accountReport;
+    account::RateConformance m_rates;
     PacingSystem m_pacing;
     ProgressWriter m_writer;
     CollectionFollower m_jobFollower;
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -52,19 +52,23 @@
     , m_placement(placement)
     , m_observations(observations)
     , m_crashes(crashes)
+    , m_accounts(m_context, observations)
     , m_holds(m_context, placement)
 {
 }
 
 bool DispatchSystem::Rank::operator<(const Rank &other) const
 {
-    return std::tie(group, priority, objective) < std::tie(other.group, other.priority, other.objective);
+    return std::tie(group, isExcess, share, priority, objective)
+        < std::tie(other.group, other.isExcess, other.share, other.priority, other.objective);
 }
 
 DispatchSystem::Rank DispatchSystem::rankOf(const Step &step, TimePoint now) const
 {
     const Job &job = *step.occurrence->job;
     Rank rank;
+    rank.isExcess = job.isExcess;
+    rank.share = job.isExcess ? m_accounts.shareOf(job) : 0;
     rank.priority = job.policy.priority;
     rank.objective = job.objective;
     rank.objective += sizePenalty(job, m_fleetMilliCores);
@@ -98,6 +102,7 @@
     context.jobs.pruneOpenSteps();
     m_fleetMilliCores = static_cast<double>(context.fleet.candidates().milliCores());
     const TimePoint now = context.now();
+    m_accounts.update();
     const bool earlierRunsKnown = m_observations->knowsEarlierRuns();
     std::vector<std::pair<Rank, Step *>> ranked;
     for (Step *step : context.jobs.openSteps()) {
@@ -145,7 +150,9 @@
     std::vector<Step *> waiting;
     waiting.reserve(ranked.size());
     for (const std::pair<Rank, Step *> &entry : ranked) {
-        waiting.push_back(entry.second);
+        if (m_accounts.mayStart(*entry.second, 1)) { // Room that its account may not use is left to others.
+            waiting.push_back(entry.second);
+        }
     }
     m_holds.update(waiting);
 }
@@ -235,7 +242,7 @@
             || !CrashLedger::mayStartAgain(task, m_context->now())) {
             continue;
         }
-        if (m_orders->startsSent >= limit) {
+        if (m_orders->startsSent >= limit || !m_accounts.mayStart(*step, 1)) {
             return;
         }
         Worker *worker = isolatedWorker(*step);
@@ -258,7 +265,7 @@
             || CrashLedger::waitsForSuspects(task)) {
             continue;
         }
-        if (m_orders->startsSent >= limit) {
+        if (m_orders->startsSent >= limit || !m_accounts.mayStart(*step, 1)) {
             return;
         }
         const bool overdue = m_placement->overdue(*step->occurrence->job);
@@ -285,7 +292,7 @@
 void DispatchSystem::startGang(Step *step)
 {
     // The tasks of a gang wait for each other only briefly, so either all start now, under one run number, or none.
-    if (step->idleTasks != step->tasksLeft) {
+    if (step->idleTasks != step->tasksLeft || !m_accounts.mayStart(*step, step->idleTasks)) {
         return;
     }
     if (std::any_of(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accountgate_pvt.h"
 #include "context_pvt.h"
 #include "roomholds_pvt.h"
 
@@ -26,6 +27,11 @@
     bool run(std::uint64_t maxStarts);
     /// Whether tasks of @p step may be started now, provided that a worker fits.
     static bool mayStart(const Step &step, bool earlierRunsKnown);
+    /// The limits of accounts, as of the last run.
+    const AccountGate &accounts() const
+    {
+        return m_accounts;
+    }
 
 private:
     /// How urgent a step is; smaller goes first.
@@ -34,6 +40,10 @@
         /// -1 long-running and waiting for too long, 0 urgent and in time, 1 long-running, 2 other in time, 3 late,
         /// 4 too late to be of use.
         int group = 0;
+        /// Work that its account has submitted beyond its rate goes after that of others.
+        bool isExcess = false;
+        /// Of excess work, the weighted share of all workers that its account uses; otherwise 0.
+        double share = 0;
         int priority = 0;
         TimePoint objective;
 
@@ -67,6 +77,7 @@
     double m_fleetMilliCores = 0; ///< Capacity of all workers.
     const ObservationSystem *m_observations;
     CrashLedger *m_crashes;
+    AccountGate m_accounts;
     RoomHolds m_holds;
     bool m_startsRanOut = false; ///< The last run ended because of its limit, not because nothing more fitted.
     std::uint64_t m_startsCounted = 0; ///< Starts that are counted in m_startsForStarved.
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fescueledge/account/accountusage.h"
 #include "fescueledge/workflow/catalog.h"
 #include "fescueledge/workflow/workergateway.h"
 #include "fescueledge/workflow/workflowspec.h"
@@ -139,6 +140,7 @@
     JobId id;
     WorkflowSpec spec;
     std::string account; ///< Client account that it belongs to; empty if it has none.
+    bool isExcess = false; ///< The account had submitted more than its rate; see account::RateConformance.
     QueuePolicy policy; ///< Policy of its queue, from the newest catalog that has the queue.
     JobPhase phase = JobPhase::Queued;
     bool phaseDurable = true; ///< The phase is stored in the progress row.
@@ -214,6 +216,9 @@
     TaskKey task;
     RunNumber run = 0;
     Resources reserved; ///< What it keeps reserved on the worker.
+    std::string account; ///< Client account of its job.
+    Resources declared; ///< What it counts for in the limits of that account.
+    bool isAttributed = false; ///< Its job is known, and with it these.
     StartOrderState startOrder = StartOrderState::Settled;
     TimePoint orderedAt{}; ///< When this term sent that order; the epoch if it sent none.
     /// When its state last changed: an answer to a question sent before says nothing of it.
@@ -295,6 +300,7 @@
     std::vector<std::pair<TaskKey, RunNumber>> crashedRuns; ///< Runs for which that was counted.
     TimePoint observedAt{}; ///< When the last observation was answered or timed out.
     CandidateIndex *candidates = nullptr; ///< The index that it is in; to be updated with its load.
+    account::AccountUsage *usage = nullptr; ///< What tasks on all workers reserve, by account.
     RecordPart *recordPart = nullptr; ///< The part of the durable record that names it.
     bool recorded = false; ///< It is in the durable list of workers that may run something.
     /// It was in that list when this term began. Earlier coordinators start runs on no other workers.
--- a/src/libworkflow/fleettable.cpp
+++ b/src/libworkflow/fleettable.cpp
@@ -82,6 +82,7 @@
         slot->recordPart = &m_recordParts.at(recordPartOf(entry.id));
         slot->recordPart->add(slot.get());
         slot->candidates = &m_candidates;
+        slot->usage = &m_usage;
         m_candidates.add(slot.get());
     }
     const bool named = namesRuns(*slot);
@@ -181,6 +182,7 @@
     task->worker = worker;
     if (worker->tasks.insert(task).second) {
         addToTotals(worker, *task, 1);
+        worker->usage->charge(task->step->occurrence->job->account, task->step->spec->perTask);
         markRecordChanged(worker);
         ++task->step->occurrence->job->placedTasks;
     }
@@ -194,6 +196,7 @@
             worker->life.roomBackoff = RoomBackoff();
         }
         addToTotals(worker, *task, -1);
+        worker->usage->release(task->step->occurrence->job->account, task->step->spec->perTask);
         worker->candidates->markFreed(worker);
         markRecordChanged(worker);
         --task->step->occurrence->job->placedTasks;
@@ -213,7 +216,7 @@
     }
 }
 
-void FleetTable::addEarlierRun(Worker *worker, EarlierRun run, const StepSpec *step)
+void FleetTable::addEarlierRun(Worker *worker, EarlierRun run, const Step *step)
 {
     EarlierRun *known = findEarlierRun(worker, run.task, run.run);
     if (known != nullptr) {
@@ -223,7 +226,15 @@
         }
         return;
     }
-    run.reserved = step == nullptr ? Resources{} : reservedBy(*step);
+    run.isAttributed = step != nullptr;
+    if (step != nullptr) {
+        run.reserved = reservedBy(*step->spec);
+        run.account = step->occurrence->job->account;
+        run.declared = step->spec->perTask;
+        m_usage.charge(run.account, run.declared);
+    } else {
+        ++m_unattributedRuns;
+    }
     worker->used += run.reserved;
     worker->candidates->update(worker);
     markRecordChanged(worker);
@@ -257,6 +268,11 @@
     }
     for (auto it = over; it != runs.end(); ++it) {
         worker->used -= it->reserved;
+        if (it->isAttributed) {
+            m_usage.release(it->account, it->declared);
+        } else {
+            --m_unattributedRuns;
+        }
         addTo(&m_awaited, it->task, -1);
     }
     markRecordChanged(worker);
--- a/src/libworkflow/fleettable_pvt.h
+++ b/src/libworkflow/fleettable_pvt.h
@@ -49,9 +49,9 @@
     static void setPace(Task *task, int pace);
 
     /// Records that @p run, which is not the current run of its task, is on @p worker, or may get there. While it is,
-    /// isAwaited() holds for the task. EarlierRun::reserved is set from @p step, or to nothing if that is nullptr. A
-    /// known run becomes settled if @p run is.
-    void addEarlierRun(Worker *worker, EarlierRun run, const StepSpec *step);
+    /// isAwaited() holds for the task. What it reserves and its account are set from @p step; they are not
+    /// known if that is nullptr. A known run becomes settled if @p run is.
+    void addEarlierRun(Worker *worker, EarlierRun run, const Step *step);
     /// Forgets that earlier run, if it is known; false if it is not.
     bool dropEarlierRun(Worker *worker, const TaskKey &task, RunNumber run);
     /// The earlier run @p run of @p task on @p worker; nullptr if there is none.
@@ -90,6 +90,17 @@
     /// Records that another coordinator may have sent a lease of length @p lease at any time until @p now.
     static void recordForeignLease(Worker *worker, Milliseconds lease, TimePoint now);
 
+    /// What the tasks and earlier runs on all workers count for in the limits of their accounts.
+    const account::AccountUsage &usage() const
+    {
+        return m_usage;
+    }
+    /// Number of earlier runs whose account is not known.
+    std::size_t unattributedRuns() const
+    {
+        return m_unattributedRuns;
+    }
+
     const std::map<WorkerId, std::unique_ptr<Worker>> &all() const
     {
         return m_workers;
@@ -108,6 +119,8 @@
 private:
     std::map<WorkerId, std::unique_ptr<Worker>> m_workers;
     CandidateIndex m_candidates;
+    account::AccountUsage m_usage;
+    std::size_t m_unattributedRuns = 0;
     std::array<RecordPart, recordPartCount> m_recordParts;
     std::map<TaskKey, int> m_awaited; ///< Number of earlier runs of a task, on all workers.
 };
--- a/src/libworkflow/frontanswers.cpp
+++ b/src/libworkflow/frontanswers.cpp
@@ -1,5 +1,10 @@
 #include "frontanswers_pvt.h"
 
+#include "fescueledge/row.h"
+#include "jobrow_pvt.h"
+
+#include <nlohmann/json.hpp>
+
 namespace fescueledge::workflow {
 
 namespace {
@@ -68,6 +73,25 @@
     return answer;
 }
 
+CallerAnswer otherAccountAnswer()
+{
+    return outcomeAnswer(CallerOutcome::OtherAccount, "the job belongs to another account");
+}
+
+bool isClosedTo(const Caller &caller, const std::string &owner)
+{
+    return caller.ownJobsOnly && !owner.empty() && owner != caller.account;
+}
+
+bool isRowClosedTo(const Caller &caller, const Row &job)
+{
+    try {
+        return isClosedTo(caller, decodeJobRow(job.value).account);
+    } catch (const nlohmann::json::exception &) {
+        return false; // The coordinator reports such a row.
+    }
+}
+
 CallerAnswer commitAnswer(CommitStatus status)
 {
     switch (status) {
--- a/src/libworkflow/frontanswers_pvt.h
+++ b/src/libworkflow/frontanswers_pvt.h
@@ -6,6 +6,10 @@
 
 #include <string>
 
+namespace fescueledge {
+struct Row;
+}
+
 namespace fescueledge::workflow {
 
 /// Name of @p phase in answers to callers.
@@ -17,6 +21,12 @@
 CallerAnswer unavailable(const std::string &detail);
 CallerAnswer stateAnswer(const std::string &state);
 CallerAnswer outcomeAnswer(CallerOutcome outcome, const std::string &detail = {});
+/// The job belongs to another account than the request is for.
+CallerAnswer otherAccountAnswer();
+/// Whether a job of account @p owner is closed to @p caller. Jobs without an account are open to all.
+bool isClosedTo(const Caller &caller, const std::string &owner);
+/// The same for the job in row @p job; one that can't be read counts as open to all.
+bool isRowClosedTo(const Caller &caller, const Row &job);
 /// The answer to a caller whose write ended with @p status.
 CallerAnswer commitAnswer(CommitStatus status);
 
--- a/src/libworkflow/jobcanceller.cpp
+++ b/src/libworkflow/jobcanceller.cpp
@@ -25,10 +25,12 @@
 {
 }
 
-void JobCanceller::cancel(const JobId &id, Milliseconds commitTimeout, const AnswerHandler &handler)
+void JobCanceller::cancel(const JobId &id, const Caller &caller, Milliseconds commitTimeout,
+                          const AnswerHandler &handler)
 {
     const RequestPtr request = std::make_shared<Request>();
     request->id = id;
+    request->caller = caller;
     request->commitTimeout = commitTimeout;
     request->handler = handler;
     readRows(request);
@@ -51,6 +53,11 @@
         return;
     }
     const Row *job = result.find(rows::job(request->id));
+    if (job != nullptr && isRowClosedTo(request->caller, *job)) {
+        m_parts.log->write(LogLine("job_cancel").with("job", request->id).with("outcome", "other_account"));
+        request->handler(otherAccountAnswer());
+        return;
+    }
     if (result.find(rows::cancellation(request->id)) != nullptr) {
         request->handler(outcomeAnswer(job == nullptr ? CallerOutcome::NoJob : CallerOutcome::Ok));
         return;
--- a/src/libworkflow/jobcanceller_pvt.h
+++ b/src/libworkflow/jobcanceller_pvt.h
@@ -20,8 +20,8 @@
     /// Cancellations of unknown jobs stay for @p retention.
     JobCanceller(const NodeDependencies &parts, Milliseconds retention, std::uint64_t seed);
 
-    /// Cancels job @p id. The outcome of a write is looked up for at most @p commitTimeout.
-    void cancel(const JobId &id, Milliseconds commitTimeout, const AnswerHandler &handler);
+    /// Cancels job @p id for @p caller. The outcome of a write is looked up for at most @p commitTimeout.
+    void cancel(const JobId &id, const Caller &caller, Milliseconds commitTimeout, const AnswerHandler &handler);
 
     /// Called when a known job has been cancelled in the store.
     std::function<void(const JobId &)> cancelled;
@@ -30,6 +30,7 @@
     struct Request
     {
         JobId id;
+        Caller caller;
         Milliseconds commitTimeout{0};
         AnswerHandler handler;
         int attempts = 0;
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -107,15 +107,19 @@
 
 bool ObservationSystem::knowsEarlierRuns() const
 {
-    return m_context->now() >= m_earlierRunsUnknownUntil && awaitedWorker() == nullptr;
+    return !mayHaveUnknownWorkers() && awaitedWorker() == nullptr;
+}
+
+bool ObservationSystem::mayHoldEarlierRuns(const Worker &worker)
+{
+    return worker.recordedInEarlierTerm && mayHoldUnknownRuns(worker) && !worker.recordNamesRuns;
 }
 
 const Worker *ObservationSystem::awaitedWorker() const
 {
     const std::map<WorkerId, std::unique_ptr<Worker>> &workers = m_context->fleet.all();
     const auto it = std::find_if(workers.begin(), workers.end(), [](const auto &entry) {
-        const Worker &worker = *entry.second;
-        return worker.recordedInEarlierTerm && mayHoldUnknownRuns(worker) && !worker.recordNamesRuns;
+        return mayHoldEarlierRuns(*entry.second);
     });
     return it == workers.end() ? nullptr : it->second.get();
 }
@@ -391,7 +395,7 @@
         return; // Nothing runs there.
     }
     m_orders->stopUnknownRun(worker, run.task, run.run);
-    m_context->fleet.addEarlierRun(worker, run, task == nullptr ? nullptr : task->step->spec);
+    m_context->fleet.addEarlierRun(worker, run, task == nullptr ? nullptr : task->step);
 }
 
 void ObservationSystem::adoptRun(Worker *worker, Task *task, RunNumber run)
@@ -522,7 +526,7 @@
     if (left.run != run) {
         awaitEnd(worker, left, task);
     } else { // Its end is still to be listed.
-        m_context->fleet.addEarlierRun(worker, left, task->step->spec);
+        m_context->fleet.addEarlierRun(worker, left, task->step);
     }
 }
 
--- a/src/libworkflow/observationsystem_pvt.h
+++ b/src/libworkflow/observationsystem_pvt.h
@@ -29,6 +29,13 @@
     bool knowsEarlierRuns() const;
     /// A worker whose answer, or the end of whose lease, knowsEarlierRuns() waits for; nullptr if there is none.
     const Worker *awaitedWorker() const;
+    /// Whether @p worker may hold tasks of earlier terms that are neither known nor named in the record.
+    static bool mayHoldEarlierRuns(const Worker &worker);
+    /// Whether workers that are not known may hold tasks of earlier terms.
+    bool mayHaveUnknownWorkers() const
+    {
+        return m_context->now() < m_earlierRunsUnknownUntil;
+    }
     /// Until @p time, workers that are not known may hold tasks of earlier terms.
     void setEarlierRunsUnknownUntil(TimePoint time)
     {
--- a/src/libworkflow/ordersystem.cpp
+++ b/src/libworkflow/ordersystem.cpp
@@ -506,7 +506,7 @@
         FleetTable::release(task);
         const bool isOrderedHere = task->orderedAt != TimePoint{}; // Not in an earlier term.
         if (isStartUnderWay(*task) || (isOrderedHere && !canTellOf(*task, end.askedAt))) {
-            m_context->fleet.addEarlierRun(worker, asEarlierRun(*task, now), task->step->spec);
+            m_context->fleet.addEarlierRun(worker, asEarlierRun(*task, now), task->step);
         }
         m_context->jobs.setIdle(task);
     }
--- a/src/libworkflow/waitreport.cpp
+++ b/src/libworkflow/waitreport.cpp
@@ -1,5 +1,6 @@
 #include "waitreport_pvt.h"
 
+#include "accountgate_pvt.h"
 #include "dispatchsystem_pvt.h"
 #include "observationsystem_pvt.h"
 #include "placement_pvt.h"
@@ -27,10 +28,12 @@
 
 } // namespace
 
-WaitReport::WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations)
+WaitReport::WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations,
+                       const AccountGate *accounts)
     : m_context(std::move(context))
     , m_placement(placement)
     , m_observations(observations)
+    , m_accounts(accounts)
 {
 }
 
@@ -72,6 +75,8 @@
     const auto awaiting = std::count_if(step->tasks.begin(), step->tasks.end(), [this](const Task &task) {
         return task.phase == TaskPhase::Idle && m_context->fleet.isAwaited(keyOf(task));
     });
+    const std::uint32_t together = step->spec->gang ? step->idleTasks : 1;
+    const bool isOverLimit = !m_accounts->mayStart(*step, together);
     const auto most = std::max_element(workers.begin(), workers.end());
     const PlaceVerdict reason = static_cast<PlaceVerdict>(most - workers.begin());
     LogLine line("step_waits");
@@ -85,7 +90,11 @@
               held                              ? "earlier_runs_unknown"
                   : awaiting == step->idleTasks ? "earlier_run"
                   : job.suspects > 0            ? "suspects"
+                  : isOverLimit                 ? "account_limit"
                                                 : placeVerdictName(reason));
+    if (!job.account.empty()) {
+        line.with("account", job.account).with("excess", job.isExcess ? 1 : 0);
+    }
     const Worker *awaited = held ? m_observations->awaitedWorker() : nullptr;
     if (awaited != nullptr) {
         line.with("awaits_worker", awaited->id)
--- a/src/libworkflow/waitreport_pvt.h
+++ b/src/libworkflow/waitreport_pvt.h
@@ -4,6 +4,7 @@
 
 namespace fescueledge::workflow {
 
+class AccountGate;
 class ObservationSystem;
 class Placement;
 
@@ -11,7 +12,8 @@
 class WaitReport
 {
 public:
-    WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations);
+    WaitReport(std::shared_ptr<Context> context, Placement *placement, const ObservationSystem *observations,
+               const AccountGate *accounts);
 
     /// Logs steps that have waited for a long time, a few per interval.
     void run();
@@ -22,6 +24,7 @@
     std::shared_ptr<Context> m_context;
     Placement *m_placement;
     const ObservationSystem *m_observations;
+    const AccountGate *m_accounts;
     TimePoint m_ranAt{};
 };
 
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -56,10 +56,10 @@
     }
 
     void start();
-    void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, Milliseconds callerTimeout,
+    void submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, const Caller &caller,
                 const AnswerHandler &handler);
-    void status(const JobId &id, const AnswerHandler &handler);
-    void cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler);
+    void status(const JobId &id, const Caller &caller, const AnswerHandler &handler);
+    void cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     void pending(const QueuePolicy &queue, const AnswerHandler &handler);
 
     Election &election()
@@ -75,6 +75,7 @@
     {
         JobId id;
         std::string queue;
+        Caller caller;
         std::string row;
         TimePoint since{};
         std::uint64_t number = 0; ///< Key in m_submissions.
@@ -92,7 +93,8 @@
     bool isConfirmed(const JobId &id, JobPhase phase) const;
     /// @p otherwise, the state that the coordinator tells, is told unless the store has an end of the job; empty if
     /// no coordinator answers.
-    void statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler);
+    void statusFromStore(const JobId &id, const std::string &otherwise, const Caller &caller,
+                         const AnswerHandler &handler);
     void logSubmission(const Submission &submission, const char *outcome);
     void recordCommit(std::uint64_t submission, CommitStatus status);
     bool isStoreUnavailable() const;
@@ -145,6 +147,7 @@
                 const std::optional<JobPhase> phase =
                     self->m_election.localCoordinator()->status(message.body.value("id", JobId()));
                 if (phase) {
+                    body["account"] = self->m_election.localCoordinator()->accountOf(message.body.value("id", JobId()));
                     body["confirmed"] = self->isConfirmed(message.body.value("id", JobId()), *phase);
                     body["state"] = phaseName(*phase);
                 }
@@ -208,16 +211,18 @@
 void WorkflowNode::Impl::logSubmission(const Submission &submission, const char *outcome)
 {
     const Milliseconds took = std::chrono::duration_cast<Milliseconds>(m_parts.loop->now() - submission.since);
-    m_parts.log->write(LogLine("job_submit")
-                           .with("job", submission.id)
-                           .with("queue", submission.queue)
-                           .with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
+    LogLine line("job_submit");
+    line.with("job", submission.id).with("queue", submission.queue);
+    if (!submission.caller.account.empty()) {
+        line.with("account", submission.caller.account);
+    }
+    m_parts.log->write(line.with("catalog", static_cast<std::int64_t>(catalog ? catalog->version : 0))
                            .with("outcome", outcome)
                            .with("took_ms", took));
 }
 
 void WorkflowNode::Impl::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec,
-                                Milliseconds callerTimeout, const AnswerHandler &handler)
+                                const Caller &caller, const AnswerHandler &handler)
 {
     try {
         validate(spec);
@@ -228,6 +233,7 @@
     const std::shared_ptr<Submission> submission = std::make_shared<Submission>();
     submission->id = id;
     submission->queue = queue.name;
+    submission->caller = caller;
     submission->since = m_parts.loop->now();
     submission->handler = handler;
     if (isStoreUnavailable()) {
@@ -238,6 +244,7 @@
     JobRow row;
     row.spec = spec;
     row.policy = queue;
+    row.account = caller.account;
     row.acceptedAt = m_parts.wallClock();
     submission->row = encodeJobRow(row);
     submission->number = m_nextSubmission++;
@@ -249,7 +256,7 @@
     transaction.conditions.push_back({rows::cancellation(id), 0});
     transaction.puts.push_back({rows::job(id), submission->row});
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_resolver.commit(transaction, commitTimeoutFor(callerTimeout), [self, submission](const CommitResult &result) {
+    m_resolver.commit(transaction, commitTimeoutFor(caller.timeout), [self, submission](const CommitResult &result) {
         self->onJobWritten(submission, result);
     });
 }
@@ -276,7 +283,11 @@
     const std::vector<std::string> keys{rows::job(submission->id), rows::cancellation(submission->id)};
     const std::shared_ptr<Impl> self = shared_from_this();
     m_parts.table->read(keys, [self, submission, keys](const ReadResult &result) {
-        if (result.find(keys.front()) != nullptr) {
+        const Row *job = result.find(keys.front());
+        if (job != nullptr && isRowClosedTo(submission->caller, *job)) {
+            self->logSubmission(*submission, "other_account");
+            submission->handler(otherAccountAnswer());
+        } else if (job != nullptr) {
             // Written by an earlier attempt, or by another caller with the same id.
             self->logSubmission(*submission, commitName(CommitStatus::Conflict));
             submission->handler(outcomeAnswer(CallerOutcome::Ok));
@@ -319,32 +330,38 @@
                                                      body.value("version", RowVersion{0}));
 }
 
-void WorkflowNode::Impl::status(const JobId &id, const AnswerHandler &handler)
+void WorkflowNode::Impl::status(const JobId &id, const Caller &caller, const AnswerHandler &handler)
 {
     if (m_election.localCoordinator() != nullptr) {
         const std::optional<JobPhase> phase = m_election.localCoordinator()->status(id);
+        if (phase && isClosedTo(caller, m_election.localCoordinator()->accountOf(id))) {
+            handler(otherAccountAnswer());
+            return;
+        }
         if (phase && isConfirmed(id, *phase)) {
             handler(stateAnswer(phaseName(*phase)));
             return;
         }
-        statusFromStore(id, phase ? phaseName(*phase) : std::string(), handler);
+        statusFromStore(id, phase ? phaseName(*phase) : std::string(), caller, handler);
         return;
     }
     if (m_election.coordinator().empty()) {
-        statusFromStore(id, std::string(), handler);
+        statusFromStore(id, std::string(), caller, handler);
         return;
     }
     const std::shared_ptr<Impl> self = shared_from_this();
-    m_parts.peers->call(m_election.coordinator(), PeerMessage{"job-status", json{{"id", id}}}, peerTimeout,
-                        [self, id, handler](const PeerResult &result) {
-                            const std::string state =
-                                result.answered ? result.reply.body.value("state", std::string()) : std::string();
-                            if (state.empty() || !result.reply.body.value("confirmed", true)) {
-                                self->statusFromStore(id, state, handler);
-                            } else {
-                                handler(stateAnswer(state));
-                            }
-                        });
+    m_parts.peers->call(
+        m_election.coordinator(), PeerMessage{"job-status", json{{"id", id}}}, peerTimeout,
+        [self, id, caller, handler](const PeerResult &result) {
+            const std::string state = result.answered ? result.reply.body.value("state", std::string()) : std::string();
+            if (!state.empty() && isClosedTo(caller, result.reply.body.value("account", std::string()))) {
+                handler(otherAccountAnswer());
+            } else if (state.empty() || !result.reply.body.value("confirmed", true)) {
+                self->statusFromStore(id, state, caller, handler);
+            } else {
+                handler(stateAnswer(state));
+            }
+        });
 }
 
 bool WorkflowNode::Impl::isConfirmed(const JobId &id, JobPhase phase) const
@@ -355,19 +372,25 @@
     return ended || (m_election.isTermConfirmedSince(statusFreshness) && !m_election.localCoordinator()->isEnding(id));
 }
 
-void WorkflowNode::Impl::statusFromStore(const JobId &id, const std::string &otherwise, const AnswerHandler &handler)
+void WorkflowNode::Impl::statusFromStore(const JobId &id, const std::string &otherwise, const Caller &caller,
+                                         const AnswerHandler &handler)
 {
     const std::vector<std::string> keys{rows::job(id), rows::cancellation(id), rows::progress(id)};
-    m_parts.table->read(keys, [id, otherwise, handler](const ReadResult &result) {
+    m_parts.table->read(keys, [id, otherwise, caller, handler](const ReadResult &result) {
         if (!result.available) {
             handler(otherwise.empty() ? unavailable("neither the coordinator nor the store answers")
                                       : stateAnswer(otherwise));
             return;
         }
-        if (result.find(rows::job(id)) == nullptr) {
+        const Row *job = result.find(rows::job(id));
+        if (job == nullptr) {
             handler(outcomeAnswer(CallerOutcome::NoJob));
             return;
         }
+        if (isRowClosedTo(caller, *job)) {
+            handler(otherAccountAnswer());
+            return;
+        }
         JobPhase phase = JobPhase::Queued;
         const Row *progress = result.find(rows::progress(id));
         if (progress != nullptr) {
@@ -383,9 +406,9 @@
     });
 }
 
-void WorkflowNode::Impl::cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler)
+void WorkflowNode::Impl::cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler)
 {
-    m_canceller->cancel(id, commitTimeoutFor(callerTimeout), handler);
+    m_canceller->cancel(id, caller, commitTimeoutFor(caller.timeout), handler);
 }
 
 void WorkflowNode::Impl::pending(const QueuePolicy &queue, const AnswerHandler &handler)
@@ -458,20 +481,20 @@
     return m_impl->election().addressOf(node);
 }
 
-void WorkflowNode::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec,
-                          Milliseconds callerTimeout, const AnswerHandler &handler)
+void WorkflowNode::submit(const QueuePolicy &queue, const JobId &id, const WorkflowSpec &spec, const Caller &caller,
+                          const AnswerHandler &handler)
 {
-    m_impl->submit(queue, id, spec, callerTimeout, handler);
+    m_impl->submit(queue, id, spec, caller, handler);
 }
 
-void WorkflowNode::status(const JobId &id, const AnswerHandler &handler)
+void WorkflowNode::status(const JobId &id, const Caller &caller, const AnswerHandler &handler)
 {
-    m_impl->status(id, handler);
+    m_impl->status(id, caller, handler);
 }
 
-void WorkflowNode::cancel(const JobId &id, Milliseconds callerTimeout, const AnswerHandler &handler)
+void WorkflowNode::cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler)
 {
-    m_impl->cancel(id, callerTimeout, handler);
+    m_impl->cancel(id, caller, handler);
 }
 
 void WorkflowNode::pending(const QueuePolicy &queue, const AnswerHandler &handler)
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -10,6 +10,7 @@
 constexpr Milliseconds latency{1};
 constexpr Milliseconds observePoll{5};
 constexpr std::int64_t memoryMb = 100;
+constexpr Milliseconds callerTimeout{3000};
 
 /// Sends the orders of one process to the simulated workers.
 class SimGateway : public WorkerGateway
@@ -657,7 +658,7 @@
     const QueuePolicy policy = *catalog.queue(queue);
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->submit(policy, id, spec, Milliseconds(3000), handler);
+                   node->submit(policy, id, spec, Caller{account, true, callerTimeout}, handler);
                })
         .outcome;
 }
@@ -667,8 +668,8 @@
 {
     const QueuePolicy policy = *catalog.queue("batch");
     Process *process = m_processes[static_cast<std::size_t>(index)].get();
-    process->loop.post([process, policy, id, spec, handler] {
-        process->node->submit(policy, id, spec, Milliseconds(3000), handler);
+    process->loop.post([process, policy, id, spec, account = account, handler] {
+        process->node->submit(policy, id, spec, Caller{account, true, callerTimeout}, handler);
     });
 }
 
@@ -676,7 +677,7 @@
 {
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->cancel(id, Milliseconds(3000), handler);
+                   node->cancel(id, Caller{account, true, callerTimeout}, handler);
                })
         .outcome;
 }
@@ -684,8 +685,8 @@
 void WorkflowWorld::cancelLater(int index, const JobId &id)
 {
     Process *process = m_processes[static_cast<std::size_t>(index)].get();
-    process->loop.post([process, id] {
-        process->node->cancel(id, Milliseconds(3000), [](const CallerAnswer &) {});
+    process->loop.post([process, id, account = account] {
+        process->node->cancel(id, Caller{account, true, callerTimeout}, [](const CallerAnswer &) {});
     });
 }
 
@@ -693,7 +694,7 @@
 {
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->status(id, handler);
+                   node->status(id, Caller{account, true, callerTimeout}, handler);
                })
         .state;
 }
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -118,6 +118,7 @@
     FakeNetwork network;
     SimWorkers workers;
     Catalog catalog;
+    std::string account; ///< Client account of the following requests.
     CoordinatorSettings settings; ///< Of processes that are started from now on.
 
 private:
