--- a/src/include/fescueledge/daemonsettings.h
+++ b/src/include/fescueledge/daemonsettings.h
@@ -78,6 +78,8 @@
     /// A revoked key is refused after this time, also by a node that doesn't learn of it; without it, a node admits the
     /// keys that it knows.
     std::optional<Milliseconds> keyRevocationTimeout;
+    std::size_t inputMemory = 20971520; ///< Bytes that unfinished requests of all clients may occupy together.
+    std::size_t maxConnections = 1000; ///< Connections that clients may have to one listener.
     workflow::CoordinatorSettings times;
 };
 
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -226,6 +226,19 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.keyRevocationTimeout = Milliseconds(value.number);
          }},
+        {{"input-memory", ValueType::Integer, false, "20971520", 1048576, 17179869184,
+          "Bytes that requests which are being received or answered may occupy together. Beyond it, the connections "
+          "that "
+          "hold most for longest are closed, and large requests refused with 503. An eighth of the memory of a node."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.inputMemory = static_cast<std::size_t>(value.number);
+         }},
+        {{"max-connections", ValueType::Integer, false, "1000", 16, 1000000,
+          "Connections that clients may have to one listener. Beyond it, the connection that has been idle for longest "
+          "is closed. Leaves descriptors for workers, other nodes and the store."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.maxConnections = static_cast<std::size_t>(value.number);
+         }},
         {{"status-retention", ValueType::Duration, false, "130s", 1000, 86400000,
           "How long the state of an ended workflow can be asked for."},
          [](WorkflowSettings &target, const SettingValue &value) {
