Bound the memory and the connections of clients

InputBudget bounds what unfinished requests and unread answers of all clients occupy together; when it is used up, the requests that hold most for longest are closed, and small ones are always read. A failed accept is tried again after a pause instead of at once.

Cause: each connection could hold a whole body, and Beast's read operation goes on while a read ends within the head of a chunk, so a body in chunks of one byte was taken in without a chance to check anything in between.

--- a/src/include/fescueledge/asynchttpserver.h
+++ b/src/include/fescueledge/asynchttpserver.h
@@ -11,6 +11,7 @@
 namespace fescueledge {
 
 class AsioLoop;
+class InputBudget;
 
 /// An HTTP/1.1 listener on a loop. Each connection carries one request at a time.
 class AsyncHttpServer
@@ -29,6 +30,8 @@
         std::size_t headerBytes = 16384; ///< Same default as in the operators' configuration.
         std::size_t bodyBytes = 262144; ///< Same default as in the operators' configuration.
         Milliseconds headerTimeout{15000}; ///< From starting to wait for a request until it is complete.
+        /// Connections at a time; beyond it, one that has not made a request for longest is closed.
+        std::size_t connections = 1000;
     };
 
     /// Listens on @p address (`ip:port`). @throws Error of kind InvalidSettings if that fails.
@@ -38,6 +41,11 @@
     AsyncHttpServer &operator=(const AsyncHttpServer &) = delete;
 
     void setLimits(const Limits &limits);
+    const Limits &limits() const;
+    /// Sets the budget that unfinished requests and their answers share with those of other listeners.
+    void setInputBudget(std::shared_ptr<InputBudget> budget);
+    /// Sets a handler that is called with the reason when a connection is closed or a request refused for a limit.
+    void setRejectionHandler(std::function<void(const char *reason)> handler);
     /// Sets a check of each request whose headers are complete. A reply is sent at once, and the connection closed
     /// unless the whole request has been received.
     void setHeaderCheck(HeaderCheck check);
--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -94,6 +94,8 @@
     bool ready() const;
     /// The newest catalog, or nullptr.
     std::shared_ptr<const Catalog> catalog() const;
+    /// Sets a handler that is called with each newer catalog.
+    void setCatalogHandler(std::function<void(const Catalog &)> handler);
     bool isCoordinator() const;
     /// Peer address of @p node; empty if unknown.
     std::string peerAddress(const NodeId &node) const;
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "fescueledge/asioloop.h"
 #include "fescueledge/error.h"
+#include "fescueledge/inputbudget.h"
 #include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace fescueledge {
@@ -27,10 +29,22 @@
 namespace {
 
 constexpr Milliseconds maxCallerTimeout{86'400'000}; ///< A day.
+constexpr int statusTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+constexpr int statusUnavailable = 503;
 constexpr const char *deadlineHeader = "X-Deadline-Ms";
 /// After an answer to an incomplete request, what still arrives is discarded for this time: closing a connection with
 /// unread bytes resets it, and the client may lose the answer.
 constexpr Milliseconds lingerTimeout{1000};
+/// Wait after a failed accept: without a free descriptor, the next one fails at once.
+constexpr Milliseconds acceptRetryDelay{50};
+/// Bytes that the kernel may hold of a connection beside what has been read; it doubles the figure.
+constexpr int receiveBufferBytes = 16384;
+/// A body in chunks of one byte takes six times its length on the wire; a request that takes more is mostly overhead.
+constexpr std::uint64_t maxOverheadFactor = 8;
+/// Callers retry after this time when a request was refused for lack of memory: evictions free it at once.
+constexpr std::chrono::seconds memoryRetryAfter{1};
+constexpr std::size_t defaultInputMemory = 20971520;
 constexpr std::size_t discardBytes = 4096; ///< Read and discarded at a time.
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
 
@@ -63,7 +77,9 @@
 {
 public:
     Impl(AsioLoop *loop, Handler handler)
-        : m_handler(std::move(handler))
+        : budget(std::make_shared<InputBudget>(defaultInputMemory))
+        , m_loop(loop)
+        , m_handler(std::move(handler))
         , m_acceptor(loop->context())
     {
     }
@@ -79,6 +95,8 @@
 
     Limits limits;
     HeaderCheck headerCheck;
+    std::shared_ptr<InputBudget> budget;
+    std::function<void(const char *)> rejected;
     std::size_t inFlight = 0;
     bool closing = false; ///< Responses carry `Connection: close`.
 
@@ -96,12 +114,35 @@
         std::optional<http::request_parser<http::string_body>> parser;
         http::response<http::string_body> response;
         bool busy = false; ///< A request is in progress.
+        bool isHeaderChecked = false; ///< The header of the current request has been checked.
+        std::uint64_t bytesRead = 0; ///< Of the current request.
+        InputBudget::MessageId message = 0; ///< The current request in the budget; 0 if nothing of it has come.
+        bool hasServed = false; ///< A request has been answered on it.
+        TimePoint servedAt{}; ///< When that was last, or when the connection was opened.
     };
     using SessionPtr = std::shared_ptr<Session>;
 
     void read(const SessionPtr &session);
-    /// Whether the rest of the request is to be read; if not, it has been answered.
+    /// Checks a request of which @p n more bytes have come. Whether its rest is to be read; if not, it was answered.
+    bool proceed(const SessionPtr &session, std::size_t n);
     bool acceptHeader(const SessionPtr &session);
+    /// Accounts for what the current request of @p session occupies; false if there is no memory for it.
+    bool holdInput(const SessionPtr &session);
+    void releaseInput(const SessionPtr &session)
+    {
+        budget->remove(session->message);
+        session->message = 0;
+    }
+    /// Answers a request that exceeds a limit, and closes its connection.
+    void refuse(const SessionPtr &session, int status, const char *reason);
+    void reportRejection(const char *reason) const
+    {
+        if (rejected) {
+            rejected(reason);
+        }
+    }
+    /// Closes the connection that has gone without a served request for longest, first those that never had one.
+    void closeLongestIdle();
     void dispatch(const SessionPtr &session);
     void write(const SessionPtr &session, const HttpReply &reply, bool keepAlive);
     /// Discards the rest of an incomplete request that has been answered, at most Limits::bodyBytes, then closes.
@@ -111,9 +152,11 @@
         boost::system::error_code ec;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         session->stream.close();
+        releaseInput(session);
         m_sessions.erase(session);
     }
 
+    AsioLoop *m_loop;
     Handler m_handler;
     tcp::acceptor m_acceptor;
     std::set<SessionPtr> m_sessions;
@@ -129,6 +172,7 @@
     try {
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes)); // Connections inherit it.
         m_acceptor.bind(endpoint);
         m_acceptor.listen();
     } catch (const boost::system::system_error &error) {
@@ -144,34 +188,60 @@
         if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
             return;
         }
-        if (!ec) {
-            boost::system::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            const SessionPtr session = std::make_shared<Session>(std::move(socket));
-            self->m_sessions.insert(session);
-            self->read(session);
+        if (ec) {
+            self->m_loop->postAfter(acceptRetryDelay, [self] {
+                if (self->m_acceptor.is_open()) {
+                    self->accept();
+                }
+            });
+            return;
         }
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        if (self->m_sessions.size() >= self->limits.connections) {
+            self->closeLongestIdle();
+        }
+        const SessionPtr session = std::make_shared<Session>(std::move(socket));
+        session->servedAt = self->m_loop->now();
+        self->m_sessions.insert(session);
+        self->read(session);
         self->accept();
     });
 }
 
+void AsyncHttpServer::Impl::closeLongestIdle()
+{
+    const auto longest = [](const SessionPtr &a, const SessionPtr &b) {
+        return std::make_tuple(a->busy, a->hasServed, a->servedAt)
+            < std::make_tuple(b->busy, b->hasServed, b->servedAt);
+    };
+    const auto it = std::min_element(m_sessions.begin(), m_sessions.end(), longest);
+    if (it != m_sessions.end()) {
+        reportRejection("connections");
+        closeSession(SessionPtr(*it));
+    }
+}
+
 void AsyncHttpServer::Impl::read(const SessionPtr &session)
 {
     session->parser.emplace();
+    session->isHeaderChecked = false;
+    session->bytesRead = 0;
+    session->buffer.max_size(limits.headerBytes + maxReadBytes); // Of trailers, all have to fit into it.
     session->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
     session->parser->body_limit(limits.bodyBytes);
     session->stream.expires_after(limits.headerTimeout);
     const std::shared_ptr<Impl> self = shared_from_this();
     readMessage(
         &session->stream, &session->buffer, &*session->parser,
-        [self, session] {
-            return self->acceptHeader(session);
+        [self, session](std::size_t n) {
+            return self->proceed(session, n);
         },
         [self, session](const beast::error_code &ec) {
-            if (ec == http::error::body_limit || ec == http::error::header_limit) {
-                HttpReply reply;
-                reply.status = ec == http::error::body_limit ? 413 : 431;
-                self->write(session, reply, false);
+            if (ec == http::error::body_limit) {
+                self->refuse(session, statusTooLarge, "body");
+            } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+                self->refuse(session, statusHeaderTooLarge, "header");
             } else if (ec) {
                 self->closeSession(session);
             } else {
@@ -180,6 +250,49 @@
         });
 }
 
+bool AsyncHttpServer::Impl::proceed(const SessionPtr &session, std::size_t n)
+{
+    session->bytesRead += n;
+    if (!holdInput(session)) {
+        refuse(session, statusUnavailable, "memory");
+        return false;
+    }
+    if (session->bytesRead > maxOverheadFactor * (limits.bodyBytes + limits.headerBytes)) {
+        refuse(session, statusTooLarge, "overhead");
+        return false;
+    }
+    if (session->isHeaderChecked || !session->parser->is_header_done()) {
+        return true;
+    }
+    session->isHeaderChecked = true;
+    return acceptHeader(session);
+}
+
+bool AsyncHttpServer::Impl::holdInput(const SessionPtr &session)
+{
+    const TimePoint now = m_loop->now();
+    if (session->message == 0) {
+        const std::weak_ptr<Session> weak = session;
+        session->message = budget->add(now, [self = shared_from_this(), weak] {
+            const SessionPtr evicted = weak.lock();
+            if (evicted) {
+                self->reportRejection("evicted");
+                self->closeSession(evicted);
+            }
+        });
+    }
+    return budget->hold(session->message, session->buffer.capacity() + session->parser->get().body().capacity(), now);
+}
+
+void AsyncHttpServer::Impl::refuse(const SessionPtr &session, int status, const char *reason)
+{
+    reportRejection(reason);
+    HttpReply reply;
+    reply.status = status;
+    reply.retryAfter = status == statusUnavailable ? memoryRetryAfter : std::chrono::seconds(0);
+    write(session, reply, false);
+}
+
 bool AsyncHttpServer::Impl::acceptHeader(const SessionPtr &session)
 {
     if (!headerCheck) {
@@ -195,9 +308,10 @@
 
 void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
 {
-    const http::request<http::string_body> &message = session->parser->get();
+    http::request<http::string_body> &message = session->parser->get();
     HttpRequest request = requestOf(message);
-    request.body = message.body();
+    request.body = std::move(message.body());
+    budget->pin(session->message);
     const bool keepAlive = message.keep_alive();
     session->stream.expires_never();
     session->busy = true;
@@ -225,13 +339,23 @@
     if (reply.retryAfter.count() > 0) {
         session->response.set(http::field::retry_after, std::to_string(reply.retryAfter.count()));
     }
-    session->response.body() = reply.body;
+    if (reply.body.size() > InputBudget::smallMessage
+        && !budget->hold(session->message, reply.body.size(), m_loop->now())) {
+        reportRejection("memory");
+        session->response.result(statusUnavailable);
+    } else {
+        session->response.body() = reply.body;
+    }
     session->response.keep_alive(keepAlive && !closing);
     session->response.prepare_payload();
     session->stream.expires_after(writeTimeout);
     const std::shared_ptr<Impl> self = shared_from_this();
     http::async_write(session->stream, session->response, [self, session](const beast::error_code &ec, std::size_t) {
         session->busy = false;
+        session->hasServed = true;
+        session->servedAt = self->m_loop->now();
+        session->response.body() = {};
+        self->releaseInput(session);
         if (!ec && session->response.keep_alive()) {
             self->read(session);
         } else if (!ec && !session->parser->is_done()) {
@@ -247,7 +371,9 @@
 
 void AsyncHttpServer::Impl::linger(const SessionPtr &session, std::size_t discarded)
 {
+    session->parser.reset();
     session->buffer.clear();
+    session->buffer.shrink_to_fit();
     const std::shared_ptr<Impl> self = shared_from_this();
     session->stream.async_read_some(session->buffer.prepare(discardBytes),
                                     [self, session, discarded](const beast::error_code &ec, std::size_t n) {
@@ -286,6 +412,21 @@
     m_impl->limits = limits;
 }
 
+const AsyncHttpServer::Limits &AsyncHttpServer::limits() const
+{
+    return m_impl->limits;
+}
+
+void AsyncHttpServer::setInputBudget(std::shared_ptr<InputBudget> budget)
+{
+    m_impl->budget = std::move(budget);
+}
+
+void AsyncHttpServer::setRejectionHandler(std::function<void(const char *)> handler)
+{
+    m_impl->rejected = std::move(handler);
+}
+
 void AsyncHttpServer::setHeaderCheck(HeaderCheck check)
 {
     m_impl->headerCheck = std::move(check);
--- a/src/libhttp/readmessage_pvt.h
+++ b/src/libhttp/readmessage_pvt.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -13,49 +15,112 @@
 constexpr std::size_t keptBufferBytes = 2048;
 /// Most bytes that one pass of the loop reads from a connection.
 constexpr std::uint64_t maxReadBytes = 65536;
+/// The same for a message whose length is not known beforehand.
+constexpr std::uint64_t chunkedReadBytes = 16384;
 
-/// Reads the rest of a message from @p stream into @p parser and calls @p handler with the error, if there is one. As
-/// soon as the header is complete, @p acceptHeader is called once; if it returns false, nothing more is read and
-/// @p handler is not called.
+namespace detail {
+
+/// Room for the next read into @p buffer; 0 if it is full.
+template<typename Buffer>
+std::size_t readSize(const Buffer &buffer)
+{
+    constexpr std::size_t minReadBytes = 512;
+    const std::size_t room = buffer.max_size() - buffer.size();
+    return std::min({room, std::max(minReadBytes, buffer.capacity() - buffer.size()), std::size_t{maxReadBytes}});
+}
+
+/// What @p parser makes of the end of the connection.
+template<typename Parser>
+boost::beast::error_code endOfStream(Parser *parser)
+{
+    boost::beast::error_code ec = boost::beast::http::error::end_of_stream;
+    if (parser->got_some()) {
+        ec = {};
+        parser->put_eof(ec);
+    }
+    return ec;
+}
+
+template<typename Buffer, typename Parser, typename Proceed, typename Handler>
+void parseMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler);
+
+template<typename Buffer, typename Parser, typename Proceed, typename Handler>
+void receiveMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler)
+{
+    if (parser->is_header_done()) {
+        const std::uint64_t rest = parser->content_length_remaining().value_or(chunkedReadBytes);
+        const std::uint64_t wanted = std::clamp<std::uint64_t>(rest, keptBufferBytes, maxReadBytes);
+        buffer->reserve(std::min(static_cast<std::size_t>(wanted), buffer->max_size()));
+    }
+    const std::size_t room = readSize(*buffer);
+    if (room == 0) {
+        handler(boost::beast::http::error::buffer_overflow);
+        return;
+    }
+    stream->async_read_some(buffer->prepare(room),
+                            [stream, buffer, parser, proceed = std::move(proceed),
+                             handler = std::move(handler)](const boost::beast::error_code &ec, std::size_t n) mutable {
+                                if (ec) {
+                                    handler(ec == boost::asio::error::eof ? endOfStream(parser) : ec);
+                                    return;
+                                }
+                                buffer->commit(n);
+                                parseMessage(stream, buffer, parser, std::move(proceed), std::move(handler));
+                            });
+}
+
+template<typename Buffer, typename Parser, typename Proceed, typename Handler>
+void parseMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler)
+{
+    boost::beast::error_code ec;
+    const std::size_t n = parser->put(buffer->data(), ec);
+    buffer->consume(n);
+    if (ec == boost::beast::http::error::need_more) {
+        ec = {};
+    }
+    if (!ec && !proceed(n)) {
+        return;
+    }
+    if (ec || parser->is_done()) {
+        if (buffer->size() == 0 && buffer->capacity() > keptBufferBytes) {
+            buffer->shrink_to_fit();
+        }
+        handler(ec);
+        return;
+    }
+    receiveMessage(stream, buffer, parser, std::move(proceed), std::move(handler));
+}
+
+} // namespace detail
+
+/// Reads the rest of a message from @p stream into @p parser and calls @p handler with the error, if there is one.
+/// After each read, @p proceed is called with the number of bytes that the parser took; if it returns false, nothing
+/// more is read and @p handler is not called.
 ///
-/// One pass of the loop reads as much as @p buffer has room for, which would be 512 bytes by default. On a busy node a
-/// pass takes tens of milliseconds, so the buffer gets room for the rest of the message as soon as its length is known.
-template<typename Buffer, typename Parser, typename AcceptHeader, typename Handler>
-void readMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, AcceptHeader acceptHeader,
-                 Handler handler)
+/// One pass of the loop reads as much as @p buffer has room for. On a busy node a pass takes tens of milliseconds, so
+/// the buffer gets room for the rest of the message as soon as its length is known. Beast's own read operation is not
+/// used: it goes on reading while a read ends within the head of a chunk, so it may take in a whole body in one go.
+template<typename Buffer, typename Parser, typename Proceed, typename Handler>
+void readMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler)
 {
     parser->eager(true);
-    const bool hadHeader = parser->is_header_done();
-    boost::beast::http::async_read_some(
-        *stream, *buffer, *parser,
-        [stream, buffer, parser, hadHeader, acceptHeader = std::move(acceptHeader),
-         handler = std::move(handler)](const boost::beast::error_code &ec, std::size_t) {
-            if (!ec && !hadHeader && parser->is_header_done() && !acceptHeader()) {
-                return;
-            }
-            if (ec || parser->is_done()) {
-                if (buffer->size() == 0 && buffer->capacity() > keptBufferBytes) {
-                    buffer->shrink_to_fit();
-                }
-                handler(ec);
-                return;
-            }
-            if (parser->is_header_done()) {
-                const std::uint64_t rest = parser->content_length_remaining().value_or(maxReadBytes);
-                buffer->reserve(
-                    static_cast<std::size_t>(std::clamp<std::uint64_t>(rest, keptBufferBytes, maxReadBytes)));
-            }
-            readMessage(stream, buffer, parser, acceptHeader, handler);
-        });
+    if (buffer->size() == 0) {
+        detail::receiveMessage(stream, buffer, parser, std::move(proceed), std::move(handler));
+        return;
+    }
+    boost::asio::post(stream->get_executor(),
+                      [stream, buffer, parser, proceed = std::move(proceed), handler = std::move(handler)]() mutable {
+                          detail::parseMessage(stream, buffer, parser, std::move(proceed), std::move(handler));
+                      });
 }
 
-/// The same, whatever the header says.
+/// The same, without a check of each read.
 template<typename Buffer, typename Parser, typename Handler>
 void readMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Handler handler)
 {
     readMessage(
         stream, buffer, parser,
-        [] {
+        [](std::size_t) {
             return true;
         },
         std::move(handler));
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -68,6 +68,7 @@
     }
 
     std::shared_ptr<const Catalog> catalog;
+    std::function<void(const Catalog &)> catalogHandler;
 
 private:
     /// A job that a caller submits.
@@ -132,6 +133,9 @@
                                      .with("evacuated", static_cast<std::int64_t>(newest->evacuated.size())));
         self->m_election.setCatalog(newest);
         self->catalog = newest;
+        if (self->catalogHandler) {
+            self->catalogHandler(*newest);
+        }
     });
     m_election.start();
 }
@@ -471,6 +475,11 @@
     return m_impl->catalog;
 }
 
+void WorkflowNode::setCatalogHandler(std::function<void(const Catalog &)> handler)
+{
+    m_impl->catalogHandler = std::move(handler);
+}
+
 bool WorkflowNode::isCoordinator() const
 {
     return m_impl->election().localCoordinator() != nullptr;
