--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -226,6 +226,13 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.keyRevocationTimeout = Milliseconds(value.number);
          }},
+        {{"look-ahead", ValueType::Boolean, false, "no", 0, 0,
+          "Whether workers are reserved for large tasks that find no room, while small ones that end in time, or leave "
+          "enough room, still start there. Without it, workers are reserved for long-running tasks only, and nothing "
+          "else starts there."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.lookAhead = value.number != 0;
+         }},
         {{"input-memory", ValueType::Integer, false, "20971520", 1048576, 17179869184,
           "Bytes that requests which are being received or answered may occupy together. Beyond it, the connections "
           "that "
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -3,6 +3,7 @@
 #include "activitymeter_pvt.h"
 #include "fescueledge/eventlog.h"
 #include "fescueledge/loop.h"
+#include "fescueledge/reserve/endforecast.h"
 #include "fescueledge/workflow/coordinatorsettings.h"
 #include "fleettable_pvt.h"
 #include "interferencemodel_pvt.h"
@@ -34,6 +35,7 @@
     JobTable jobs;
     FleetTable fleet;
     InterferenceModel interference;
+    reserve::EndForecast ends;
     ServiceClock serviceClock;
     ActivityMeter activities{[this] {
         return now();
@@ -46,6 +48,22 @@
     {
         return loop->now();
     }
+    /// What tasks of @p step have in common, for the forecast of their ends.
+    static std::string kindOf(const Step &step)
+    {
+        return step.occurrence->job->policy.name + (step.spec->filler ? "/filler" : "");
+    }
+    /// When @p task is expected to end on its worker.
+    TimePoint expectedEnd(const Task &task) const
+    {
+        const Duration elapsed = task.atWorkSince == TimePoint{} ? Duration::zero() : now() - task.atWorkSince;
+        return now() + ends.remaining(kindOf(*task.step), task.step->spec->estimate, elapsed, task.percentAtWork);
+    }
+    /// When a task of @p step would end that started now.
+    TimePoint expectedEnd(const Step &step) const
+    {
+        return now() + ends.expected(kindOf(step), step.spec->estimate);
+    }
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -53,7 +53,7 @@
     , m_observations(observations)
     , m_crashes(crashes)
     , m_accounts(m_context, observations)
-    , m_holds(m_context, placement)
+    , m_reservations(m_context, placement, &m_accounts)
 {
 }
 
@@ -73,7 +73,7 @@
     rank.objective = job.objective;
     rank.objective += sizePenalty(job, m_fleetMilliCores);
     const Duration allowance = job.objective - job.acceptedAt;
-    if (RoomHolds::waitsTooLong(step, now)) {
+    if (Reservations::waitsTooLong(step, now)) {
         rank.group = -1;
     } else if (step.spec->longRunning) {
         rank.group = 1;
@@ -154,7 +154,7 @@
             waiting.push_back(entry.second);
         }
     }
-    m_holds.update(waiting);
+    m_reservations.update(waiting);
 }
 
 std::optional<TimePoint> DispatchSystem::starvedSince(const Step &step) const
@@ -269,8 +269,8 @@
             return;
         }
         const bool overdue = m_placement->overdue(*step->occurrence->job);
-        Worker *held = m_holds.heldWorker(*step);
-        const Place place = held != nullptr ? Place{held} : m_placement->choose(*step, overdue);
+        Worker *reserved = m_reservations.reservedWorker(*step);
+        const Place place = reserved != nullptr ? Place{reserved} : m_placement->choose(*step, overdue);
         if (place.worker == nullptr) {
             return;
         }
@@ -284,7 +284,7 @@
     if (place.overcommitted) {
         place.worker->overcommittedAt = m_context->now();
     }
-    m_holds.release(place.worker, *task->step);
+    m_reservations.release(place.worker, *task->step);
     m_orders->start(task, place.worker, place.pace);
     m_placement->invalidateHeadroom(place.worker);
 }
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -2,7 +2,7 @@
 
 #include "accountgate_pvt.h"
 #include "context_pvt.h"
-#include "roomholds_pvt.h"
+#include "reservations_pvt.h"
 
 #include <map>
 #include <optional>
@@ -62,7 +62,7 @@
     /// That worker if it can take a task of @p step. If there is none, one is isolated.
     Worker *isolatedWorker(const Step &step);
     void startGang(Step *step);
-    /// Keeps workers free for long-running tasks that find no room.
+    /// Reserves workers for tasks that find no room.
     void holdWorkers(const std::vector<std::pair<Rank, Step *>> &ranked);
     /// Since when a task of @p step has waited that should have started by now; empty if there is none.
     std::optional<TimePoint> starvedSince(const Step &step) const;
@@ -78,7 +78,7 @@
     const ObservationSystem *m_observations;
     CrashLedger *m_crashes;
     AccountGate m_accounts;
-    RoomHolds m_holds;
+    Reservations m_reservations;
     bool m_startsRanOut = false; ///< The last run ended because of its limit, not because nothing more fitted.
     std::uint64_t m_startsCounted = 0; ///< Starts that are counted in m_startsForStarved.
     std::uint64_t m_startsForStarved = 0; ///< Starts by rank of which startStarved() may use a share.
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescueledge/account/accountusage.h"
+#include "fescueledge/reserve/roomforecast.h"
 #include "fescueledge/workflow/catalog.h"
 #include "fescueledge/workflow/workergateway.h"
 #include "fescueledge/workflow/workflowspec.h"
@@ -311,8 +312,10 @@
     /// The record names that time, so its lease is not extended.
     bool recordNamesLeaseEnd = false;
     TimePoint nextObservationAt{}; ///< No observation before this time.
-    /// Only tasks of the step with this Step::creationIndex start here; see RoomHolds.
+    /// It is reserved for the step with this Step::creationIndex; see Reservations.
     std::optional<std::uint64_t> heldForStep;
+    /// Others may start here if this leaves them room or time; without it, none may.
+    std::optional<reserve::Reservation> reservation;
     TimePoint overcommittedAt{}; ///< When it last got a filler for which it lacks headroom.
     TimePoint overTargetSince{}; ///< Since when a serving task on it has been over its target; the epoch if none is.
     TimePoint modelUpdatedAt{}; ///< When the interference model was last updated with its gauges.
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -473,6 +473,9 @@
     Job *job = task->step->occurrence->job;
     FleetTable::release(task);
     if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
+        if (task->atWorkSince != TimePoint{} && task->pace == fullPace) {
+            context.ends.record(Context::kindOf(*task->step), task->step->spec->estimate, now - task->atWorkSince);
+        }
         finishDone(task, end.run);
     } else {
         context.jobs.setIdle(task);
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A task that starts on a reserved worker counts as working for this many times the forecast, which is off by 0.2 to
+/// 0.9 either way.
+constexpr double backfillMargin = 1.5;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
@@ -172,7 +175,7 @@
     if (!FleetTable::hasRoom(worker, spec)) {
         return PlaceVerdict::Room;
     }
-    if (worker.heldForStep && *worker.heldForStep != step.creationIndex) {
+    if (worker.heldForStep && *worker.heldForStep != step.creationIndex && !mayBackfill(worker, step)) {
         return PlaceVerdict::Held;
     }
     if (spec.maxPerWorker > 0 && FleetTable::countOf(worker, step) >= spec.maxPerWorker) {
@@ -181,6 +184,23 @@
     return PlaceVerdict::Fits;
 }
 
+bool Placement::mayBackfill(const Worker &worker, const Step &step) const
+{
+    if (!worker.reservation || step.spec->longRunning) {
+        return false;
+    }
+    const Resources need = FleetTable::reservedBy(*step.spec);
+    const TimePoint now = m_context->now();
+    const Duration span = std::chrono::duration_cast<Duration>((m_context->expectedEnd(step) - now) * backfillMargin);
+    Resources roomAtStart = worker.entry.capacity - worker.used;
+    for (const Task *task : worker.tasks) {
+        if (!task->step->spec->longRunning && m_context->expectedEnd(*task) <= worker.reservation->startsAt) {
+            roomAtStart += FleetTable::reservedBy(*task->step->spec);
+        }
+    }
+    return reserve::mayBackfill(*worker.reservation, need, now + span, roomAtStart);
+}
+
 PlaceVerdict Placement::verdict(const Worker &worker, const Step &step) const
 {
     const PlaceVerdict basic = basicVerdict(worker, step);
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -80,6 +80,8 @@
 
 private:
     /// The verdict on everything but the interference between fillers and serving tasks.
+    /// Whether a task of @p step may start on @p worker although that is reserved for another step.
+    bool mayBackfill(const Worker &worker, const Step &step) const;
     PlaceVerdict basicVerdict(const Worker &worker, const Step &step) const;
     /// The verdict on idle processor time and interference, for fillers.
     PlaceVerdict fillerVerdict(const Worker &worker, const Step &step, int pace) const;
