Start work beyond an account's rate after late work of the others

In an overload, in-time work that an account had submitted beyond its rate went before late work of accounts that keep to theirs.

--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -84,6 +84,9 @@
     } else {
         rank.group = 4;
     }
+    if (job.isExcess && !step.spec->longRunning) {
+        rank.group = std::max(rank.group, 3); // Even late work of accounts that keep to their rates goes first.
+    }
     return rank;
 }
 
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -37,8 +37,8 @@
     /// How urgent a step is; smaller goes first.
     struct Rank
     {
-        /// -1 long-running and waiting for too long, 0 urgent and in time, 1 long-running, 2 other in time, 3 late,
-        /// 4 too late to be of use.
+        /// -1 long-running and waiting for too long, 0 urgent and in time, 1 long-running, 2 other in time, 3 late or
+        /// excess, 4 too late to be of use.
         int group = 0;
         /// Work that its account has submitted beyond its rate goes after that of others.
         bool isExcess = false;
