Keep gangs near the limit of their account, and jobs of accounts closed to public routes

A gang larger than the limit of its account started whole when nothing of the account ran, far above the limit plus one task that the platform's rule allows. It now waits unless all but one of its tasks fit. A job whose acceptance time lies in the future, by another node's clock, kept the rate of its account from refilling until then.

--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -63,6 +63,10 @@
     std::string account; ///< Client account that the request is for; empty if it has none.
     bool ownJobsOnly = true; ///< Jobs of other accounts are closed to it.
     Milliseconds timeout{0}; ///< 0 if unknown.
+    /// Queue of its request. Otherwise a request to a public route, which needs no key, would reach the jobs of
+    /// accounts on any route. Jobs of other queues that belong to another account are closed to it; if it is empty,
+    /// only by ownJobsOnly.
+    std::string queue;
 };
 
 /// The answer to a caller's request about a workflow.
--- a/src/libworkflow/accountgate.cpp
+++ b/src/libworkflow/accountgate.cpp
@@ -59,13 +59,13 @@
         return false;
     }
     const Resources used = m_context->fleet.usage().usage(job.account) + m_unknown;
-    if (used == Resources{}) {
-        return true; // A step that is larger than the limit would wait for good.
-    }
+    // A task that is larger than the limit would wait for good, so the last task may pass a limit of which nothing is
+    // used. The platform's rule leaves room for one task above the limit, not for a whole gang.
+    const std::uint32_t counted = used == Resources{} && tasks > 0 ? tasks - 1 : tasks;
     Resources need = step.spec->perTask;
-    need.milliCores *= tasks;
-    need.memoryMb *= tasks;
-    need.accelerators *= tasks;
+    need.milliCores *= counted;
+    need.memoryMb *= counted;
+    need.accelerators *= counted;
     return account::isWithinLimit(used, need, limit);
 }
 
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -255,8 +255,9 @@
         return false;
     }
     const auto it = m_context->catalog->accounts.find(job.account);
+    // Nodes' clocks differ; a time in the future would keep the rate from refilling until then.
     return it != m_context->catalog->accounts.end()
-        && !m_rates.conforms(job.account, it->second.weight, job.acceptedAt);
+        && !m_rates.conforms(job.account, it->second.weight, std::min(job.acceptedAt, m_context->now()));
 }
 
 void Coordinator::markExcessJobs()
@@ -669,10 +670,10 @@
     return job->phaseDurable ? job->phase : JobPhase::InProgress;
 }
 
-std::string Coordinator::accountOf(const JobId &id) const
+JobOwner Coordinator::ownerOf(const JobId &id) const
 {
     const Job *job = m_context->jobs.find(id);
-    return job == nullptr ? std::string() : job->account;
+    return job == nullptr ? JobOwner{} : JobOwner{job->account, job->policy.name};
 }
 
 bool Coordinator::isEnding(const JobId &id) const
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -9,6 +9,7 @@
 #include "fescueledge/watchabletable.h"
 #include "fescueledge/workflow/collectionfollower.h"
 #include "fescueledge/workflow/fleetsource.h"
+#include "frontanswers_pvt.h"
 #include "leasekeeper_pvt.h"
 #include "listfreshness_pvt.h"
 #include "loadreport_pvt.h"
@@ -45,8 +46,8 @@
 
     /// Phase of job @p id as reported to callers, which is always durable. Empty if the job is not (yet) known.
     std::optional<JobPhase> status(const JobId &id) const;
-    /// The client account of job @p id; empty if it has none or is not known.
-    std::string accountOf(const JobId &id) const;
+    /// Whose job @p id is; nobody's if it is not known.
+    JobOwner ownerOf(const JobId &id) const;
     /// Whether job @p id has ended but the end is not known to be durable. The store may have it already.
     bool isEnding(const JobId &id) const;
     /// Number of pending jobs of @p queue; empty until all accepted jobs are loaded.
--- a/src/libworkflow/frontanswers.cpp
+++ b/src/libworkflow/frontanswers.cpp
@@ -78,15 +78,17 @@
     return outcomeAnswer(CallerOutcome::OtherAccount, "the job belongs to another account");
 }
 
-bool isClosedTo(const Caller &caller, const std::string &owner)
+bool isClosedTo(const Caller &caller, const JobOwner &owner)
 {
-    return caller.ownJobsOnly && !owner.empty() && owner != caller.account;
+    const bool isOfOtherQueue = !caller.queue.empty() && owner.queue != caller.queue;
+    return (caller.ownJobsOnly || isOfOtherQueue) && !owner.account.empty() && owner.account != caller.account;
 }
 
 bool isRowClosedTo(const Caller &caller, const Row &job)
 {
     try {
-        return isClosedTo(caller, decodeJobRow(job.value).account);
+        const JobRow row = decodeJobRow(job.value);
+        return isClosedTo(caller, JobOwner{row.account, row.policy.name});
     } catch (const nlohmann::json::exception &) {
         return false; // The coordinator reports such a row.
     }
--- a/src/libworkflow/frontanswers_pvt.h
+++ b/src/libworkflow/frontanswers_pvt.h
@@ -12,6 +12,13 @@
 
 namespace fescueledge::workflow {
 
+/// Whose job it is.
+struct JobOwner
+{
+    std::string account; ///< Empty if it has none.
+    std::string queue;
+};
+
 /// Name of @p phase in answers to callers.
 const char *phaseName(JobPhase phase);
 /// Outcome of a caller's write, for logs.
@@ -23,8 +30,8 @@
 CallerAnswer outcomeAnswer(CallerOutcome outcome, const std::string &detail = {});
 /// The job belongs to another account than the request is for.
 CallerAnswer otherAccountAnswer();
-/// Whether a job of account @p owner is closed to @p caller. Jobs without an account are open to all.
-bool isClosedTo(const Caller &caller, const std::string &owner);
+/// Whether a job of @p owner is closed to @p caller. Jobs without an account are open to all.
+bool isClosedTo(const Caller &caller, const JobOwner &owner);
 /// The same for the job in row @p job; one that can't be read counts as open to all.
 bool isRowClosedTo(const Caller &caller, const Row &job);
 /// The answer to a caller whose write ended with @p status.
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -151,7 +151,10 @@
                 const std::optional<JobPhase> phase =
                     self->m_election.localCoordinator()->status(message.body.value("id", JobId()));
                 if (phase) {
-                    body["account"] = self->m_election.localCoordinator()->accountOf(message.body.value("id", JobId()));
+                    const JobOwner owner =
+                        self->m_election.localCoordinator()->ownerOf(message.body.value("id", JobId()));
+                    body["account"] = owner.account;
+                    body["queue"] = owner.queue;
                     body["confirmed"] = self->isConfirmed(message.body.value("id", JobId()), *phase);
                     body["state"] = phaseName(*phase);
                 }
@@ -338,7 +341,7 @@
 {
     if (m_election.localCoordinator() != nullptr) {
         const std::optional<JobPhase> phase = m_election.localCoordinator()->status(id);
-        if (phase && isClosedTo(caller, m_election.localCoordinator()->accountOf(id))) {
+        if (phase && isClosedTo(caller, m_election.localCoordinator()->ownerOf(id))) {
             handler(otherAccountAnswer());
             return;
         }
@@ -358,7 +361,11 @@
         m_election.coordinator(), PeerMessage{"job-status", json{{"id", id}}}, peerTimeout,
         [self, id, caller, handler](const PeerResult &result) {
             const std::string state = result.answered ? result.reply.body.value("state", std::string()) : std::string();
-            if (!state.empty() && isClosedTo(caller, result.reply.body.value("account", std::string()))) {
+            const json &body = result.reply.body;
+            const bool isClosed = !state.empty()
+                && isClosedTo(caller,
+                              JobOwner{body.value("account", std::string()), body.value("queue", std::string())});
+            if (isClosed) {
                 handler(otherAccountAnswer());
             } else if (state.empty() || !result.reply.body.value("confirmed", true)) {
                 self->statusFromStore(id, state, caller, handler);
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -653,12 +653,17 @@
     return got->value_or(CallerAnswer{});
 }
 
+Caller WorkflowWorld::caller() const
+{
+    return Caller{account, publicRoute.empty(), callerTimeout, publicRoute};
+}
+
 CallerOutcome WorkflowWorld::submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue)
 {
     const QueuePolicy policy = *catalog.queue(queue);
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->submit(policy, id, spec, Caller{account, true, callerTimeout}, handler);
+                   node->submit(policy, id, spec, caller(), handler);
                })
         .outcome;
 }
@@ -668,8 +673,8 @@
 {
     const QueuePolicy policy = *catalog.queue("batch");
     Process *process = m_processes[static_cast<std::size_t>(index)].get();
-    process->loop.post([process, policy, id, spec, account = account, handler] {
-        process->node->submit(policy, id, spec, Caller{account, true, callerTimeout}, handler);
+    process->loop.post([process, policy, id, spec, caller = caller(), handler] {
+        process->node->submit(policy, id, spec, caller, handler);
     });
 }
 
@@ -677,7 +682,7 @@
 {
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->cancel(id, Caller{account, true, callerTimeout}, handler);
+                   node->cancel(id, caller(), handler);
                })
         .outcome;
 }
@@ -685,8 +690,8 @@
 void WorkflowWorld::cancelLater(int index, const JobId &id)
 {
     Process *process = m_processes[static_cast<std::size_t>(index)].get();
-    process->loop.post([process, id, account = account] {
-        process->node->cancel(id, Caller{account, true, callerTimeout}, [](const CallerAnswer &) {});
+    process->loop.post([process, id, caller = caller()] {
+        process->node->cancel(id, caller, [](const CallerAnswer &) {});
     });
 }
 
@@ -694,7 +699,7 @@
 {
     return ask(index,
                [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
-                   node->status(id, Caller{account, true, callerTimeout}, handler);
+                   node->status(id, caller(), handler);
                })
         .state;
 }
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -119,9 +119,11 @@
     SimWorkers workers;
     Catalog catalog;
     std::string account; ///< Client account of the following requests.
+    std::string publicRoute; ///< Queue of the public route that they are made to; empty if its route needs a key.
     CoordinatorSettings settings; ///< Of processes that are started from now on.
 
 private:
+    Caller caller() const;
     CallerAnswer ask(int index, const std::function<void(WorkflowNode *, WorkflowNode::AnswerHandler)> &question);
 
     std::vector<std::unique_ptr<Process>> m_processes;
