Bound what look-ahead costs and what its reservations keep idle

Each update gave a verdict on all workers for each step that had waited for 1.5 s, forecasts built a text for each task, and steps that waited for their turn or for an earlier run got workers too. Reservations were made again at once after their time-out, refused overdue long-running tasks, and took all places from them. A search that failed because of a reservation was kept for shorter tasks of the same size, and backfill looked at all tasks of a worker.

Searches are bounded in number and looks, long-running tasks go before reservations of others, a reservation ends after 3 s of a whole worker's idle time and its worker is left to others for as long, and failed searches are kept by how long the task works. Estimates are corrected by the step's own ends first; runs of an earlier term aren't timed. An overdue task counts as needing a quarter of its time more; the test said that it ends at once, at each look, which kept a reservation waiting for a task that hangs.

Without look-ahead no log line and no decision differs from before. lookahead_test, roomholds_test, dispatchcost_test and reserve_test pass.

--- a/src/include/fescueledge/reserve/roomforecast.h
+++ b/src/include/fescueledge/reserve/roomforecast.h
@@ -24,11 +24,13 @@
 {
     Resources need;
     TimePoint startsAt{}; ///< When the room is expected to be free.
+    Resources roomAtStart; ///< The room that there is expected to be then, with that of the reserved task.
 };
 
+/// Whether a task of @p need fits beside the reserved one for as long as it likes.
+bool fitsBeside(const Reservation &reservation, const Resources &need);
 /// Whether a task of @p need that is expected to end at @p end may start on a worker with a reservation (backfill): it
-/// fits beside the reserved task within @p roomAtStart, the room that there is expected to be when that one starts, or
-/// it ends before.
-bool mayBackfill(const Reservation &reservation, const Resources &need, TimePoint end, const Resources &roomAtStart);
+/// fits beside the reserved task, or it ends before that starts.
+bool mayBackfill(const Reservation &reservation, const Resources &need, TimePoint end);
 
 } // namespace fescueledge::reserve
--- a/src/libreserve/roomforecast.cpp
+++ b/src/libreserve/roomforecast.cpp
@@ -23,9 +23,14 @@
     return std::nullopt;
 }
 
-bool mayBackfill(const Reservation &reservation, const Resources &need, TimePoint end, const Resources &roomAtStart)
+bool fitsBeside(const Reservation &reservation, const Resources &need)
 {
-    return end <= reservation.startsAt || (reservation.need + need).fitsIn(roomAtStart);
+    return (reservation.need + need).fitsIn(reservation.roomAtStart);
+}
+
+bool mayBackfill(const Reservation &reservation, const Resources &need, TimePoint end)
+{
+    return end <= reservation.startsAt || fitsBeside(reservation, need);
 }
 
 } // namespace fescueledge::reserve
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -35,7 +35,8 @@
     JobTable jobs;
     FleetTable fleet;
     InterferenceModel interference;
-    reserve::EndForecast ends;
+    reserve::EndForecast ends; ///< By queue.
+    reserve::EndForecast fillerEnds; ///< The same for fillers, which the load beside them slows down.
     ServiceClock serviceClock;
     ActivityMeter activities{[this] {
         return now();
@@ -48,22 +49,24 @@
     {
         return loop->now();
     }
-    /// What tasks of @p step have in common, for the forecast of their ends.
-    static std::string kindOf(const Step &step)
+    const reserve::EndForecast &endsLike(const Step &step) const
     {
-        return step.occurrence->job->policy.name + (step.spec->filler ? "/filler" : "");
+        return step.spec->filler ? fillerEnds : ends;
     }
-    /// When @p task is expected to end on its worker.
-    TimePoint expectedEnd(const Task &task) const
+    /// Records that a task of @p step was done @p took after it had begun to work.
+    void recordEnd(Step *step, Duration took)
     {
-        const Duration elapsed = task.atWorkSince == TimePoint{} ? Duration::zero() : now() - task.atWorkSince;
-        return now() + ends.remaining(kindOf(*task.step), task.step->spec->estimate, elapsed, task.percentAtWork);
+        const Milliseconds estimate = step->spec->estimate;
+        (step->spec->filler ? fillerEnds : ends).record(step->occurrence->job->policy.name, estimate, took);
+        step->ends.record(estimate, took);
     }
-    /// When a task of @p step would end that started now.
-    TimePoint expectedEnd(const Step &step) const
+    /// How long a task of @p step is expected to work.
+    Duration expectedSpan(const Step &step) const
     {
-        return now() + ends.expected(kindOf(step), step.spec->estimate);
+        return endsLike(step).expected(step.occurrence->job->policy.name, step.spec->estimate, step.ends);
     }
+    /// When @p task is expected to end on its worker.
+    TimePoint expectedEnd(const Task &task) const;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/dispatchsystem.cpp
+++ b/src/libworkflow/dispatchsystem.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// By the users' contract, a job that ends later than this many times its objective is worth nothing.
-constexpr int uselessAfterObjectives = 3;
 /// Among jobs of equal urgency, the objective of a job is put back by the time that this share of the fleet needs for
 /// its remaining work. In a burst small jobs pass large ones, and large ones are not starved.
 constexpr double sizePenaltyShare = 0.003;
@@ -72,14 +70,13 @@
     rank.priority = job.policy.priority;
     rank.objective = job.objective;
     rank.objective += sizePenalty(job, m_fleetMilliCores);
-    const Duration allowance = job.objective - job.acceptedAt;
     if (Reservations::waitsTooLong(step, now)) {
         rank.group = -1;
     } else if (step.spec->longRunning) {
         rank.group = 1;
     } else if (now <= job.objective) {
         rank.group = job.policy.priority == 0 ? 0 : 2;
-    } else if (now <= job.acceptedAt + uselessAfterObjectives * allowance) {
+    } else if (!job.isUseless(now)) {
         rank.group = 3;
     } else {
         rank.group = 4;
@@ -150,6 +147,9 @@
 
 void DispatchSystem::holdWorkers(const std::vector<std::pair<Rank, Step *>> &ranked)
 {
+    if (!m_reservations.isDue()) {
+        return;
+    }
     std::vector<Step *> waiting;
     waiting.reserve(ranked.size());
     for (const std::pair<Rank, Step *> &entry : ranked) {
@@ -275,6 +275,7 @@
         Worker *reserved = m_reservations.reservedWorker(*step);
         const Place place = reserved != nullptr ? Place{reserved} : m_placement->choose(*step, overdue);
         if (place.worker == nullptr) {
+            step->noPlaceAt = m_context->now();
             return;
         }
         startOn(&task, place);
@@ -287,7 +288,7 @@
     if (place.overcommitted) {
         place.worker->overcommittedAt = m_context->now();
     }
-    m_reservations.release(place.worker, *task->step);
+    m_reservations.noteStart(place.worker, *task->step);
     m_orders->start(task, place.worker, place.pace);
     m_placement->invalidateHeadroom(place.worker);
 }
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fescueledge/account/accountusage.h"
+#include "fescueledge/reserve/endfactor.h"
 #include "fescueledge/reserve/roomforecast.h"
 #include "fescueledge/workflow/catalog.h"
 #include "fescueledge/workflow/workergateway.h"
@@ -120,6 +121,8 @@
     TimePoint waitingSince{}; ///< Since when it has had idle tasks and started none of them; otherwise the epoch.
     TimePoint waitLoggedAt{}; ///< When its wait was last logged; the epoch if it was not.
     TimePoint deferralLoggedAt{}; ///< When a deferred move of one of its tasks was last logged.
+    TimePoint noPlaceAt{}; ///< When a search last found no place for one of its tasks; the epoch if none has failed.
+    reserve::EndFactor ends; ///< How long its tasks worked, by their estimate.
     ServingTrend trend; ///< Headroom trend under its own load, for serving tasks.
 };
 
@@ -163,6 +166,12 @@
     std::set<std::uint32_t> doneOccurrences; ///< Occurrences that are done.
     std::map<std::uint32_t, std::unique_ptr<Occurrence>> open; ///< Open occurrences.
 
+    /// Whether it is so late that, by the users' contract, its result is worth nothing.
+    bool isUseless(TimePoint now) const
+    {
+        constexpr int uselessAfterObjectives = 3;
+        return now > acceptedAt + uselessAfterObjectives * (objective - acceptedAt);
+    }
     bool ended() const
     {
         return phase == JobPhase::Complete || phase == JobPhase::Failed || phase == JobPhase::Cancelled;
@@ -314,6 +323,7 @@
     TimePoint nextObservationAt{}; ///< No observation before this time.
     /// It is reserved for the step with this Step::creationIndex; see Reservations.
     std::optional<std::uint64_t> heldForStep;
+    bool isHeldForLongRunning = false; ///< That step is a long-running one.
     /// Others may start here if this leaves them room or time; without it, none may.
     std::optional<reserve::Reservation> reservation;
     TimePoint overcommittedAt{}; ///< When it last got a filler for which it lacks headroom.
--- a/src/libworkflow/failedsearches.cpp
+++ b/src/libworkflow/failedsearches.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-FailedSearches::Key FailedSearches::keyOf(const Step &step, int pace)
+FailedSearches::Key FailedSearches::keyOf(const Step &step, int pace, const Backfill &backfill)
 {
     const StepSpec &spec = *step.spec;
     const bool ownPlaces = spec.maxPerWorker > 0 || step.occurrence->job->suspects > 0;
@@ -23,18 +23,20 @@
                spec.filler ? spec.image : std::string(),
                spec.filler,
                pace,
+               backfill.rule,
                number};
 }
 
-std::optional<FailedSearches::State> FailedSearches::find(const Step &step, int pace) const
+std::optional<FailedSearches::State> FailedSearches::find(const Step &step, int pace, const Backfill &backfill) const
 {
-    const auto it = m_failures.find(keyOf(step, pace));
+    const auto it = m_failures.find(keyOf(step, pace, backfill));
     if (it == m_failures.end()) {
         return std::nullopt;
     }
     std::optional<State> latest;
     for (const Failure &failure : it->second) {
-        const bool covers = failure.need.fitsIn(step.spec->perTask); // The step needs at least as much of everything.
+        // The step needs at least as much of everything, for at least as long.
+        const bool covers = failure.need.fitsIn(step.spec->perTask) && failure.state.span <= backfill.span;
         if (covers && (!latest || failure.state.freed > latest->freed)) {
             latest = failure.state;
         }
@@ -42,12 +44,12 @@
     return latest;
 }
 
-void FailedSearches::record(const Step &step, int pace, const State &state)
+void FailedSearches::record(const Step &step, int pace, const Backfill &backfill, const State &state)
 {
     const Resources &need = step.spec->perTask;
-    std::vector<Failure> &failures = m_failures[keyOf(step, pace)];
-    const auto superseded = std::remove_if(failures.begin(), failures.end(), [&need](const Failure &failure) {
-        return need.fitsIn(failure.need);
+    std::vector<Failure> &failures = m_failures[keyOf(step, pace, backfill)];
+    const auto superseded = std::remove_if(failures.begin(), failures.end(), [&need, &state](const Failure &failure) {
+        return need.fitsIn(failure.need) && state.span <= failure.state.span;
     });
     failures.erase(superseded, failures.end());
     failures.push_back(Failure{need, state});
--- a/src/libworkflow/observationsystem.cpp
+++ b/src/libworkflow/observationsystem.cpp
@@ -473,8 +473,10 @@
     Job *job = task->step->occurrence->job;
     FleetTable::release(task);
     if (end.how == RunEnd::Done && !task->step->spec->longRunning) {
-        if (task->atWorkSince != TimePoint{} && task->pace == fullPace) {
-            context.ends.record(Context::kindOf(*task->step), task->step->spec->estimate, now - task->atWorkSince);
+        // Of a run that an earlier coordinator started, the beginning is not known.
+        const bool isTimed = task->atWorkSince != TimePoint{} && task->orderedAt != TimePoint{};
+        if (isTimed && task->pace == fullPace) {
+            context.recordEnd(task->step, now - task->atWorkSince);
         }
         finishDone(task, end.run);
     } else {
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement_pvt.h"
 
+#include "reservations_pvt.h"
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -11,8 +13,11 @@
 namespace {
 
 /// A task that starts on a reserved worker counts as working for this many times the forecast, which is off by 0.2 to
-/// 0.9 either way.
-constexpr double backfillMargin = 1.5;
+/// 0.9 either way, rounded up.
+constexpr double backfillMargin = 1.25;
+/// Number of binary digits that are kept of that time: the fewer different times there are, the more steps share the
+/// result of a failed search.
+constexpr int spanDigits = 3;
 /// Added to the cost of a worker away from a step's data: more than any difference in load.
 constexpr double remoteDataCost = 2;
 /// Added to the cost of a worker on another rack than the rest of a rack-sensitive step.
@@ -77,6 +82,10 @@
     return otherImageCost * static_cast<double>(others) - (same ? otherImageCost : 0);
 }
 
+/// Values of FailedSearches::Backfill::rule.
+constexpr int backfillOfOverdue = 1;
+constexpr int backfillOfGangs = 2;
+
 bool onOtherRack(const Worker &worker, const Step &step)
 {
     return std::any_of(step.tasks.begin(), step.tasks.end(), [&worker](const Task &task) {
@@ -184,21 +193,46 @@
     return PlaceVerdict::Fits;
 }
 
+FailedSearches::Backfill Placement::backfillOf(const Step &step) const
+{
+    if (!m_context->settings.lookAhead) {
+        return {};
+    }
+    if (step.spec->gang) {
+        return {backfillOfGangs, backfillSpan(step)};
+    }
+    return {Reservations::waitsTooLong(step, m_context->now()) ? backfillOfOverdue : 0, backfillSpan(step)};
+}
+
+Duration Placement::backfillSpan(const Step &step) const
+{
+    if (step.spec->longRunning || step.spec->estimate.count() == 0) {
+        return Duration::max(); // It may work for any time.
+    }
+    const Duration span = std::chrono::duration_cast<Duration>(m_context->expectedSpan(step) * backfillMargin);
+    std::int64_t unit = 1;
+    for (std::int64_t left = std::chrono::duration_cast<Milliseconds>(span).count(); left >= (1 << spanDigits);
+         left /= 2) {
+        unit *= 2;
+    }
+    const std::int64_t units = std::chrono::duration_cast<Milliseconds>(span).count() / unit + 1;
+    return Milliseconds(units * unit);
+}
+
 bool Placement::mayBackfill(const Worker &worker, const Step &step) const
 {
-    if (!worker.reservation || step.spec->longRunning) {
+    if (!worker.reservation) {
         return false;
     }
-    const Resources need = FleetTable::reservedBy(*step.spec);
     const TimePoint now = m_context->now();
-    const Duration span = std::chrono::duration_cast<Duration>((m_context->expectedEnd(step) - now) * backfillMargin);
-    Resources roomAtStart = worker.entry.capacity - worker.used;
-    for (const Task *task : worker.tasks) {
-        if (!task->step->spec->longRunning && m_context->expectedEnd(*task) <= worker.reservation->startsAt) {
-            roomAtStart += FleetTable::reservedBy(*task->step->spec);
-        }
+    if (Reservations::waitsTooLong(step, now) && !worker.isHeldForLongRunning) {
+        return true; // Its task would count as lost before the reservation ends.
     }
-    return reserve::mayBackfill(*worker.reservation, need, now + span, roomAtStart);
+    const Duration span = backfillSpan(step);
+    const TimePoint end = span == Duration::max() ? TimePoint::max() : now + span;
+    // The members of a gang are placed together, and would all take the same room beside the reserved task.
+    return step.spec->gang ? end <= worker.reservation->startsAt
+                           : reserve::mayBackfill(*worker.reservation, FleetTable::reservedBy(*step.spec), end);
 }
 
 PlaceVerdict Placement::verdict(const Worker &worker, const Step &step) const
@@ -329,8 +363,10 @@
         ++m_considered;
         return;
     }
-    if (basicVerdict(*worker, step) != PlaceVerdict::Fits) {
+    const PlaceVerdict basic = basicVerdict(*worker, step);
+    if (basic != PlaceVerdict::Fits) {
         m_search.rejected.insert(worker);
+        m_search.metReservation |= basic == PlaceVerdict::Held && worker->reservation.has_value();
         if (workerVerdict(*worker) != PlaceVerdict::Fits) {
             m_unusable.push_back(worker);
         }
@@ -560,15 +596,18 @@
     continueSearch(step, pace);
     CandidateIndex &index = m_context->fleet.candidates();
     Candidate best;
-    const std::optional<FailedSearches::State> failed = m_failed.find(step, pace);
+    const FailedSearches::Backfill backfill = backfillOf(step);
+    const std::optional<FailedSearches::State> failed = m_failed.find(step, pace, backfill);
     if (failed) {
         considerChanged(step, pace, *failed, &best);
     } else {
         considerAll(step, pace, &best);
     }
     if (best.worker == nullptr) {
-        m_failed.record(step, pace,
-                        {index.freed().count(), index.eased().count(), failed ? failed->searchedAt : m_now});
+        const Duration earlierSpan = failed ? failed->span : FailedSearches::anySpan;
+        m_failed.record(step, pace, backfill,
+                        {index.freed().count(), index.eased().count(), failed ? failed->searchedAt : m_now,
+                         m_search.metReservation ? backfill.span : earlierSpan});
     }
     for (Worker *worker : m_unusable) {
         index.park(worker);
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -75,13 +75,17 @@
         return m_considered;
     }
 
+    /// How long a task of @p step has to be expected to work at most beside a reservation, with a margin for the error
+    /// of the forecast; the longest time there is if it may work for any.
+    Duration backfillSpan(const Step &step) const;
     /// Whether @p worker gets tasks of any step of its service at present, and if not, why.
     PlaceVerdict workerVerdict(const Worker &worker) const;
 
 private:
-    /// The verdict on everything but the interference between fillers and serving tasks.
     /// Whether a task of @p step may start on @p worker although that is reserved for another step.
     bool mayBackfill(const Worker &worker, const Step &step) const;
+    FailedSearches::Backfill backfillOf(const Step &step) const;
+    /// The verdict on everything but the interference between fillers and serving tasks.
     PlaceVerdict basicVerdict(const Worker &worker, const Step &step) const;
     /// The verdict on idle processor time and interference, for fillers.
     PlaceVerdict fillerVerdict(const Worker &worker, const Step &step, int pace) const;
@@ -111,6 +115,7 @@
         std::uint64_t freed = 0; ///< ChangeOrder::count() of CandidateIndex::freed().
         std::uint64_t groupsVersion = 0;
         std::unordered_set<const Worker *> rejected; ///< Workers that do not fit.
+        bool metReservation = false; ///< One of them is reserved, and may fit a shorter task.
         bool hasWalks = false;
         std::vector<Walk> walks; ///< A heap.
     };
