Move a slowed filler only if it ends clearly earlier elsewhere

Each filler that was below half pace for 150 ms was moved, whatever it had done: 2,774 moves beside 6,527 starts in 50 s repeated 12,270 core-seconds.

SimWorkers reports the progress of runs on request.

Evidence: load_test, fillermoves_test, workflow_test, fillerwait_test and maxunavailable_test pass.

--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -233,6 +233,13 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.lookAhead = value.number != 0;
          }},
+        {{"weigh-moves", ValueType::Boolean, false, "no", 0, 0,
+          "Whether a filler that is slowed down for the serving tasks beside it is moved only if it would end clearly "
+          "earlier elsewhere, with the work that it repeats. Without it, each such filler is moved that has a better "
+          "place."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.weighMoves = value.number != 0;
+         }},
         {{"input-memory", ValueType::Integer, false, "20971520", 1048576, 17179869184,
           "Bytes that requests which are being received or answered may occupy together. Beyond it, the connections "
           "that "
--- a/src/libworkflow/entities_pvt.h
+++ b/src/libworkflow/entities_pvt.h
@@ -65,6 +65,15 @@
     bool excused = false;
 };
 
+/// The work that a run has done since this coordinator has watched it.
+struct WatchedWork
+{
+    RunNumber run = 0;
+    TimePoint countedUntil{};
+    Duration worked{0}; ///< As time at full pace.
+    int firstPercent = 0; ///< Its progress at first.
+};
+
 /// One task of a step.
 struct Task
 {
@@ -93,6 +102,8 @@
     TimePoint latePaceOrdersUntil{}; ///< Until when an earlier unanswered pace order may still take effect.
     TimePoint pausedSince{}; ///< Since when a filler has been paused; the epoch if it is not.
     TimePoint slowSince{}; ///< Since when a filler has had a low pace; the epoch if it has not.
+    bool moveDeclined = false; ///< It has been left in place since it has had a low pace.
+    WatchedWork work;
     /// Since when the tail latency of a serving task has been over its target; the epoch if it is not.
     TimePoint overTargetSince{};
     double headroomError = 0; ///< Average difference between the gauged and the expected headroom of a serving task.
--- a/src/libworkflow/jobtable.cpp
+++ b/src/libworkflow/jobtable.cpp
@@ -279,6 +279,7 @@
     task->latePaceOrdersUntil = TimePoint{};
     task->pausedSince = TimePoint{};
     task->slowSince = TimePoint{};
+    task->moveDeclined = false;
     task->overTargetSince = TimePoint{};
     task->headroomError = 0;
     task->step->waitingSince = TimePoint{};
--- a/src/libworkflow/pacingsystem.cpp
+++ b/src/libworkflow/pacingsystem.cpp
@@ -29,8 +29,10 @@
 constexpr Milliseconds modelUpdateInterval{450};
 /// Weight of each gauge in the running average of a task's deviation from the model, which covers some two seconds.
 constexpr double errorSmoothing = 0.25;
-/// A filler that has been below slowPace for this long is moved.
+/// A filler may be moved once it has been below slowPace for this long.
 constexpr Milliseconds slowedFillerTimeout{150};
+/// Moves that were not made are counted in one log line of this interval.
+constexpr std::chrono::seconds declinedMovesInterval{5};
 /// A pace order is resent this often while an earlier unanswered one may still undo it.
 constexpr std::chrono::seconds paceResendInterval{2};
 constexpr int slowPace = 50;
@@ -57,6 +59,25 @@
     return pace < minPace ? 0 : pace;
 }
 
+/// Adds the inputs and the times of a decision about a move to @p line.
+LogLine withInputs(LogLine line, const load::SlowedTask &slowed, const load::MoveForecast &forecast)
+{
+    const auto inMs = [](Duration span) {
+        return std::chrono::duration_cast<Milliseconds>(span);
+    };
+    return line.with("pace", slowed.pace)
+        .with("slowed_ms", inMs(slowed.slowedFor))
+        .with("percent_done", slowed.percentDone)
+        .with("percent_gained", slowed.percentGained)
+        .with("worked_ms", inMs(slowed.worked))
+        .with("expected_ms", inMs(slowed.expected))
+        .with("saves_progress", slowed.savesProgress ? 1 : 0)
+        .with("left_ms", inMs(forecast.left))
+        .with("lost_ms", inMs(forecast.lost))
+        .with("stay_ms", inMs(forecast.stay))
+        .with("move_ms", inMs(forecast.move));
+}
+
 } // namespace
 
 PacingSystem::PacingSystem(std::shared_ptr<Context> context, OrderSystem *orders)
@@ -120,6 +141,8 @@
     updateModel(worker);
     updateOverTarget(worker);
     updatePausedSince(worker);
+    updateWork(worker);
+    reportDeclinedMoves();
     if (std::none_of(worker->tasks.begin(), worker->tasks.end(), [](const Task *task) {
             return isRunningFiller(*task);
         })) {
@@ -251,23 +274,94 @@
     }
 }
 
+void PacingSystem::updateWork(Worker *worker) const
+{
+    const TimePoint now = m_context->now();
+    for (Task *task : worker->tasks) {
+        if (!isRunningFiller(*task)) {
+            continue;
+        }
+        WatchedWork &work = task->work;
+        if (work.run != task->run) {
+            work = WatchedWork{};
+            work.run = task->run;
+            work.firstPercent = task->percentAtWork;
+        } else {
+            work.worked += (now - work.countedUntil) * expectedPace(*task) / fullPace;
+        }
+        work.countedUntil = now;
+    }
+}
+
+load::SlowedTask PacingSystem::slowedTask(const Task &task) const
+{
+    const StepSpec &spec = *task.step->spec;
+    load::SlowedTask out;
+    out.isEndless = spec.longRunning;
+    out.savesProgress = spec.checkpoints;
+    out.expected = m_context->expectedSpan(*task.step);
+    out.worked = task.work.worked;
+    out.percentDone = task.percentAtWork;
+    out.percentGained = task.percentAtWork - task.work.firstPercent;
+    out.pace = expectedPace(task);
+    out.slowedFor = m_context->now() - task.slowSince;
+    return out;
+}
+
 void PacingSystem::moveSlowedFillers(Worker *worker)
 {
     const TimePoint now = m_context->now();
     for (Task *task : worker->tasks) {
         if (!isRunningFiller(*task) || expectedPace(*task) >= slowPace) {
             task->slowSince = TimePoint{};
+            task->moveDeclined = false;
         } else if (task->slowSince == TimePoint{}) {
             task->slowSince = now;
-        } else if (now - task->slowSince > slowedFillerTimeout && hasBetterPlace(*task) && m_budget.allowsMove(*task)) {
-            m_context->log->write(LogLine("run_moved_away")
-                                      .with("job", task->step->occurrence->job->id)
-                                      .with("task", toString(keyOf(*task)))
-                                      .with("worker", worker->id)
-                                      .with("reason", "disturbs serving tasks"));
-            m_orders->stop(task);
+        } else if (now - task->slowSince > slowedFillerTimeout) {
+            const load::SlowedTask slowed = slowedTask(*task);
+            const load::MoveForecast forecast = m_moveDecision.forecast(slowed);
+            if (m_context->settings.weighMoves && !forecast.isWorthwhile) {
+                countDeclinedMove(task, slowed, forecast);
+            } else if (hasBetterPlace(*task) && m_budget.allowsMove(*task)) {
+                move(task, slowed, forecast);
+            }
         }
     }
 }
 
+void PacingSystem::move(Task *task, const load::SlowedTask &slowed, const load::MoveForecast &forecast)
+{
+    LogLine line("run_moved_away");
+    line.with("job", task->step->occurrence->job->id)
+        .with("task", toString(keyOf(*task)))
+        .with("worker", task->worker->id)
+        .with("reason", "disturbs serving tasks");
+    m_context->log->write(withInputs(line, slowed, forecast));
+    m_orders->stop(task);
+}
+
+void PacingSystem::countDeclinedMove(Task *task, const load::SlowedTask &slowed, const load::MoveForecast &forecast)
+{
+    if (task->moveDeclined) {
+        return;
+    }
+    task->moveDeclined = true;
+    ++m_declinedMoves;
+    m_lastDeclined = slowed;
+    m_lastDeclinedForecast = forecast;
+}
+
+void PacingSystem::reportDeclinedMoves()
+{
+    const TimePoint now = m_context->now();
+    if (m_declinedMoves == 0 || now < m_declinedReportedAt + declinedMovesInterval) {
+        return;
+    }
+    LogLine line("run_moves_declined");
+    line.with("fillers", static_cast<std::int64_t>(m_declinedMoves));
+    m_context->log->write(withInputs(line, m_lastDeclined, m_lastDeclinedForecast));
+    m_declinedMoves = 0;
+    m_declinedReportedAt = now;
+}
+
 } // namespace fescueledge::workflow
--- a/src/libworkflow/pacingsystem_pvt.h
+++ b/src/libworkflow/pacingsystem_pvt.h
@@ -2,6 +2,7 @@
 
 #include "context_pvt.h"
 #include "disruptionbudget_pvt.h"
+#include "fescueledge/load/movedecision.h"
 
 namespace fescueledge::workflow {
 
@@ -11,7 +12,8 @@
 /// Keeps the response times of serving tasks under their targets.
 ///
 /// It learns from each observation which fillers disturb which serving tasks, slows these fillers down as soon as the
-/// expected headroom gets short, and moves them to a worker where they disturb no serving task.
+/// expected headroom gets short, and moves them to a worker where they disturb no serving task if they end earlier that
+/// way.
 class PacingSystem
 {
 public:
@@ -36,11 +38,22 @@
     void updatePausedSince(Worker *worker) const;
     /// The highest pace at which @p task would leave @p steps, which share its worker, enough headroom.
     int affordablePace(const Worker &worker, const Task &task, const std::vector<StepHeadroom> &steps) const;
+    /// Adds up the work that fillers on @p worker have done.
+    void updateWork(Worker *worker) const;
     void moveSlowedFillers(Worker *worker);
+    load::SlowedTask slowedTask(const Task &task) const;
+    void move(Task *task, const load::SlowedTask &slowed, const load::MoveForecast &forecast);
+    void countDeclinedMove(Task *task, const load::SlowedTask &slowed, const load::MoveForecast &forecast);
+    void reportDeclinedMoves();
 
     std::shared_ptr<Context> m_context;
     OrderSystem *m_orders;
     DisruptionBudget m_budget;
+    load::MoveDecision m_moveDecision;
+    int m_declinedMoves = 0; ///< Fillers left in place since the last report.
+    load::SlowedTask m_lastDeclined;
+    load::MoveForecast m_lastDeclinedForecast;
+    TimePoint m_declinedReportedAt{};
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/simworkers.cpp
+++ b/src/libworkflow/simworkers.cpp
@@ -292,12 +292,15 @@
     return result;
 }
 
+Duration SimWorkers::workLeft(const RunRecord &record) const
+{
+    return record.pace > 0 ? (record.endsAt - m_world->now()) * record.pace / fullPace : record.workLeft;
+}
+
 void SimWorkers::changePace(RunRecord *record, int percent)
 {
     const TimePoint now = m_world->now();
-    if (record->pace > 0) {
-        record->workLeft = (record->endsAt - now) * record->pace / fullPace;
-    }
+    record->workLeft = workLeft(*record);
     record->pace = percent;
     record->endsAt = percent > 0 ? now + record->workLeft * fullPace / percent : TimePoint::max();
 }
@@ -355,7 +358,9 @@
         ActiveRun run;
         run.task = record.task;
         run.run = record.run;
-        run.percentAtWork = m_world->now() - record.began < startupTime ? 0 : fullPace;
+        if (m_world->now() - record.began >= startupTime) {
+            run.percentAtWork = percentOf ? percentOf(worker, record) : fullPace;
+        }
         run.gauge = gaugeOf(worker, record);
         run.checkpoint = checkpointOf ? checkpointOf(worker, record) : std::string();
         result.active.push_back(run);
--- a/src/libworkflow/simworkers_pvt.h
+++ b/src/libworkflow/simworkers_pvt.h
@@ -100,6 +100,10 @@
     Duration startupTime{0}; ///< From the start of a run until it is at work.
     /// The gauge of a run.
     std::function<std::int64_t(const SimWorker &, const RunRecord &)> gaugeOf;
+    /// The progress that a run reports in percent once it has started up; if it is not set, 100.
+    std::function<int(const SimWorker &, const RunRecord &)> percentOf;
+    /// Work that is left of a run, as time at full pace.
+    Duration workLeft(const RunRecord &record) const;
     /// How long a run that an order starts works; if it is not set, workOf decides.
     std::function<Milliseconds(const StartOrder &)> workForOrder;
     /// Whether a worker that enforces its capacity has no room for an order; if it is not set, there is always room.
