Use the shares and limits of libaccount in libqueue

FairOrder and the team limits had copies of weightedShare() and isWithinLimit() with the same rules. queue_test: 120 assertions in 15 test cases pass.

--- a/src/libqueue/startorder.cpp
+++ b/src/libqueue/startorder.cpp
@@ -1,5 +1,6 @@
 #include "startorder_pvt.h"
 
+#include "fescueledge/account/fairshare.h"
 #include "queuepartition_pvt.h"
 
 #include <algorithm>
@@ -11,11 +12,6 @@
 /// Jobs of one team on one partition that one tick considers.
 constexpr std::size_t maxJobsPerCursor = 64;
 
-double fraction(std::int64_t used, std::int64_t total)
-{
-    return total <= 0 ? 0 : static_cast<double>(used) / static_cast<double>(total);
-}
-
 /// Weighted dominant resource fairness: picks the team with the smallest dominant share, which is its largest share of
 /// any resource divided by its weight.
 class FairOrder : public StartOrder
@@ -26,7 +22,7 @@
         std::size_t best = 0;
         double bestShare = 0;
         for (std::size_t i = 0; i < teams.size(); ++i) {
-            const double share = shareOf(teams[i], total);
+            const double share = account::weightedShare(teams[i].used, total, teams[i].weight);
             const bool older = teams[i].head()->record.order < teams[best].head()->record.order;
             if (i == 0 || share < bestShare || (share == bestShare && older)) {
                 best = i;
@@ -35,15 +31,6 @@
         }
         return best;
     }
-
-private:
-    static double shareOf(const TeamQueue &team, const Resources &total)
-    {
-        const double share =
-            std::max({fraction(team.used.milliCores, total.milliCores), fraction(team.used.memoryMb, total.memoryMb),
-                      fraction(team.used.accelerators, total.accelerators)});
-        return share / std::max(team.weight, 1e-6);
-    }
 };
 
 class FifoOrder : public StartOrder
--- a/src/libqueue/teamusage.cpp
+++ b/src/libqueue/teamusage.cpp
@@ -1,5 +1,6 @@
 #include "teamusage_pvt.h"
 
+#include "fescueledge/account/fairshare.h"
 #include "fescueledge/authority.h"
 #include "fescueledge/controlstate.h"
 #include "fescueledge/loop.h"
@@ -27,19 +28,6 @@
     return it == sums.end() ? Resources() : it->second;
 }
 
-/// True if @p used plus @p need stays within @p limit, where 0 means no limit.
-bool isWithin(std::int64_t used, std::int64_t need, std::int64_t limit)
-{
-    return limit <= 0 || need <= 0 || used + need <= limit;
-}
-
-bool isWithinLimit(const Resources &used, const Resources &need, const Resources &limit)
-{
-    return isWithin(used.milliCores, need.milliCores, limit.milliCores)
-        && isWithin(used.memoryMb, need.memoryMb, limit.memoryMb)
-        && isWithin(used.accelerators, need.accelerators, limit.accelerators);
-}
-
 bool exceeds(const Resources &used, const Resources &limit)
 {
     return (limit.milliCores > 0 && used.milliCores > limit.milliCores)
@@ -173,7 +161,7 @@
 
 bool TeamUsageSystem::admits(const TeamQuota &quota, const Resources &need) const
 {
-    if (!isWithinLimit(usage(quota.team), need, quota.limit)) {
+    if (!account::isWithinLimit(usage(quota.team), need, quota.limit)) {
         return false;
     }
     const auto owners = static_cast<std::int64_t>(std::max<std::size_t>(1, m_context->authority->liveNodes().size()));
