Judge the age of keys by when the configuration was asked for

The age of a node's configuration trusted the store to hold a watch for its whole wait. An answer without changes that was given early and was under way for longer than the wait counted as up to 700 ms newer than it was, more than the 500 ms that are left of a revocation timeout of 5 s.

--- a/src/include/fescueledge/workflow/collectionfollower.h
+++ b/src/include/fescueledge/workflow/collectionfollower.h
@@ -33,13 +33,17 @@
     void setContactHandler(std::function<void(bool)> handler);
     /// The version up to which all changes were delivered.
     RowVersion seenUpTo() const;
-    /// Sets the clock of confirmedAt(), if it is not the loop's.
+    /// Sets the clock of confirmedAt() and askedAt(), if it is not the loop's.
     void setClock(std::function<Duration()> clock);
     /// The rows are at least as new as this time; zero before the first answer.
     ///
     /// An answer confirms the time at which its call was sent, and one without changes the end of the wait that it
     /// asked for.
     Duration confirmedAt() const;
+    /// The same without trust in the wait: when the latest call that showed all changes was sent. An answer without
+    /// changes that the service gave before the end of the wait, and that arrives after it, misleads confirmedAt() by
+    /// up to the wait.
+    Duration askedAt() const;
     /// Starts following. @p snapshot is called with all rows, first and whenever the history was lost; @p changes with
     /// each later batch of changes.
     void start(SnapshotHandler snapshot, ChangesHandler changes);
--- a/src/libworkflow/accountlimits_test.cpp
+++ b/src/libworkflow/accountlimits_test.cpp
@@ -1,4 +1,5 @@
-// Limits of accounts: single cases, and random worlds with overlapping terms, late starts and changing limits.
+// Limits and shares of accounts: single cases, and random worlds with overlapping terms, late starts and changing
+// limits.
 #include "accountworld_pvt.h"
 #include "fescueledge/random.h"
 #include "readyworld_pvt.h"
@@ -342,3 +343,53 @@
         CHECK(run.how == RunEnd::Done);
     }
 }
+
+// Load: one of twenty accounts submits many times its rate for six seconds, more than the workers can do.
+// Guards against the others waiting behind that burst.
+TEST_CASE("a flood of one account among twenty delays its own jobs only")
+{
+    constexpr int accounts = 20;
+    constexpr Milliseconds roundTime{250};
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 10);
+    lastFor(*world, Milliseconds(500)); // 80 tasks a second in all.
+    Catalog catalog = world->catalog;
+    ++catalog.version;
+    catalog.asksForKeys = true;
+    for (int i = 0; i < accounts; ++i) {
+        account::AccountPolicy policy;
+        policy.name = "account-" + std::to_string(i);
+        policy.weight = 2;
+        catalog.accounts.emplace(policy.name, policy);
+    }
+    world->setCatalog(catalog);
+    std::map<JobId, std::pair<std::string, TimePoint>> submitted;
+    const auto submit = [&](int index) {
+        world->account = "account-" + std::to_string(index);
+        const JobId job = "000000000000" + std::to_string(1000 + submitted.size());
+        submitted[job] = {world->account, world->world.now()};
+        world->submitLater(0, job, workflowOf({simpleStep(1)}), [](const CallerAnswer &) {});
+    };
+    for (int round = 0; round < 24; ++round) {
+        for (int i = 0; i < 40; ++i) {
+            submit(0); // 160 a second at a rate of 2.
+        }
+        for (int i = round % 2; i < accounts; i += 2) {
+            submit(i); // 2 a second.
+        }
+        world->run(roundTime);
+    }
+    world->run(std::chrono::seconds(30));
+    std::map<std::string, Duration> longest;
+    for (const auto &[job, by] : submitted) {
+        const std::vector<SimWorkers::RunRecord> runs = world->workers.runsOf(job);
+        REQUIRE(runs.size() == 1);
+        longest[by.first] = std::max(longest[by.first], Duration(runs[0].began - by.second));
+    }
+    for (int i = 1; i < accounts; ++i) {
+        const std::string name = "account-" + std::to_string(i);
+        INFO(name << " " << std::chrono::duration_cast<Milliseconds>(longest[name]).count() << " ms");
+        CHECK(longest[name] <= Milliseconds(600)); // A task may have to end first.
+    }
+    // It queues behind its own work, for as long as that takes.
+    CHECK(longest["account-0"] >= std::chrono::seconds(5));
+}
--- a/src/libworkflow/collectionfollower.cpp
+++ b/src/libworkflow/collectionfollower.cpp
@@ -24,14 +24,21 @@
     RowVersion since = 0;
     std::function<Duration()> clock;
     Duration confirmedAt{0};
+    Duration askedAt{0};
     SnapshotHandler snapshot;
     ChangesHandler changes;
     std::function<void(bool)> contact;
 
+    /// Whether an answer to the watch shows all changes up to the time at which it was sent.
+    static bool isWhole(const WatchResult &result)
+    {
+        return result.available && !result.historyLost && !result.truncated;
+    }
+
     /// The time up to which an answer to the watch that was sent at @p sentAt shows all changes.
     Duration confirmedBy(const WatchResult &result, Duration sentAt) const
     {
-        if (!result.available || result.historyLost || result.truncated) {
+        if (!isWhole(result)) {
             return confirmedAt;
         }
         const bool waited = result.changes.empty() && clock() >= sentAt + wait;
@@ -88,6 +95,11 @@
     return m_state->confirmedAt;
 }
 
+Duration CollectionFollower::askedAt() const
+{
+    return m_state->askedAt;
+}
+
 void CollectionFollower::start(SnapshotHandler snapshot, ChangesHandler changes)
 {
     m_state->snapshot = std::move(snapshot);
@@ -113,6 +125,7 @@
             return;
         }
         state->confirmedAt = result.available ? sentAt : state->confirmedAt;
+        state->askedAt = result.available ? sentAt : state->askedAt;
         state->reportContact(result.available);
         if (!result.available) {
             later(state, &CollectionFollower::scan, retryDelay);
@@ -134,6 +147,7 @@
             return;
         }
         state->confirmedAt = state->confirmedBy(result, sentAt);
+        state->askedAt = State::isWhole(result) ? sentAt : state->askedAt;
         state->reportContact(result.available);
         if (!result.available) {
             later(state, &CollectionFollower::watch, retryDelay);
--- a/src/libworkflow/collectionfollower_test.cpp
+++ b/src/libworkflow/collectionfollower_test.cpp
@@ -81,3 +81,37 @@
     CHECK(follower.confirmedAt() == sentAt + Milliseconds(1000));
     world.runFor(Milliseconds(1));
 }
+
+// Guards against a revoked key that is served for longer than its bound: the wait of a watch was added to the time of
+// an answer that the service had given early and that had been under way for long.
+TEST_CASE("an answer without changes shows the rows as of its question, however late it arrives")
+{
+    SimWorld world;
+    SimLoop loop(&world);
+    MockTable table;
+    WatchableTable::WatchHandler answer;
+    ALLOW_CALL(table, scan(trompeloeil::_, trompeloeil::_)).SIDE_EFFECT(_2(emptyScan()));
+    ALLOW_CALL(table, watch(trompeloeil::_, trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .LR_SIDE_EFFECT(answer = _4);
+    CollectionFollower follower(&loop, &table, "op", Milliseconds(700));
+    CHECK(follower.askedAt() == Duration::zero());
+    world.runFor(Milliseconds(100));
+    follower.start([](const std::vector<Row> &) {}, [](const std::vector<WatchResult::Change> &) {});
+    const Duration askedAt = loop.now().time_since_epoch();
+    CHECK(follower.askedAt() == askedAt);
+    world.runFor(Milliseconds(1200));
+    WatchResult unchanged;
+    unchanged.available = true;
+    unchanged.asOf = 1;
+    answer(unchanged);
+    CHECK(follower.askedAt() == askedAt);
+
+    world.runFor(Milliseconds(100)); // The next watch has been sent.
+    const Duration nextAskedAt = askedAt + Milliseconds(1200);
+    answer(answerOf(true)); // Leaves out changes.
+    CHECK(follower.askedAt() == askedAt);
+    world.runFor(Milliseconds(100));
+    answer(answerOf(false));
+    CHECK(follower.askedAt() >= nextAskedAt);
+    CHECK(follower.askedAt() < loop.now().time_since_epoch());
+}
