Bound connections without a token at the peers' listener

A handshake may have no body, at most 128 connections may be without the token at a time, and each has as long as a node waits for it, 1 s.

--- a/src/include/fescueledge/websockettransport.h
+++ b/src/include/fescueledge/websockettransport.h
@@ -18,6 +18,8 @@
 public:
     /// Finds the address (`ip:port`) of a node; empty if unknown. Called on the loop.
     using AddressLookup = std::function<std::string(const NodeId &)>;
+    /// Called on the loop with the reason when an incoming connection is closed for a limit.
+    using RejectionHandler = std::function<void(const char *reason)>;
 
     /// Listens on @p listenAddress (`ip:port`). Peers must present @p token.
     /// @throws Error of kind InvalidSettings if the address can't be listened on.
@@ -28,6 +30,7 @@
 
     /// Sets the address lookup. Without it, only calls to the node itself succeed.
     void setAddressLookup(AddressLookup lookup);
+    void setRejectionHandler(RejectionHandler handler);
     void call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler) override;
     void setReceiver(const std::string &kind, Receiver receiver) override;
 
--- a/src/libpeer/websockettransport.cpp
+++ b/src/libpeer/websockettransport.cpp
@@ -6,8 +6,10 @@
 #include "peercalls_pvt.h"
 #include "peerframe_pvt.h"
 
+#include <algorithm>
 #include <atomic>
 #include <glog/logging.h>
+#include <list>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -30,6 +32,9 @@
 constexpr std::size_t maxMessageBytes = 32U << 20U;
 constexpr std::size_t maxQueuedFrames = 4096;
 constexpr int openTimeoutMs = 1000;
+/// Connections that have not presented the token yet. A node needs one to each other node, and opens it in
+/// milliseconds.
+constexpr std::size_t maxHandshakes = 128;
 /// The other end's network thread answers a ping within a few milliseconds, also while its loop is busy.
 constexpr int pongTimeoutMs = 500;
 
@@ -73,11 +78,21 @@
         configure(&m_client, &m_io);
         m_server.set_reuse_addr(true);
         m_client.set_open_handshake_timeout(openTimeoutMs);
+        m_server.set_open_handshake_timeout(openTimeoutMs);
+        // A body would be read into memory before the token is checked.
+        m_server.set_max_http_body_size(0);
+        m_server.set_tcp_pre_init_handler([this](const Handle &handle) {
+            addHandshake(handle);
+        });
+        m_server.set_fail_handler([this](const Handle &handle) {
+            removeHandshake(handle);
+        });
         m_server.set_validate_handler([this](const Handle &handle) {
             const WsServer::connection_ptr connection = m_server.get_con_from_hdl(handle);
             return equalSecrets(connection->get_request_header(tokenHeader), m_token);
         });
         m_server.set_open_handler([this](const Handle &handle) {
+            removeHandshake(handle);
             setNoDelay(m_server.get_con_from_hdl(handle)->get_raw_socket());
         });
         m_server.set_message_handler([this](const Handle &handle, const WsServer::message_ptr &message) {
@@ -138,6 +153,11 @@
         m_lookup = std::move(lookup);
     }
 
+    void setRejectionHandler(RejectionHandler handler)
+    {
+        m_rejected = std::move(handler);
+    }
+
     PeerCalls *calls()
     {
         return m_calls.get();
@@ -165,6 +185,37 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
     }
 
+    /// Closes the connection that has gone without presenting the token for longest if there are too many of them.
+    void addHandshake(const Handle &handle)
+    {
+        if (m_handshakes.size() >= maxHandshakes) {
+            const Handle oldest = m_handshakes.front();
+            m_handshakes.pop_front();
+            websocketpp::lib::error_code ec;
+            const WsServer::connection_ptr connection = m_server.get_con_from_hdl(oldest, ec);
+            if (connection) {
+                m_loop->post([weak = weak_from_this()] {
+                    const std::shared_ptr<Impl> self = weak.lock();
+                    if (self && self->m_rejected) {
+                        self->m_rejected("handshakes");
+                    }
+                });
+                connection->terminate(websocketpp::error::make_error_code(websocketpp::error::open_handshake_timeout));
+            }
+        }
+        m_handshakes.push_back(handle);
+    }
+
+    void removeHandshake(const Handle &handle)
+    {
+        const auto it = std::find_if(m_handshakes.begin(), m_handshakes.end(), [&handle](const Handle &known) {
+            return !known.owner_before(handle) && !handle.owner_before(known);
+        });
+        if (it != m_handshakes.end()) {
+            m_handshakes.erase(it);
+        }
+    }
+
     void callSelf(std::uint64_t id, const PeerMessage &message)
     {
         const std::shared_ptr<PeerCalls> calls = m_calls;
@@ -333,12 +384,14 @@
     std::string m_token;
     std::shared_ptr<PeerCalls> m_calls;
     AddressLookup m_lookup;
+    RejectionHandler m_rejected; ///< Used on the loop only.
 
     asio::io_context m_io;
     std::unique_ptr<Work> m_work;
     WsServer m_server;
     WsClient m_client;
     std::map<std::string, Link> m_links;
+    std::list<Handle> m_handshakes; ///< Incoming connections without a token so far, the oldest first.
     std::thread m_thread;
 };
 
@@ -359,6 +412,11 @@
     m_impl->setLookup(std::move(lookup));
 }
 
+void WebsocketTransport::setRejectionHandler(RejectionHandler handler)
+{
+    m_impl->setRejectionHandler(std::move(handler));
+}
+
 void WebsocketTransport::call(const NodeId &to, const PeerMessage &message, Milliseconds timeout, ReplyHandler handler)
 {
     m_impl->call(to, message, timeout, std::move(handler));
--- a/src/libpeer/websockettransport_test.cpp
+++ b/src/libpeer/websockettransport_test.cpp
@@ -2,11 +2,15 @@
 
 #include "fescueledge/error.h"
 #include "fescueledge/eventloop.h"
+#include "fescueledge/testing/rawclient.h"
 #include "fescueledge/testing/silencingproxy.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace fescueledge;
 
@@ -140,3 +144,34 @@
     CHECK(a.call("b", 2, longTimeout).answered);
     CHECK(proxy.accepted() == 1);
 }
+
+// Guards against clients without the token that take up descriptors until the node has none, and against nodes that
+// can't reach each other while such clients stay.
+TEST_CASE("a crowd of connections without a token is bounded, and peers still reach the node")
+{
+    constexpr int crowd = 600;
+    EchoNode a("a", 22615, "secret");
+    EchoNode b("b", 22616, "secret");
+    a.connectTo(b.address);
+    std::atomic<int> rejected{0};
+    b.loop.post([&b, &rejected] {
+        b.transport.setRejectionHandler([&rejected](const char *) {
+            ++rejected;
+        });
+    });
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < crowd; ++i) {
+        clients.push_back(std::make_unique<RawClient>(22616));
+    }
+    CHECK(a.call("b", 1, longTimeout).answered);
+    CHECK(rejected > 0);
+}
+
+// Guards against a handshake whose body is read into memory before the token is asked for.
+TEST_CASE("a handshake with a body is refused before the body has come")
+{
+    const EchoNode node("a", 22617, "secret");
+    RawClient client(22617);
+    CHECK(client.send("GET /peer HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\nx"));
+    CHECK(client.readUntil("\r\n").find(" 413 ") != std::string::npos);
+}
