Mend the limits on requests where connections close, wait or are reused

- A request that was evicted while it was checked was still handled, although its connection had been closed.
- A drain closed connections on which a body was arriving: what had come was in the parser, and the buffer was empty.
- A limit lowered below what a connection had buffered ended the process with std::length_error; a header limit of 2^32 became 0.
Changed limits were in force on new requests only, not on connections that were waiting for one.
- Memory reserved for the rest of a body was not counted.
- A refusal counted as a served request, so at the bound on connections callers that had been served were closed before a crowd that had been refused.
- Bytes after a body reset the connection without an answer; now 400.
- Expect: 100-continue is answered, so such clients don't wait for a second.
- What the kernel holds of unread answers is bounded (SO_SNDBUF).
- An answer for which there is no memory lacked Retry-After.
- The budget and the server kept each other after the loop had gone.
- The HTTP client kept connections whose response had ended with them, and lost the next call on each.

Waiting for a request, its headers and the whole request have time limits of their own.

--- a/src/include/fescueledge/asynchttpserver.h
+++ b/src/include/fescueledge/asynchttpserver.h
@@ -29,7 +29,9 @@
     {
         std::size_t headerBytes = 16384; ///< Same default as in the operators' configuration.
         std::size_t bodyBytes = 262144; ///< Same default as in the operators' configuration.
-        Milliseconds headerTimeout{15000}; ///< From starting to wait for a request until it is complete.
+        Milliseconds idleTimeout{15000}; ///< Until the first byte of a request.
+        Milliseconds headerTimeout{15000}; ///< From its first byte until its headers are complete.
+        Milliseconds messageTimeout{15000}; ///< From its first byte until it is complete.
         /// Connections at a time; beyond it, one that has not made a request for longest is closed.
         std::size_t connections = 1000;
     };
@@ -40,6 +42,8 @@
     AsyncHttpServer(const AsyncHttpServer &) = delete;
     AsyncHttpServer &operator=(const AsyncHttpServer &) = delete;
 
+    /// Sets the limits. On open connections they are in force from the next request whose headers are complete;
+    /// @c idleTimeout from the next wait on.
     void setLimits(const Limits &limits);
     const Limits &limits() const;
     /// Sets the budget that unfinished requests and their answers share with those of other listeners.
--- a/src/libhttp/asynchttpclient.cpp
+++ b/src/libhttp/asynchttpclient.cpp
@@ -258,7 +258,8 @@
     answer.status = connection->parser->get().result_int();
     answer.connection = connection->id;
     answer.body = std::move(connection->parser->get().body());
-    const bool reusable = connection->parser->get().keep_alive();
+    const bool reusable =
+        connection->parser->keep_alive(); // The message does not know that it ended with its connection.
     connection->parser.reset();
     connection->stream.expires_never();
     Handler handler;
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -14,8 +14,10 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <set>
+#include <sys/socket.h>
 #include <tuple>
 #include <utility>
 
@@ -29,6 +31,7 @@
 namespace {
 
 constexpr Milliseconds maxCallerTimeout{86'400'000}; ///< A day.
+constexpr int statusMalformed = 400;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 constexpr int statusUnavailable = 503;
@@ -40,6 +43,8 @@
 constexpr Milliseconds acceptRetryDelay{50};
 /// Bytes that the kernel may hold of a connection beside what has been read; it doubles the figure.
 constexpr int receiveBufferBytes = 16384;
+/// Bytes that the kernel may hold of answers that a client does not read; without it, some megabytes per connection.
+constexpr int sendBufferBytes = 16384;
 /// A body in chunks of one byte takes six times its length on the wire; a request that takes more is mostly overhead.
 constexpr std::uint64_t maxOverheadFactor = 8;
 /// Callers retry after this time when a request was refused for lack of memory: evictions free it at once.
@@ -59,6 +64,22 @@
     return std::clamp(Milliseconds(count), Milliseconds(0), maxCallerTimeout);
 }
 
+/// Whether @p ec says that what came is no HTTP, rather than that the connection ended.
+bool isMalformed(const beast::error_code &ec)
+{
+    return ec.category() == http::make_error_code(http::error::bad_method).category()
+        && ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+/// Sends `100 Continue` to a client that waits for it before it sends the body. False if the socket does not take it,
+/// because the client has not read earlier answers.
+bool sendContinue(tcp::socket *socket)
+{
+    static const std::string line = "HTTP/1.1 100 Continue\r\n\r\n";
+    return ::send(socket->native_handle(), line.data(), line.size(), MSG_DONTWAIT | MSG_NOSIGNAL)
+        == static_cast<ssize_t>(line.size());
+}
+
 /// The request in @p message without its body.
 HttpRequest requestOf(const http::request<http::string_body> &message)
 {
@@ -84,7 +105,17 @@
     {
     }
 
+    ~Impl()
+    {
+        for (const SessionPtr &session : m_sessions) {
+            budget->remove(session->message);
+        }
+    }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
     void listen(const std::string &address);
+    void setLimits(const Limits &newLimits);
     void accept();
     void drain();
     void close()
@@ -101,6 +132,14 @@
     bool closing = false; ///< Responses carry `Connection: close`.
 
 private:
+    /// What happens on a connection.
+    enum class Phase {
+        Receiving, ///< Waiting for a request, or reading it.
+        Handling,
+        Answering,
+        Discarding, ///< Closing, after the answer to an incomplete request.
+    };
+
     /// One client connection.
     struct Session
     {
@@ -113,16 +152,21 @@
         beast::flat_buffer buffer;
         std::optional<http::request_parser<http::string_body>> parser;
         http::response<http::string_body> response;
-        bool busy = false; ///< A request is in progress.
+        Phase phase = Phase::Receiving;
+        bool isClosed = false; ///< Operations that were in progress may still end with success.
         bool isHeaderChecked = false; ///< The header of the current request has been checked.
         std::uint64_t bytesRead = 0; ///< Of the current request.
         InputBudget::MessageId message = 0; ///< The current request in the budget; 0 if nothing of it has come.
-        bool hasServed = false; ///< A request has been answered on it.
+        TimePoint beganAt{}; ///< When the first bytes of the current request came.
+        bool hasServed = false; ///< A request has been answered on it, and it was kept.
         TimePoint servedAt{}; ///< When that was last, or when the connection was opened.
     };
     using SessionPtr = std::shared_ptr<Session>;
 
     void read(const SessionPtr &session);
+    /// Puts the limits in force on a request whose headers are not complete.
+    void applyLimits(Session *session) const;
+    void onReceived(const SessionPtr &session, const beast::error_code &ec);
     /// Checks a request of which @p n more bytes have come. Whether its rest is to be read; if not, it was answered.
     bool proceed(const SessionPtr &session, std::size_t n);
     bool acceptHeader(const SessionPtr &session);
@@ -149,6 +193,10 @@
     void linger(const SessionPtr &session, std::size_t discarded);
     void closeSession(const SessionPtr &session)
     {
+        if (session->isClosed) {
+            return;
+        }
+        session->isClosed = true;
         boost::system::error_code ec;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         session->stream.close();
@@ -172,7 +220,9 @@
     try {
         m_acceptor.open(endpoint.protocol());
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes)); // Connections inherit it.
+        // Connections inherit both.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        m_acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes));
         m_acceptor.bind(endpoint);
         m_acceptor.listen();
     } catch (const boost::system::system_error &error) {
@@ -212,8 +262,8 @@
 void AsyncHttpServer::Impl::closeLongestIdle()
 {
     const auto longest = [](const SessionPtr &a, const SessionPtr &b) {
-        return std::make_tuple(a->busy, a->hasServed, a->servedAt)
-            < std::make_tuple(b->busy, b->hasServed, b->servedAt);
+        return std::make_tuple(a->phase == Phase::Handling, a->hasServed, a->servedAt)
+            < std::make_tuple(b->phase == Phase::Handling, b->hasServed, b->servedAt);
     };
     const auto it = std::min_element(m_sessions.begin(), m_sessions.end(), longest);
     if (it != m_sessions.end()) {
@@ -222,15 +272,32 @@
     }
 }
 
+void AsyncHttpServer::Impl::setLimits(const Limits &newLimits)
+{
+    limits = newLimits;
+    for (const SessionPtr &session : m_sessions) {
+        if (session->phase == Phase::Receiving && !session->parser->is_header_done()) {
+            applyLimits(session.get());
+        }
+    }
+}
+
+void AsyncHttpServer::Impl::applyLimits(Session *session) const
+{
+    session->buffer.max_size(limits.headerBytes + maxReadBytes); // Of trailers, all have to fit into it.
+    session->parser->header_limit(static_cast<std::uint32_t>(
+        std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
+    session->parser->body_limit(limits.bodyBytes);
+}
+
 void AsyncHttpServer::Impl::read(const SessionPtr &session)
 {
+    session->phase = Phase::Receiving;
     session->parser.emplace();
     session->isHeaderChecked = false;
     session->bytesRead = 0;
-    session->buffer.max_size(limits.headerBytes + maxReadBytes); // Of trailers, all have to fit into it.
-    session->parser->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
-    session->parser->body_limit(limits.bodyBytes);
-    session->stream.expires_after(limits.headerTimeout);
+    applyLimits(session.get());
+    session->stream.expires_after(limits.idleTimeout);
     const std::shared_ptr<Impl> self = shared_from_this();
     readMessage(
         &session->stream, &session->buffer, &*session->parser,
@@ -238,20 +305,40 @@
             return self->proceed(session, n);
         },
         [self, session](const beast::error_code &ec) {
-            if (ec == http::error::body_limit) {
-                self->refuse(session, statusTooLarge, "body");
-            } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-                self->refuse(session, statusHeaderTooLarge, "header");
-            } else if (ec) {
-                self->closeSession(session);
-            } else {
-                self->dispatch(session);
-            }
+            self->onReceived(session, ec);
         });
 }
 
+void AsyncHttpServer::Impl::onReceived(const SessionPtr &session, const beast::error_code &ec)
+{
+    if (session->isClosed) {
+        return;
+    }
+    if (!ec) {
+        dispatch(session);
+    } else if (ec == http::error::body_limit) {
+        refuse(session, statusTooLarge, "body");
+    } else if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+        refuse(session, statusHeaderTooLarge, "header");
+    } else if (isMalformed(ec)) {
+        refuse(session, statusMalformed, "malformed");
+    } else {
+        if (ec == beast::error::timeout && session->message != 0) {
+            reportRejection("timeout");
+        }
+        closeSession(session);
+    }
+}
+
 bool AsyncHttpServer::Impl::proceed(const SessionPtr &session, std::size_t n)
 {
+    if (session->isClosed) {
+        return false;
+    }
+    const bool isFirst = session->message == 0;
+    if (isFirst) {
+        session->beganAt = m_loop->now();
+    }
     session->bytesRead += n;
     if (!holdInput(session)) {
         refuse(session, statusUnavailable, "memory");
@@ -261,11 +348,29 @@
         refuse(session, statusTooLarge, "overhead");
         return false;
     }
-    if (session->isHeaderChecked || !session->parser->is_header_done()) {
+    if (session->isHeaderChecked) {
+        return true;
+    }
+    if (!session->parser->is_header_done()) {
+        if (isFirst) {
+            session->stream.expires_at(session->beganAt + std::min(limits.headerTimeout, limits.messageTimeout));
+        }
         return true;
     }
     session->isHeaderChecked = true;
-    return acceptHeader(session);
+    if (!acceptHeader(session) || session->isClosed) {
+        return false;
+    }
+    if (!session->parser->is_done()) {
+        session->stream.expires_at(session->beganAt + limits.messageTimeout);
+        const http::request<http::string_body> &message = session->parser->get();
+        if (beast::iequals(message[http::field::expect], "100-continue") && !sendContinue(&session->stream.socket())) {
+            reportRejection("unread");
+            closeSession(session);
+            return false;
+        }
+    }
+    return true;
 }
 
 bool AsyncHttpServer::Impl::holdInput(const SessionPtr &session)
@@ -273,9 +378,10 @@
     const TimePoint now = m_loop->now();
     if (session->message == 0) {
         const std::weak_ptr<Session> weak = session;
-        session->message = budget->add(now, [self = shared_from_this(), weak] {
+        session->message = budget->add(now, [owner = weak_from_this(), weak] {
+            const std::shared_ptr<Impl> self = owner.lock();
             const SessionPtr evicted = weak.lock();
-            if (evicted) {
+            if (self && evicted) {
                 self->reportRejection("evicted");
                 self->closeSession(evicted);
             }
@@ -287,6 +393,10 @@
 void AsyncHttpServer::Impl::refuse(const SessionPtr &session, int status, const char *reason)
 {
     reportRejection(reason);
+    session->parser->get().body() = std::string();
+    session->buffer.clear();
+    session->buffer.shrink_to_fit();
+    releaseInput(session);
     HttpReply reply;
     reply.status = status;
     reply.retryAfter = status == statusUnavailable ? memoryRetryAfter : std::chrono::seconds(0);
@@ -314,7 +424,7 @@
     budget->pin(session->message);
     const bool keepAlive = message.keep_alive();
     session->stream.expires_never();
-    session->busy = true;
+    session->phase = Phase::Handling;
     ++inFlight;
     const std::shared_ptr<Impl> self = shared_from_this();
     const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
@@ -330,40 +440,51 @@
 
 void AsyncHttpServer::Impl::write(const SessionPtr &session, const HttpReply &reply, bool keepAlive)
 {
+    if (session->isClosed) {
+        return;
+    }
+    session->phase = Phase::Answering;
+    const bool hasMemory = reply.body.size() <= InputBudget::smallMessage
+        || budget->hold(session->message, reply.body.size(), m_loop->now());
+    const std::chrono::seconds retryAfter = hasMemory ? reply.retryAfter : memoryRetryAfter;
     session->response = {};
     session->response.version(11);
-    session->response.result(static_cast<unsigned>(reply.status));
-    if (!reply.contentType.empty()) {
-        session->response.set(http::field::content_type, reply.contentType);
-    }
-    if (reply.retryAfter.count() > 0) {
-        session->response.set(http::field::retry_after, std::to_string(reply.retryAfter.count()));
-    }
-    if (reply.body.size() > InputBudget::smallMessage
-        && !budget->hold(session->message, reply.body.size(), m_loop->now())) {
-        reportRejection("memory");
-        session->response.result(statusUnavailable);
-    } else {
+    session->response.result(static_cast<unsigned>(hasMemory ? reply.status : statusUnavailable));
+    if (hasMemory) {
+        if (!reply.contentType.empty()) {
+            session->response.set(http::field::content_type, reply.contentType);
+        }
         session->response.body() = reply.body;
+    } else {
+        reportRejection("memory");
+    }
+    if (retryAfter.count() > 0) {
+        session->response.set(http::field::retry_after, std::to_string(retryAfter.count()));
     }
     session->response.keep_alive(keepAlive && !closing);
     session->response.prepare_payload();
     session->stream.expires_after(writeTimeout);
     const std::shared_ptr<Impl> self = shared_from_this();
     http::async_write(session->stream, session->response, [self, session](const beast::error_code &ec, std::size_t) {
-        session->busy = false;
-        session->hasServed = true;
-        session->servedAt = self->m_loop->now();
+        if (session->isClosed) {
+            return;
+        }
         session->response.body() = {};
         self->releaseInput(session);
         if (!ec && session->response.keep_alive()) {
+            session->hasServed = true;
+            session->servedAt = self->m_loop->now();
             self->read(session);
-        } else if (!ec && !session->parser->is_done()) {
+        } else if (!ec && (!session->parser->is_done() || session->buffer.size() > 0)) {
             boost::system::error_code ignored;
             session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
             session->stream.expires_after(lingerTimeout);
+            session->phase = Phase::Discarding;
             self->linger(session, 0);
         } else {
+            if (ec == beast::error::timeout) {
+                self->reportRejection("unread");
+            }
             self->closeSession(session);
         }
     });
@@ -390,7 +511,7 @@
     closing = true;
     const std::set<SessionPtr> sessions = m_sessions;
     for (const SessionPtr &session : sessions) {
-        if (!session->busy && session->buffer.size() == 0) {
+        if (session->phase == Phase::Receiving && session->message == 0 && session->buffer.size() == 0) {
             closeSession(session);
         }
     }
@@ -409,7 +530,7 @@
 
 void AsyncHttpServer::setLimits(const Limits &limits)
 {
-    m_impl->limits = limits;
+    m_impl->setLimits(limits);
 }
 
 const AsyncHttpServer::Limits &AsyncHttpServer::limits() const
--- a/src/libhttp/readmessage_pvt.h
+++ b/src/libhttp/readmessage_pvt.h
@@ -20,12 +20,12 @@
 
 namespace detail {
 
-/// Room for the next read into @p buffer; 0 if it is full.
+/// Room for the next read into @p buffer; 0 if it is full. Its limit may have been lowered since it was filled.
 template<typename Buffer>
 std::size_t readSize(const Buffer &buffer)
 {
     constexpr std::size_t minReadBytes = 512;
-    const std::size_t room = buffer.max_size() - buffer.size();
+    const std::size_t room = buffer.max_size() - std::min(buffer.size(), buffer.max_size());
     return std::min({room, std::max(minReadBytes, buffer.capacity() - buffer.size()), std::size_t{maxReadBytes}});
 }
 
@@ -41,17 +41,21 @@
     return ec;
 }
 
+/// Makes room in @p buffer for what is left of the message in @p parser.
+template<typename Buffer, typename Parser>
+void reserveRest(Buffer *buffer, const Parser &parser)
+{
+    const std::uint64_t rest = parser.content_length_remaining().value_or(chunkedReadBytes);
+    const std::uint64_t wanted = std::clamp<std::uint64_t>(rest, keptBufferBytes, maxReadBytes);
+    buffer->reserve(std::min(static_cast<std::size_t>(wanted), buffer->max_size()));
+}
+
 template<typename Buffer, typename Parser, typename Proceed, typename Handler>
 void parseMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler);
 
 template<typename Buffer, typename Parser, typename Proceed, typename Handler>
 void receiveMessage(boost::beast::tcp_stream *stream, Buffer *buffer, Parser *parser, Proceed proceed, Handler handler)
 {
-    if (parser->is_header_done()) {
-        const std::uint64_t rest = parser->content_length_remaining().value_or(chunkedReadBytes);
-        const std::uint64_t wanted = std::clamp<std::uint64_t>(rest, keptBufferBytes, maxReadBytes);
-        buffer->reserve(std::min(static_cast<std::size_t>(wanted), buffer->max_size()));
-    }
     const std::size_t room = readSize(*buffer);
     if (room == 0) {
         handler(boost::beast::http::error::buffer_overflow);
@@ -78,6 +82,9 @@
     if (ec == boost::beast::http::error::need_more) {
         ec = {};
     }
+    if (!ec && parser->is_header_done() && !parser->is_done()) {
+        reserveRest(buffer, *parser); // Before the check, so that it takes this memory into account.
+    }
     if (!ec && !proceed(n)) {
         return;
     }
