--- a/src/include/fescueledge/workflow/catalog.h
+++ b/src/include/fescueledge/workflow/catalog.h
@@ -53,8 +53,11 @@
     /// Accounts that are left out because their entry is invalid, with what is wrong. The name may be missing.
     std::vector<std::pair<std::string, std::string>> invalidAccounts;
     std::set<DataCentreId> evacuated; ///< Data centres whose workers get no new tasks.
-    std::size_t maxBodyBytes = 262144;
+    std::size_t maxBodyBytes = 262144; ///< Of a caller's request.
     std::size_t maxHeaderBytes = 16384;
+    Milliseconds headerTimeout{15000}; ///< From the first byte of a caller's request until its headers are complete.
+    Milliseconds idleTimeout{15000}; ///< How long a caller's connection stays open without a request.
+    std::vector<std::string> invalidLimits; ///< Limits that are not in force as configured, with what is.
 
     /// The queue for a request to @p host with @p path: the longest matching prefix; nullptr if none matches.
     const QueuePolicy *match(const std::string &host, const std::string &path) const;
