--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -348,7 +348,28 @@
     CHECK(has(client.readUntil("bytes:"), "HTTP/1.1 200 "));
 }
 
-// Guards against the reserved connection of an ordinary caller being closed in favour of connections whose requests
+// Guards against a request that occupies a connection and the processor with extensions of chunks: no limit on the body
+// counts them.
+TEST_CASE("a request that is mostly overhead of chunks is refused")
+{
+    ServerThread node;
+    AsyncHttpServer::Limits limits;
+    limits.bodyBytes = 1000;
+    limits.headerBytes = 2000;
+    node.server.setLimits(limits);
+    node.start();
+    RawClient client(port);
+    REQUIRE(client.send(post("/", "Transfer-Encoding: chunked")));
+    for (int i = 0; i < 100; ++i) {
+        client.send("1;" + std::string(1000, 'e') + "\r\nx\r\n");
+    }
+    client.send("0\r\n\r\n");
+    CHECK(has(client.readUntil("\r\n\r\n"), "HTTP/1.1 413 "));
+    CHECK(node.hasRejected("overhead"));
+    CHECK(node.handled == 0);
+}
+
+// Guards against the connection of an ordinary caller being closed in favour of connections whose requests
 // were refused, because a refusal counted as a served request.
 TEST_CASE("at the bound on connections refused ones are closed before one that has been served")
 {
