Add explain place: where a job would go now, and why

Operators could only see from logs, after the fact, why a job waits. The coordinator now answers a read-only question with the verdicts, forecasts and limits that starts are decided with; other nodes ask it (peer message explain-place), and the metrics listener offers it as POST /explain/place. fescueledge explain place prints the answer as tables or JSON.

--- a/src/fescueledge/arguments.cpp
+++ b/src/fescueledge/arguments.cpp
@@ -60,6 +60,9 @@
         {"memory", "SIZE", false, "memory of each task, such as 512MB"},
         {"accelerators", "N", false, "accelerators of each task"},
         {"payload", "TEXT", false, "description of the work, passed to the worker"},
+        {"host", "NAME", false, "host that callers send the job to"},
+        {"path", "PATH", false, "path that callers send the job to"},
+        {"account", "NAME", false, "client account of the job; default: none"},
         {"markdown", nullptr, false, "print Markdown tables"},
     };
     return specs;
--- a/src/fescueledge/cli_test.cpp
+++ b/src/fescueledge/cli_test.cpp
@@ -113,6 +113,7 @@
         writeFile("cli_test.token", "0123456789abcdef\n");
         writeFile("cli_test_routes.ini", routes);
         writeFile("cli_test_pools.ini", newPools);
+        writeFile("cli_test_job.json", R"({"steps":[{"count":2,"cpu":500}]})");
     }
 
     ExitCode run(const std::vector<std::string> &words)
@@ -191,6 +192,10 @@
         {"datacentre", "out", "east"},
         {"datacentre", "out", "--why", "no name"},
         {"explain", "task", "no-index"},
+        {"explain", "place", "cli_test_job.json", "--host", "desk.example"},
+        {"explain", "place", "cli_test_job.json", "--path", "/orders/"},
+        {"explain", "place", "missing.json", "--host", "desk.example", "--path", "/orders/"},
+        {"explain", "place", "cli_test_routes.ini", "--host", "desk.example", "--path", "/orders/"},
         {"settings", "unknown"},
         {"jobs", "submit", "--cores", "many"},
     };
@@ -509,3 +514,60 @@
           == "version 8, 2026-01-02T03:04:05Z, asha: more (change c1)\n"
              "  ~ pool p: slots: 8 -> 9\n  - data-centre west: in\n");
 }
+
+namespace {
+
+const nlohmann::json place = nlohmann::json::parse(R"({"term":3,"queue":"orders","look_ahead":true,"sends_orders":true,
+    "account":{"name":"acme","limit":{"milli_cores":2000},"used":{"milli_cores":2000},"unknown":{},"share":0.5},
+    "waiting":{"steps":1,"tasks":4},
+    "reservations":{"count":1,"workers":[{"worker":"w7","long_running":false,"free":{"milli_cores":500},
+        "need":{"milli_cores":4000},"expected_start_ms":1200}]},
+    "steps":[{"step":0,"tasks":2,"per_task":{"milli_cores":500},"expected_work_ms":100,"outcome":"account_limit",
+        "room_for_tasks":2,"expected_start_ms":800,"workers":{"fits":1,"held":1},
+        "candidates":[{"worker":"w3","data_centre":"dc-a","rack":"r1","cost":0.25,"free":{"milli_cores":3500}}]}],
+    "steps_left_out":0})");
+
+const std::vector<std::string> placeWords{"explain", "place",    "cli_test_job.json", "--host", "desk.example",
+                                          "--path",  "/orders/", "--account",         "acme"};
+
+} // namespace
+
+TEST_CASE_METHOD(CliFixture, "explain place posts the job without a token and prints what decides on its place")
+{
+    variables.erase("FESCUELEDGE_TOKEN_FILE");
+    {
+        REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+            .WITH(_2.method == "POST" && _2.path == "/explain/place")
+            .RETURN(recordPost(_2, answered(200, place)));
+        CHECK(run(placeWords) == ExitCode::Ok);
+    }
+    CHECK(posted
+          == nlohmann::json{{"host", "desk.example"},
+                            {"path", "/orders/"},
+                            {"account", "acme"},
+                            {"job", {{"steps", {{{"count", 2}, {"cpu", 500}}}}}}});
+    for (const char *part : {"account: acme", "account_limit", "fits=1 held=1", "w3", "w7", "800", "1200"}) {
+        CHECK_THAT(out.str(), Catch::Contains(part));
+    }
+    out.str("");
+    std::vector<std::string> words = placeWords;
+    words.emplace_back("--json");
+    REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(answered(200, place));
+    CHECK(run(words) == ExitCode::Ok);
+    CHECK(nlohmann::json::parse(out.str()) == place);
+}
+
+TEST_CASE_METHOD(CliFixture, "explain place reports refusals, other listeners and unreachable nodes by its exit code")
+{
+    const std::vector<std::pair<ApiResponse, ExitCode>> cases{
+        {answered(404, errorBody("not found", "not run")), ExitCode::Refused},
+        {answered(503, errorBody("unavailable", "not run")), ExitCode::Refused},
+        {answered(200, {{"version", 1}}), ExitCode::Refused},
+        {{ApiResponse::Delivery::Answered, 200, "# HELP metrics"}, ExitCode::Unreachable},
+        {notSent(), ExitCode::Unreachable},
+        {lost(), ExitCode::Unreachable}};
+    for (const auto &[response, code] : cases) {
+        REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(response);
+        CHECK(run(placeWords) == code);
+    }
+}
--- a/src/fescueledge/commands.cpp
+++ b/src/fescueledge/commands.cpp
@@ -78,22 +78,38 @@
 
 Commands::~Commands() = default;
 
-OperatorClient &Commands::client()
+std::vector<std::string> Commands::nodes() const
 {
-    if (m_client) {
-        return *m_client;
-    }
     std::vector<std::string> nodes = parseNodes(m_arguments.value("node", m_environment.variable("FESCUELEDGE_NODES")));
-    std::string tokenFile = m_arguments.value("token-file", m_environment.variable("FESCUELEDGE_TOKEN_FILE"));
     if (nodes.empty()) {
         throw CommandFailure(ExitCode::Usage, "no node: give --node IP:PORT or set FESCUELEDGE_NODES");
     }
+    return nodes;
+}
+
+OperatorClient &Commands::connect(const std::vector<std::string> &nodes, const std::string &token)
+{
+    m_transport = m_environment.makeTransport(token);
+    m_client = std::make_unique<OperatorClient>(*m_transport, m_environment.clock, nodes, commandTimeout(m_arguments));
+    return *m_client;
+}
+
+OperatorClient &Commands::client()
+{
+    if (m_client) {
+        return *m_client;
+    }
+    const std::vector<std::string> reachable = nodes();
+    const std::string tokenFile = m_arguments.value("token-file", m_environment.variable("FESCUELEDGE_TOKEN_FILE"));
     if (tokenFile.empty()) {
         throw CommandFailure(ExitCode::Usage, "no token: give --token-file FILE or set FESCUELEDGE_TOKEN_FILE");
     }
-    m_transport = m_environment.makeTransport(readTokenFile(tokenFile));
-    m_client = std::make_unique<OperatorClient>(*m_transport, m_environment.clock, nodes, commandTimeout(m_arguments));
-    return *m_client;
+    return connect(reachable, readTokenFile(tokenFile));
+}
+
+OperatorClient &Commands::clientWithoutToken()
+{
+    return m_client ? *m_client : connect(nodes(), std::string());
 }
 
 std::string Commands::operatorName() const
--- a/src/fescueledge/commands_pvt.h
+++ b/src/fescueledge/commands_pvt.h
@@ -58,6 +58,7 @@
     ExitCode explainTask();
     ExitCode explainRequest();
     ExitCode explainLog();
+    ExitCode explainPlace();
     ExitCode audit();
     ExitCode settings();
 
@@ -67,6 +68,11 @@
     /// The client for the nodes given on the command line or in the environment.
     /// @throws CommandFailure with Usage if there is no node or no token.
     OperatorClient &client();
+    /// The same for listeners that ask for no token.
+    OperatorClient &clientWithoutToken();
+    OperatorClient &connect(const std::vector<std::string> &nodes, const std::string &token);
+    /// @throws CommandFailure with Usage if there is none.
+    std::vector<std::string> nodes() const;
     /// Name of the operator who makes a change.
     /// @throws CommandFailure with Usage if neither --who nor the environment gives one.
     std::string operatorName() const;
--- a/src/include/fescueledge/workflow/workflownode.h
+++ b/src/include/fescueledge/workflow/workflownode.h
@@ -75,6 +75,7 @@
     CallerOutcome outcome = CallerOutcome::Unavailable;
     std::string detail; ///< Reason, for people.
     std::string state; ///< For a job: `queued`, `in_progress`, `complete`, `failed` or `cancelled`.
+    std::string explanation; ///< For a question where a job would go: what is known, as JSON.
     std::size_t pending = 0; ///< For a queue: number of queued jobs that run once.
     std::chrono::seconds retryAfter{0}; ///< Delay after which a rejected caller should retry.
 };
@@ -114,6 +115,10 @@
     /// stored: this is kept for CoordinatorSettings::statusRetention.
     void cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     void pending(const QueuePolicy &queue, const AnswerHandler &handler);
+    /// Asks the coordinator where the tasks of a job of @p spec would go if it were submitted to @p queue for
+    /// @p account now, and why. Nothing is submitted.
+    void explainPlace(const QueuePolicy &queue, const std::string &account, const WorkflowSpec &spec,
+                      const AnswerHandler &handler);
 
 private:
     class Impl;
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -181,7 +181,9 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.ready = value.text;
          }},
-        {{"metrics", ValueType::Address, false, "", 0, 0, "Listener for `/metrics`; none without it."},
+        {{"metrics", ValueType::Address, false, "", 0, 0,
+          "Listener for `/metrics` and `POST /explain/place`; none without it. Callers must not reach it: it asks for "
+          "no key."},
          [](WorkflowSettings &target, const SettingValue &value) {
              target.metrics = value.text;
          }},
--- a/src/libworkflow/accountgate_pvt.h
+++ b/src/libworkflow/accountgate_pvt.h
@@ -22,6 +22,11 @@
     bool mayStart(const Step &step, std::uint32_t tasks) const;
     /// The limit of the account of @p job; nothing is limited if it has none.
     Resources limitOf(const Job &job) const;
+    /// Capacity of the workers on which it isn't known what runs; it counts for each account.
+    const Resources &unknown() const
+    {
+        return m_unknown;
+    }
     /// The weighted share of all workers that the account of @p job uses.
     double shareOf(const Job &job) const;
 
--- a/src/libworkflow/context.cpp
+++ b/src/libworkflow/context.cpp
@@ -26,4 +26,16 @@
                                    step.ends);
 }
 
+TimePoint Context::roomFreeAt(const Worker &worker, const Resources &need) const
+{
+    std::vector<reserve::ExpectedEnd> ends;
+    for (const Task *task : worker.tasks) {
+        if (!task->step->spec->longRunning) {
+            ends.push_back(reserve::ExpectedEnd{FleetTable::reservedBy(*task->step->spec), expectedEnd(*task)});
+        }
+    }
+    return reserve::roomFreeAt(worker.entry.capacity - worker.used, need, std::move(ends), now())
+        .value_or(TimePoint::max());
+}
+
 } // namespace fescueledge::workflow
--- a/src/libworkflow/context_pvt.h
+++ b/src/libworkflow/context_pvt.h
@@ -67,6 +67,8 @@
     }
     /// When @p task is expected to end on its worker.
     TimePoint expectedEnd(const Task &task) const;
+    /// When @p need is expected to fit on @p worker; the latest time there is if it isn't expected to.
+    TimePoint roomFreeAt(const Worker &worker, const Resources &need) const;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordinator_pvt.h"
 
 #include "jobrow_pvt.h"
+#include "placequery_pvt.h"
 #include "rows_pvt.h"
 #include "workerrecord_pvt.h"
 
@@ -676,6 +677,20 @@
     return job == nullptr ? JobOwner{} : JobOwner{job->account, job->policy.name};
 }
 
+std::string Coordinator::explainPlace(const std::string &queue, const std::string &account, const WorkflowSpec &spec)
+{
+    const QueuePolicy *policy = m_context->catalog == nullptr ? nullptr : m_context->catalog->queue(queue);
+    if (!m_jobsLoaded || policy == nullptr) {
+        return std::string();
+    }
+    m_placement.dropStale();
+    m_dispatch.updateAccounts();
+    // Names come from outside and need not be UTF-8.
+    return PlaceQuery(m_context, &m_placement, &m_dispatch.accounts())
+        .explain(*policy, account, spec)
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 bool Coordinator::isEnding(const JobId &id) const
 {
     const Job *job = m_context->jobs.find(id);
--- a/src/libworkflow/coordinator_pvt.h
+++ b/src/libworkflow/coordinator_pvt.h
@@ -52,6 +52,9 @@
     bool isEnding(const JobId &id) const;
     /// Number of pending jobs of @p queue; empty until all accepted jobs are loaded.
     std::optional<std::size_t> pending(const std::string &queue) const;
+    /// Where the tasks of a job of @p spec would go now, as JSON; empty until all accepted jobs are loaded, or if there
+    /// is no queue @p queue. See PlaceQuery.
+    std::string explainPlace(const std::string &queue, const std::string &account, const WorkflowSpec &spec);
     void setCatalog(const Catalog *catalog);
     /// Handles the notice of an accepted job, sent by the node that accepted it so that the job doesn't wait for the
     /// watch. Its row is @p value at @p version.
--- a/src/libworkflow/dispatchsystem_pvt.h
+++ b/src/libworkflow/dispatchsystem_pvt.h
@@ -27,6 +27,11 @@
     bool run(std::uint64_t maxStarts);
     /// Whether tasks of @p step may be started now, provided that a worker fits.
     static bool mayStart(const Step &step, bool earlierRunsKnown);
+    /// Brings the limits of accounts up to date between runs.
+    void updateAccounts()
+    {
+        m_accounts.update();
+    }
     /// The limits of accounts, as of the last run.
     const AccountGate &accounts() const
     {
--- a/src/libworkflow/reservations.cpp
+++ b/src/libworkflow/reservations.cpp
@@ -29,8 +29,7 @@
 constexpr Milliseconds searchValidity{500};
 constexpr Milliseconds searchInterval{500};
 constexpr Milliseconds forecastInterval{200};
-/// These bound what searches cost, however large the fleet is and however much waits: a look at a worker takes a
-/// quarter of a microsecond, so all searches of a second take a twelfth of a millisecond.
+/// These bound what searches cost, however large the fleet is and however much waits: 256 verdicts a second.
 constexpr int searchesPerUpdate = 4;
 constexpr int workersPerSearch = 32;
 /// A step gets at most this many workers at a time, so that others get some too.
@@ -189,7 +188,7 @@
                 displaceOne();
             }
             reserve(worker, *step,
-                    m_context->settings.lookAhead ? roomFreeAt(*worker, FleetTable::reservedBy(*step->spec))
+                    m_context->settings.lookAhead ? m_context->roomFreeAt(*worker, FleetTable::reservedBy(*step->spec))
                                                   : TimePoint::max());
         }
     }
@@ -344,7 +343,7 @@
         if (worker == nullptr || worker->heldForStep != reserved.step) {
             continue;
         }
-        const TimePoint startsAt = roomFreeAt(*worker, reserved.need);
+        const TimePoint startsAt = m_context->roomFreeAt(*worker, reserved.need);
         if (startsAt == TimePoint::max()) {
             worker->reservation.reset(); // No time is known until which others might work there.
             continue;
@@ -395,19 +394,6 @@
     m_context->log->write(line);
 }
 
-TimePoint Reservations::roomFreeAt(const Worker &worker, const Resources &need) const
-{
-    std::vector<reserve::ExpectedEnd> ends;
-    for (const Task *task : worker.tasks) {
-        if (!task->step->spec->longRunning) {
-            ends.push_back(
-                reserve::ExpectedEnd{FleetTable::reservedBy(*task->step->spec), m_context->expectedEnd(*task)});
-        }
-    }
-    return reserve::roomFreeAt(worker.entry.capacity - worker.used, need, std::move(ends), m_context->now())
-        .value_or(TimePoint::max());
-}
-
 void Reservations::findRoom()
 {
     m_rooms.clear();
@@ -458,7 +444,7 @@
             break;
         }
         if (m_placement->verdict(*room.worker, step) == PlaceVerdict::Room) {
-            const TimePoint freeAt = roomFreeAt(*room.worker, need);
+            const TimePoint freeAt = m_context->roomFreeAt(*room.worker, need);
             if (freeAt <= latest) {
                 found.emplace_back(freeAt, room.worker);
             }
--- a/src/libworkflow/reservations_pvt.h
+++ b/src/libworkflow/reservations_pvt.h
@@ -87,8 +87,6 @@
     Worker *leastUsedWorker(const Step &step) const;
     /// Some workers where room for a task of @p step is expected soon, the earliest first.
     std::vector<std::pair<TimePoint, Worker *>> earliestWorkers(const Step &step) const;
-    /// When @p need is expected to fit on @p worker; the latest time there is if it isn't expected to.
-    TimePoint roomFreeAt(const Worker &worker, const Resources &need) const;
 
     std::shared_ptr<Context> m_context;
     const Placement *m_placement;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -29,6 +29,8 @@
 constexpr Milliseconds storeBackoff{150};
 /// Timeout of calls to the coordinator; after that the store is read.
 constexpr Milliseconds peerTimeout{300};
+/// An operator waits for an explanation, which takes a coordinator on a small part of a core longer than a state.
+constexpr Milliseconds explanationTimeout{2000};
 /// A coordinator whose term the store has confirmed within this time tells states from its tables. A replaced one is
 /// silent for longer before another takes over and ends a job.
 constexpr Milliseconds statusFreshness{300};
@@ -61,6 +63,8 @@
     void status(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     void cancel(const JobId &id, const Caller &caller, const AnswerHandler &handler);
     void pending(const QueuePolicy &queue, const AnswerHandler &handler);
+    void explainPlace(const QueuePolicy &queue, const std::string &account, const WorkflowSpec &spec,
+                      const AnswerHandler &handler);
 
     Election &election()
     {
@@ -85,6 +89,8 @@
 
     void setReceivers();
     void onAcceptedNotice(const json &body);
+    /// The coordinator's answer to question @p body of another node; empty if it can't be read, or not answered yet.
+    std::string onPlaceQuestion(const json &body);
     void onJobWritten(const std::shared_ptr<Submission> &submission, const CommitResult &result);
     /// Answers a submission that the store refused because of a row that is there already: the job, or its
     /// cancellation.
@@ -190,6 +196,15 @@
             }
             respond(PeerMessage{"queue-pending", body});
         });
+    m_parts.peers->setReceiver(
+        "explain-place", [weak](const NodeId &, const PeerMessage &message, const PeerTransport::Responder &respond) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            json body = json::object();
+            if (self && self->m_election.localCoordinator() != nullptr) {
+                body["explanation"] = self->onPlaceQuestion(message.body);
+            }
+            respond(PeerMessage{"explain-place", body});
+        });
 }
 
 bool WorkflowNode::Impl::isStoreUnavailable() const
@@ -451,6 +466,57 @@
                         });
 }
 
+std::string WorkflowNode::Impl::onPlaceQuestion(const json &body)
+{
+    try {
+        const WorkflowSpec spec = body.at("spec").get<WorkflowSpec>();
+        validate(spec);
+        return m_election.localCoordinator()->explainPlace(body.at("queue").get<std::string>(),
+                                                           body.at("account").get<std::string>(), spec);
+    } catch (const json::exception &error) {
+        m_parts.log->write(LogLine("place_question_invalid").with("detail", error.what()));
+    } catch (const Error &error) {
+        m_parts.log->write(LogLine("place_question_invalid").with("detail", error.what()));
+    }
+    return std::string();
+}
+
+void WorkflowNode::Impl::explainPlace(const QueuePolicy &queue, const std::string &account, const WorkflowSpec &spec,
+                                      const AnswerHandler &handler)
+{
+    WorkflowSpec question = spec;
+    question.payload.clear(); // It is no matter for the place.
+    try {
+        validate(question);
+    } catch (const Error &error) {
+        handler(outcomeAnswer(CallerOutcome::Invalid, error.what()));
+        return;
+    }
+    const auto answer = [handler](const std::string &explanation) {
+        if (explanation.empty()) {
+            handler(unavailable("the coordinator does not answer, or has not read all jobs yet"));
+            return;
+        }
+        CallerAnswer out = outcomeAnswer(CallerOutcome::Ok);
+        out.explanation = explanation;
+        handler(out);
+    };
+    if (m_election.localCoordinator() != nullptr) {
+        answer(m_election.localCoordinator()->explainPlace(queue.name, account, question));
+        return;
+    }
+    if (m_election.coordinator().empty()) {
+        answer(std::string());
+        return;
+    }
+    m_parts.peers->call(
+        m_election.coordinator(),
+        PeerMessage{"explain-place", json{{"queue", queue.name}, {"account", account}, {"spec", question}}},
+        explanationTimeout, [answer](const PeerResult &result) {
+            answer(result.answered ? result.reply.body.value("explanation", std::string()) : std::string());
+        });
+}
+
 WorkflowNode::WorkflowNode(const NodeDependencies &parts, const WorkflowNodeIdentity &self,
                            const CoordinatorSettings &settings)
     : m_impl(std::make_shared<Impl>(parts, self, settings))
@@ -518,4 +584,10 @@
     m_impl->pending(queue, handler);
 }
 
+void WorkflowNode::explainPlace(const QueuePolicy &queue, const std::string &account, const WorkflowSpec &spec,
+                                const AnswerHandler &handler)
+{
+    m_impl->explainPlace(queue, account, spec, handler);
+}
+
 } // namespace fescueledge::workflow
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -695,6 +695,14 @@
     });
 }
 
+CallerAnswer WorkflowWorld::explainPlace(int index, const WorkflowSpec &spec, const std::string &queue)
+{
+    const QueuePolicy policy = *catalog.queue(queue);
+    return ask(index, [&](WorkflowNode *node, const WorkflowNode::AnswerHandler &handler) {
+        node->explainPlace(policy, account, spec, handler);
+    });
+}
+
 std::string WorkflowWorld::state(int index, const JobId &id)
 {
     return ask(index,
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -103,6 +103,8 @@
     /// The state of job @p id that node @p index reports; empty if it reports none.
     std::string state(int index, const JobId &id);
     std::optional<std::size_t> pending(int index, const std::string &queue);
+    /// What node @p index tells of where a job of @p spec would go.
+    CallerAnswer explainPlace(int index, const WorkflowSpec &spec, const std::string &queue = "batch");
     /// Restarts node @p index without a catalog, until setCatalog().
     void restartWithoutCatalog(int index);
     /// Sets the catalog on all nodes.
