Refuse submissions at once while the store answers no call

StoreMonitor reads a row at short intervals while there is a sign of silence: a write or a watch that is not answered, or a report of another node in a ping or pong. So callers no longer have to find out. Submissions are refused before anything is written, and accepted again with the first answer. Nodes report a silent store in the pings of the coordinator and its answers.

--- a/src/include/fescueledge/testing/faketableservice.h
+++ b/src/include/fescueledge/testing/faketableservice.h
@@ -17,6 +17,7 @@
     struct Faults
     {
         bool down = false; ///< No call is answered; commits end as Unknown or Unavailable after the timeout.
+        bool refuses = false; ///< Connections are refused: no call takes effect, and each ends at once.
         bool watchesSilent = false; ///< Watches end without an answer after their wait; all other calls work.
         double loseRequest = 0; ///< Probability that a commit is lost before it takes effect.
         double loseAnswer = 0; ///< Probability that the answer to a commit that took effect is lost.
--- a/src/libtesting/faketableservice.cpp
+++ b/src/libtesting/faketableservice.cpp
@@ -50,6 +50,12 @@
                                   const ReadHandler &handler)
 {
     Loop *loop = m_loop;
+    if (faults.refuses) {
+        loop->postAfter(faults.latency, [handler] {
+            handler(ReadResult());
+        });
+        return;
+    }
     if (faults.down) {
         loop->postAfter(faults.timeout, [handler] {
             handler(ReadResult());
@@ -70,6 +76,12 @@
 {
     Loop *loop = m_loop;
     const Milliseconds timeout = faults.timeout;
+    if (faults.refuses) {
+        loop->postAfter(faults.latency, [handler] {
+            handler(CommitResult{CommitStatus::Unavailable, 0});
+        });
+        return;
+    }
     if (faults.down || m_random.chance(faults.loseRequest)) {
         loop->postAfter(timeout, [handler] {
             handler(CommitResult{CommitStatus::Unknown, 0});
@@ -110,8 +122,8 @@
 void FakeTableService::pollChanges(const std::string &collection, RowVersion since, TimePoint until,
                                    const WatchHandler &handler)
 {
-    if (faults.down) {
-        m_loop->postAfter(faults.timeout, [handler] {
+    if (faults.down || faults.refuses) {
+        m_loop->postAfter(faults.refuses ? faults.latency : faults.timeout, [handler] {
             handler(WatchResult());
         });
         return;
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -2,6 +2,7 @@
 
 #include "fescueledge/workflow/catalogsource.h"
 #include "rows_pvt.h"
+#include "storemonitor_pvt.h"
 
 #include <algorithm>
 #include <cmath>
@@ -52,10 +53,12 @@
 
 } // namespace
 
-Election::Election(NodeDependencies parts, WorkflowNodeIdentity self, CoordinatorSettings settings)
+Election::Election(NodeDependencies parts, WorkflowNodeIdentity self, CoordinatorSettings settings,
+                   std::shared_ptr<StoreMonitor> store)
     : m_parts(std::move(parts))
     , m_self(std::move(self))
     , m_settings(settings)
+    , m_store(std::move(store))
     , m_resolver(m_parts.loop, m_parts.table)
     , m_random(m_self.seed)
     , m_alive(std::make_shared<bool>(true))
@@ -86,6 +89,7 @@
 void Election::close()
 {
     *m_alive = false;
+    m_store->close();
     m_localCoordinator.reset();
     m_memberFollower.reset();
 }
@@ -116,6 +120,14 @@
     m_coordinatorSeenAt = m_parts.loop->now();
     registerSelf();
     m_memberFollower = std::make_unique<CollectionFollower>(m_parts.loop, m_parts.table, "node", memberWatchTimeout);
+    m_memberFollower->setContactHandler([this](bool answered) {
+        if (answered) {
+            m_store->recordAnswer();
+            m_store->recordAnswer();
+        } else {
+            m_store->recordLostWatch();
+        }
+    });
     m_memberFollower->start(
         [this](const std::vector<Row> &rows) {
             applyMemberRows(rows);
@@ -313,6 +325,9 @@
     if (m_coordinatorStamp != Milliseconds::zero()) {
         body["answers_ms"] = m_coordinatorStamp.count();
     }
+    if (m_store->isSilent()) {
+        body["store_silent"] = 1;
+    }
     m_parts.peers->call(m_coordinator, PeerMessage{"coordinator-ping", body}, pingTimeout(),
                         [this, alive](const PeerResult &result) {
                             if (*alive && !m_localCoordinator) {
@@ -327,6 +342,7 @@
         return;
     }
     const json &body = result.reply.body;
+    m_store->recordReport(m_coordinator, body.value("store_silent", 0));
     const Term term = body.value("term", Term{0});
     if (term > m_term && body.contains("node")) {
         adoptCoordinator(
@@ -355,6 +371,7 @@
         adoptCoordinator(
             CoordinatorRow{theirTerm, body.value("node", std::string()), body.value("address", std::string()), false});
     }
+    m_store->recordReport(from, body.value("store_silent", 0));
     if (m_localCoordinator) {
         if (theirTerm == m_term) {
             // The ping may have been on its way for long, but not since before the pong that it answers.
@@ -366,6 +383,10 @@
     reply["now_ms"] = std::chrono::duration_cast<Milliseconds>(m_parts.sinceBoot()).count();
     reply["leads"] = m_localCoordinator != nullptr;
     reply["store"] = isStoreResponsive();
+    const int silentNodes = m_store->silentNodes(from);
+    if (silentNodes > 0) {
+        reply["store_silent"] = silentNodes;
+    }
     return PeerMessage{"coordinator-pong", reply};
 }
 
--- a/src/libworkflow/election_pvt.h
+++ b/src/libworkflow/election_pvt.h
@@ -13,6 +13,8 @@
 
 namespace fescueledge::workflow {
 
+class StoreMonitor;
+
 /// Elects the coordinator through the store, and monitors it.
 ///
 /// The coordinator's row names the node of the newest term; a term begins with a conditional write of that row. A false
@@ -20,7 +22,9 @@
 class Election
 {
 public:
-    Election(NodeDependencies parts, WorkflowNodeIdentity self, CoordinatorSettings settings);
+    /// @p store is told of the answers of the store, and of what other nodes report of it.
+    Election(NodeDependencies parts, WorkflowNodeIdentity self, CoordinatorSettings settings,
+             std::shared_ptr<StoreMonitor> store);
     ~Election();
     Election(const Election &) = delete;
     Election &operator=(const Election &) = delete;
@@ -116,6 +120,7 @@
     NodeDependencies m_parts;
     WorkflowNodeIdentity m_self;
     CoordinatorSettings m_settings;
+    std::shared_ptr<StoreMonitor> m_store;
     CommitResolver m_resolver;
     Random m_random;
     std::shared_ptr<bool> m_alive;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -3,12 +3,14 @@
 #include "election_pvt.h"
 #include "fescueledge/error.h"
 #include "fescueledge/eventlog.h"
+#include "fescueledge/load/retryadvice.h"
 #include "fescueledge/peertransport.h"
 #include "fescueledge/workflow/catalogsource.h"
 #include "frontanswers_pvt.h"
 #include "jobcanceller_pvt.h"
 #include "jobrow_pvt.h"
 #include "rows_pvt.h"
+#include "storemonitor_pvt.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -52,7 +54,9 @@
         : m_parts(parts)
         , m_resolver(m_parts.loop, m_parts.table)
         , m_random(self.seed + 1)
-        , m_election(parts, self, settings)
+        , m_store(std::make_shared<StoreMonitor>(parts.loop, parts.table, parts.log))
+        , m_retryAdvice(self.seed + 3)
+        , m_election(parts, self, settings, m_store)
         , m_canceller(std::make_shared<JobCanceller>(parts, settings.statusRetention, self.seed + 2))
     {
     }
@@ -103,12 +107,18 @@
     void statusFromStore(const JobId &id, const std::string &otherwise, const Caller &caller,
                          const AnswerHandler &handler);
     void logSubmission(const Submission &submission, const char *outcome);
-    void recordCommit(std::uint64_t submission, CommitStatus status);
+    void recordCommit(const Submission &submission, CommitStatus status);
+    /// Ends with the first answer of a store that was silent.
+    void endDoubt();
+    /// The answer to @p caller, none of whose request was or will be carried out.
+    CallerAnswer refusal(const Caller &caller, const std::string &detail);
     bool isStoreUnavailable() const;
 
     NodeDependencies m_parts;
     CommitResolver m_resolver;
     Random m_random;
+    std::shared_ptr<StoreMonitor> m_store; ///< Shared with its pending calls.
+    load::RetryAdvice m_retryAdvice;
     Election m_election;
     TimePoint m_storeBackoffUntil{};
     TimePoint m_writeAnsweredAt{}; ///< Last answer to a write.
@@ -122,6 +132,12 @@
 {
     setReceivers();
     const std::weak_ptr<Impl> weak = shared_from_this();
+    m_store->answersAgain = [weak] {
+        const std::shared_ptr<Impl> self = weak.lock();
+        if (self) {
+            self->endDoubt();
+        }
+    };
     m_canceller->cancelled = [weak](const JobId &id) {
         const std::shared_ptr<Impl> self = weak.lock();
         if (self) {
@@ -210,7 +226,7 @@
 bool WorkflowNode::Impl::isStoreUnavailable() const
 {
     const TimePoint now = m_parts.loop->now();
-    if (now < m_storeBackoffUntil) {
+    if (m_store->isSilent() || now < m_storeBackoffUntil) {
         return true;
     }
     if (m_submissions.empty()) {
@@ -221,10 +237,30 @@
     return m_storeInDoubt || now > std::max(m_submissions.begin()->second, m_writeAnsweredAt) + writeAnswerTimeout;
 }
 
-void WorkflowNode::Impl::recordCommit(std::uint64_t submission, CommitStatus status)
+void WorkflowNode::Impl::endDoubt()
 {
-    m_submissions.erase(submission);
+    m_storeBackoffUntil = TimePoint{};
+    m_storeInDoubt = false;
+    // Writes that were sent into the silence say nothing about those that are sent now.
+    m_writeAnsweredAt = m_parts.loop->now();
+}
+
+CallerAnswer WorkflowNode::Impl::refusal(const Caller &caller, const std::string &detail)
+{
+    CallerAnswer answer = unavailable(detail);
+    answer.retryAfter = m_retryAdvice.delayFor(m_store->unansweredFor(), caller.timeout, m_parts.loop->now());
+    return answer;
+}
+
+void WorkflowNode::Impl::recordCommit(const Submission &submission, CommitStatus status)
+{
+    m_submissions.erase(submission.number);
     const bool bad = status == CommitStatus::Unavailable || status == CommitStatus::Unknown;
+    if (bad) {
+        m_store->recordFailure(submission.since);
+    } else {
+        m_store->recordAnswer();
+    }
     m_storeBackoffUntil = bad ? m_parts.loop->now() + storeBackoff : TimePoint{};
     m_storeInDoubt = status == CommitStatus::Unknown;
     m_writeAnsweredAt = bad ? m_writeAnsweredAt : m_parts.loop->now();
@@ -260,7 +296,7 @@
     submission->handler = handler;
     if (isStoreUnavailable()) {
         logSubmission(*submission, commitName(CommitStatus::Unavailable));
-        handler(unavailable("the store is not available"));
+        handler(refusal(caller, "the store is not available"));
         return;
     }
     JobRow row;
@@ -271,6 +307,7 @@
     submission->row = encodeJobRow(row);
     submission->number = m_nextSubmission++;
     m_submissions.emplace(submission->number, submission->since);
+    m_store->recordSent();
     Transaction transaction;
     transaction.writeId = m_random.uniqueId();
     transaction.conditions.push_back({rows::job(id), 0});
@@ -285,7 +322,7 @@
 
 void WorkflowNode::Impl::onJobWritten(const std::shared_ptr<Submission> &submission, const CommitResult &result)
 {
-    recordCommit(submission->number, result.status);
+    recordCommit(*submission, result.status);
     if (result.status == CommitStatus::Conflict) {
         resolveConflict(submission);
         return;
@@ -297,7 +334,9 @@
                                {"row", json::binary({submission->row.begin(), submission->row.end()})},
                                {"version", result.version}});
     }
-    submission->handler(commitAnswer(result.status));
+    submission->handler(result.status == CommitStatus::Unavailable
+                            ? refusal(submission->caller, "the store refused the write")
+                            : commitAnswer(result.status));
 }
 
 void WorkflowNode::Impl::resolveConflict(const std::shared_ptr<Submission> &submission)
