Follow the watch of the configuration for signs of a silent store

A watch of the configuration that ends without an answer makes the node read the store, like one of the members. Answers to the coordinator's own calls count as answers; those to the members' watch were counted twice instead. Tests for reports that the coordinator passes on, for writes that were sent into a silence, and for the retry delay of a long outage.

--- a/src/include/fescueledge/workflow/catalogsource.h
+++ b/src/include/fescueledge/workflow/catalogsource.h
@@ -20,6 +20,8 @@
     virtual void follow(Handler handler) = 0;
     /// No newer catalog had been published at this time since boot; zero before the first.
     virtual Duration confirmedAt() const = 0;
+    /// Sets a handler that is called after each call to the store with whether it answered. Set before follow().
+    virtual void setContactHandler(std::function<void(bool)> handler) = 0;
 };
 
 } // namespace fescueledge::workflow
--- a/src/libworkflow/election.cpp
+++ b/src/libworkflow/election.cpp
@@ -121,12 +121,7 @@
     registerSelf();
     m_memberFollower = std::make_unique<CollectionFollower>(m_parts.loop, m_parts.table, "node", memberWatchTimeout);
     m_memberFollower->setContactHandler([this](bool answered) {
-        if (answered) {
-            m_store->recordAnswer();
-            m_store->recordAnswer();
-        } else {
-            m_store->recordLostWatch();
-        }
+        m_store->recordWatch(answered);
     });
     m_memberFollower->start(
         [this](const std::vector<Row> &rows) {
@@ -619,6 +614,7 @@
 void Election::recordStoreContact(bool answered)
 {
     if (answered) {
+        m_store->recordAnswer();
         m_storeAnsweredAt = m_parts.sinceBoot();
         m_storeFailures = 0;
     } else {
--- a/src/libworkflow/storemonitor.cpp
+++ b/src/libworkflow/storemonitor.cpp
@@ -38,6 +38,9 @@
 
 void StoreMonitor::recordAnswer()
 {
+    if (m_closed) {
+        return;
+    }
     const Duration silentFor = m_health.unansweredFor(m_loop->now());
     const bool wasSilent = isSilent();
     m_health.recordAnswer(m_loop->now());
@@ -55,9 +58,11 @@
     m_health.recordFailure(sentAt, m_loop->now());
 }
 
-void StoreMonitor::recordLostWatch()
+void StoreMonitor::recordWatch(bool answered)
 {
-    if (!m_closed && m_health.unansweredFor(m_loop->now()) == Duration::zero()) {
+    if (answered) {
+        recordAnswer();
+    } else if (!m_closed && m_health.unansweredFor(m_loop->now()) == Duration::zero()) {
         probe();
     }
 }
--- a/src/libworkflow/storemonitor_pvt.h
+++ b/src/libworkflow/storemonitor_pvt.h
@@ -30,8 +30,8 @@
     void recordAnswer();
     /// A write that was sent at @p sentAt was refused, or has ended without an answer.
     void recordFailure(TimePoint sentAt);
-    /// A watch has ended without an answer, which may be because of its connection alone.
-    void recordLostWatch();
+    /// A watch has ended, with or without an answer. Without one, its connection alone may be lost.
+    void recordWatch(bool answered);
     /// Node @p reporter has reported how many nodes, itself included, find the store silent.
     void recordReport(const std::string &reporter, int silentNodes);
 
--- a/src/libworkflow/storesilence_test.cpp
+++ b/src/libworkflow/storesilence_test.cpp
@@ -212,6 +212,80 @@
     CHECK(found);
 }
 
+// Guards against reports that only the coordinator gets.
+TEST_CASE("the coordinator passes reports on to a node that it answers")
+{
+    constexpr int silent = nodeCount - 2;
+    Callers callers;
+    for (int node = 0; node < silent; ++node) {
+        callers.world.storeFaults(node).down = true;
+    }
+    callers.world.run(std::chrono::seconds(5));
+    REQUIRE(callers.world.coordinator() >= silent);
+    const int late = callers.world.coordinator() == silent ? silent + 1 : silent;
+    CHECK(callers.world.log(late).count("store_silent") == 0);
+    callers.world.storeFaults(late).down = true;
+    const bool found = callers.world.runUntil(
+        [&callers, late] {
+            return callers.world.log(late).count("store_silent") > 0;
+        },
+        Milliseconds(700));
+    CHECK(found);
+}
+
+// Guards against refusals because of writes that were sent into the silence and have not ended.
+TEST_CASE("writes that were sent into a silence hold up nothing once the store answers")
+{
+    Callers callers;
+    const int node = (callers.world.coordinator() + 1) % nodeCount;
+    callers.setDown(true);
+    for (int i = 0; i < 5; ++i) {
+        callers.submitAt(node);
+    }
+    REQUIRE(callers.world.runUntil(
+        [&callers, node] {
+            return callers.world.log(node).count("store_silent") > 0;
+        },
+        std::chrono::seconds(2)));
+    callers.setDown(false);
+    REQUIRE(callers.world.runUntil(
+        [&callers, node] {
+            return callers.world.log(node).count("store_answers") > 0;
+        },
+        std::chrono::seconds(1)));
+    const JobId id = callers.submitAt(node);
+    callers.world.run(std::chrono::seconds(2));
+    CHECK(callers.answers.at(id).outcome == CallerOutcome::Ok);
+}
+
+// Guards against a lost watch of the configuration that nobody follows up: the other watches may wait for seconds.
+TEST_CASE("a watch of the configuration that ends without an answer makes the node find out")
+{
+    Callers callers;
+    callers.setDown(true);
+    callers.world.reportCatalogContact(0, false);
+    CHECK(callers.world.runUntil(
+        [&callers] {
+            return callers.world.log(0).count("store_silent") > 0;
+        },
+        Milliseconds(1100)));
+    callers.world.reportCatalogContact(0, true);
+    CHECK(callers.world.log(0).count("store_answers") == 1);
+}
+
+TEST_CASE("callers that are refused in a long outage are told to wait for longer")
+{
+    Callers callers;
+    callers.setDown(true);
+    callers.world.run(std::chrono::seconds(3));
+    const JobId early = callers.submitAt(0);
+    callers.world.run(std::chrono::seconds(8));
+    const JobId late = callers.submitAt(0);
+    callers.world.run(Milliseconds(10));
+    CHECK(callers.answers.at(early).retryAfter == std::chrono::seconds(1));
+    CHECK(callers.answers.at(late).retryAfter == std::chrono::seconds(2));
+}
+
 TEST_CASE("a node that alone gets no answers refuses submissions, and the others accept them")
 {
     Callers callers;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -144,6 +144,9 @@
             self->notifyCoordinator("job-cancelled", json{{"id", id}});
         }
     };
+    m_parts.catalogs->setContactHandler([store = m_store](bool answered) {
+        store->recordWatch(answered);
+    });
     m_parts.catalogs->follow([weak](const std::shared_ptr<const Catalog> &newest) {
         const std::shared_ptr<Impl> self = weak.lock();
         if (!self) {
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -339,6 +339,13 @@
         publish();
     }
 
+    void setContactHandler(std::function<void(bool)> handler) override
+    {
+        contact = std::move(handler);
+    }
+
+    std::function<void(bool)> contact;
+
     void set(const Catalog &catalog)
     {
         m_catalog = std::make_shared<Catalog>(catalog);
@@ -587,6 +594,11 @@
     m_processes[static_cast<std::size_t>(index)]->fleet.withhold(on);
 }
 
+void WorkflowWorld::reportCatalogContact(int index, bool answered)
+{
+    m_processes.at(static_cast<std::size_t>(index))->catalogs.contact(answered);
+}
+
 void WorkflowWorld::withholdCatalogs(int index, bool on)
 {
     m_processes[static_cast<std::size_t>(index)]->catalogs.withhold(on);
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -92,6 +92,8 @@
     void withholdFleetUpdates(int index, bool on);
     /// Withholds newer catalogs from node @p index while @p on.
     void withholdCatalogs(int index, bool on);
+    /// Ends a watch of the configuration by node @p index with or without an answer.
+    void reportCatalogContact(int index, bool answered);
 
     /// Submits through node @p index and waits for the answer.
     CallerOutcome submit(int index, const JobId &id, const WorkflowSpec &spec, const std::string &queue = "batch");
