Switch the detection of a silent store and the weighing of moves by settings

detect-silent-store and weigh-moves are off by default, so deployments that don't set them are served as before.

--- a/src/include/fescueledge/workflow/coordinatorsettings.h
+++ b/src/include/fescueledge/workflow/coordinatorsettings.h
@@ -36,6 +36,8 @@
     Milliseconds writeInterval{40};
     /// Maximum time that a watch on the list of workers or jobs waits for a change before it is renewed.
     Milliseconds watchTimeout{1000};
+    /// Whether submissions are refused at once while the store answers no call of this node.
+    bool detectSilentStore = false;
     /// Whether a slowed filler is moved only if it is expected to end clearly earlier elsewhere.
     bool weighMoves = false;
     /// Whether workers are reserved for large tasks that find no room, and small ones fill the time until then.
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -242,6 +242,14 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.weighMoves = value.number != 0;
          }},
+        {{"detect-silent-store", ValueType::Boolean, false, "no", 0, 0,
+          "Whether a node finds out by reads of its own, and from other nodes, that the store answers nothing, and "
+          "then "
+          "refuses submissions at once with a delay that grows with the outage. Without it, callers find out one after "
+          "the other."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.times.detectSilentStore = value.number != 0;
+         }},
         {{"input-memory", ValueType::Integer, false, "20971520", 1048576, 17179869184,
           "Bytes that requests which are being received or answered may occupy together. Beyond it, the connections "
           "that "
--- a/src/libworkflow/fillermoves_test.cpp
+++ b/src/libworkflow/fillermoves_test.cpp
@@ -22,17 +22,21 @@
 /// By the users' definition, a serving task is harmed if fillers keep it over its target for this long.
 constexpr Milliseconds maxOverTargetTime{4000};
 
+CoordinatorSettings weighingSettings()
+{
+    CoordinatorSettings settings;
+    settings.weighMoves = true;
+    return settings;
+}
+
 /// Fillers start beside idle serving tasks, which are then busy for some time.
 class SwingingFleet
 {
 public:
     explicit SwingingFleet(bool savesProgress)
-        : world(1)
+        : world(1, 1, weighingSettings())
         , m_savesProgress(savesProgress)
     {
-        world.kill(0);
-        world.settings.weighMoves = true;
-        world.startNode(0);
         SimWorkers &workers = world.workers;
         addWorkers(0, servingCount, "r0");
         workers.workOf = [](const TaskKey &key) {
@@ -51,7 +55,7 @@
         workers.gaugeOf = [this](const SimWorkers::SimWorker &worker, const SimWorkers::RunRecord &run) {
             return run.task.job == servingJob ? tailOn(worker) : run.pace * std::int64_t{10};
         };
-        world.run(std::chrono::seconds(8)); // The lease of the first process has to end.
+        world.run(Milliseconds(1500));
         StepSpec serving = simpleStep(servingCount);
         serving.perTask.milliCores = 2000;
         serving.longRunning = true;
--- a/src/libworkflow/storemonitor.cpp
+++ b/src/libworkflow/storemonitor.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-StoreMonitor::StoreMonitor(Loop *loop, TableService *table, EventLog *log)
+StoreMonitor::StoreMonitor(Loop *loop, TableService *table, EventLog *log, bool isEnabled)
     : m_loop(loop)
     , m_table(table)
     , m_log(log)
+    , m_isEnabled(isEnabled)
 {
 }
 
@@ -32,13 +33,16 @@
 
 void StoreMonitor::recordSent()
 {
+    if (!m_isEnabled) {
+        return;
+    }
     m_health.recordSent(m_loop->now());
     checkLater();
 }
 
 void StoreMonitor::recordAnswer()
 {
-    if (m_closed) {
+    if (m_closed || !m_isEnabled) {
         return;
     }
     const Duration silentFor = m_health.unansweredFor(m_loop->now());
@@ -62,13 +66,16 @@
 {
     if (answered) {
         recordAnswer();
-    } else if (!m_closed && m_health.unansweredFor(m_loop->now()) == Duration::zero()) {
+    } else if (m_isEnabled && !m_closed && m_health.unansweredFor(m_loop->now()) == Duration::zero()) {
         probe();
     }
 }
 
 void StoreMonitor::recordReport(const std::string &reporter, int silentNodes)
 {
+    if (!m_isEnabled) {
+        return;
+    }
     m_health.recordReport(reporter, silentNodes, m_loop->now());
     if (silentNodes > 0) {
         checkLater();
--- a/src/libworkflow/storemonitor_pvt.h
+++ b/src/libworkflow/storemonitor_pvt.h
@@ -20,8 +20,8 @@
 class StoreMonitor : public std::enable_shared_from_this<StoreMonitor>
 {
 public:
-    /// The table must outlive the monitor's use by close().
-    StoreMonitor(Loop *loop, TableService *table, EventLog *log);
+    /// The table must outlive the monitor's use by close(). Unless @p isEnabled, the store never counts as silent.
+    StoreMonitor(Loop *loop, TableService *table, EventLog *log, bool isEnabled);
 
     /// Stops all reads.
     void close();
@@ -35,6 +35,10 @@
     /// Node @p reporter has reported how many nodes, itself included, find the store silent.
     void recordReport(const std::string &reporter, int silentNodes);
 
+    bool isEnabled() const
+    {
+        return m_isEnabled;
+    }
     bool isSilent() const;
     /// For how long no call has been answered.
     Duration unansweredFor() const;
@@ -51,6 +55,7 @@
     Loop *m_loop;
     TableService *m_table;
     EventLog *m_log;
+    bool m_isEnabled;
     load::StoreHealth m_health;
     bool m_closed = false;
     bool m_checking = false; ///< A check is scheduled.
--- a/src/libworkflow/storesilence_test.cpp
+++ b/src/libworkflow/storesilence_test.cpp
@@ -12,12 +12,19 @@
 
 constexpr int nodeCount = 6;
 
+CoordinatorSettings detectingSettings()
+{
+    CoordinatorSettings settings;
+    settings.detectSilentStore = true;
+    return settings;
+}
+
 /// Submits jobs at all nodes at a steady rate.
 class Callers
 {
 public:
     Callers()
-        : world(nodeCount)
+        : world(nodeCount, 1, detectingSettings())
     {
         Resources capacity;
         capacity.milliCores = 1000000;
--- a/src/libworkflow/workflownode.cpp
+++ b/src/libworkflow/workflownode.cpp
@@ -54,7 +54,7 @@
         : m_parts(parts)
         , m_resolver(m_parts.loop, m_parts.table)
         , m_random(self.seed + 1)
-        , m_store(std::make_shared<StoreMonitor>(parts.loop, parts.table, parts.log))
+        , m_store(std::make_shared<StoreMonitor>(parts.loop, parts.table, parts.log, settings.detectSilentStore))
         , m_retryAdvice(self.seed + 3)
         , m_election(parts, self, settings, m_store)
         , m_canceller(std::make_shared<JobCanceller>(parts, settings.statusRetention, self.seed + 2))
@@ -251,6 +251,9 @@
 CallerAnswer WorkflowNode::Impl::refusal(const Caller &caller, const std::string &detail)
 {
     CallerAnswer answer = unavailable(detail);
+    if (!m_store->isEnabled()) {
+        return answer;
+    }
     answer.retryAfter = m_retryAdvice.delayFor(m_store->unansweredFor(), caller.timeout, m_parts.loop->now());
     return answer;
 }
--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -464,10 +464,11 @@
     bool killed = false;
 };
 
-WorkflowWorld::WorkflowWorld(int nodes, std::uint64_t seed)
+WorkflowWorld::WorkflowWorld(int nodes, std::uint64_t seed, const CoordinatorSettings &settings)
     : network(&world, seed)
     , workers(&world)
     , catalog(defaultCatalog())
+    , settings(settings)
     , m_seed(seed)
 {
     rows.limits = TableLimits{};
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -41,7 +41,7 @@
     /// One simulated process.
     struct Process;
 
-    explicit WorkflowWorld(int nodes, std::uint64_t seed = 1);
+    explicit WorkflowWorld(int nodes, std::uint64_t seed = 1, const CoordinatorSettings &settings = {});
     ~WorkflowWorld();
     WorkflowWorld(const WorkflowWorld &) = delete;
     WorkflowWorld &operator=(const WorkflowWorld &) = delete;
