Test each guard of account limits and keys, also those on unknown workers and final states

With a guard taken out, each case fails. The cap on acceptance times in the future is removed again: JobTable::add() has it, as the new case shows.

--- a/src/libworkflow/accountjobs_test.cpp
+++ b/src/libworkflow/accountjobs_test.cpp
@@ -10,13 +10,14 @@
 namespace {
 
 constexpr int nodes = 3;
+const JobId shortJob = "00000000000000cc";
 
 /// Two nodes with a long job of `kaje` as jobA.
 std::unique_ptr<WorkflowWorld> worldWithJob()
 {
     std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 2);
-    world->workers.workOf = [](const TaskKey &) {
-        return std::make_pair(Milliseconds(60000), false);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job == shortJob ? 100 : 60000), false);
     };
     world->account = "kaje";
     REQUIRE(world->submit(0, jobA, workflowOf({simpleStep(2)})) == CallerOutcome::Ok);
@@ -53,6 +54,23 @@
     CHECK(world->cancel(0, jobA) == CallerOutcome::Ok);
 }
 
+// Guards against answers from the memory of the coordinator, which are given without the job's row where the state is
+// final or the term is confirmed.
+TEST_CASE("the state of a job of another account is not told from the memory of the coordinator")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWithJob();
+    REQUIRE(world->submit(0, shortJob, workflowOf({simpleStep(1)})) == CallerOutcome::Ok);
+    REQUIRE(reachesState(*world, 0, shortJob, "complete", std::chrono::seconds(5)));
+    for (int node = 0; node < nodes; ++node) {
+        for (const JobId &job : {jobA, shortJob}) {
+            world->account = "lemu";
+            CHECK(world->state(node, job).empty());
+            world->account = "kaje";
+            CHECK_FALSE(world->state(node, job).empty());
+        }
+    }
+}
+
 // Guards against nodes that ask the store instead of the coordinator and leave the account out there.
 TEST_CASE("jobs of an account are closed to other accounts while there is no coordinator")
 {
--- a/src/libworkflow/accountlimits_test.cpp
+++ b/src/libworkflow/accountlimits_test.cpp
@@ -2,7 +2,10 @@
 // limits.
 #include "accountworld_pvt.h"
 #include "fescueledge/random.h"
+#include "jobrow_pvt.h"
 #include "readyworld_pvt.h"
+#include "recordpart_pvt.h"
+#include "rows_pvt.h"
 #include "workflowworld_pvt.h"
 
 #include <algorithm>
@@ -255,6 +258,42 @@
     }
 }
 
+// Guards against starts beside the runs of a worker that a new coordinator doesn't know at all.
+TEST_CASE("while workers may be unknown after a takeover, nothing of an account with a limit starts")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 1);
+    lastFor(*world, Milliseconds(30000));
+    setLimits(*world, {{"kaje", 4}, {"lemu", 0}});
+    world->account = "kaje";
+    REQUIRE(world->submit(0, jobA, workflowOf({simpleStep(4)})) == CallerOutcome::Ok);
+    world->run(Milliseconds(500));
+    world->workers.add("w1", "dc-b", "r1", Resources{4000, 100000, 0});
+    world->run(Milliseconds(500));
+    cutFromAll(*world, "w0");
+    world->workers.unlist("w0");
+    world->kill(world->coordinator());
+    Transaction transaction;
+    transaction.puts.push_back({rows::workerRecordPart(recordPartOf("w0")), "{"}); // Unreadable.
+    REQUIRE(world->rows.commit(transaction).status == CommitStatus::Committed);
+    REQUIRE(world->runUntil(
+        [&] {
+            return world->coordinator() >= 0;
+        },
+        std::chrono::seconds(3)));
+    CHECK(world->submit(world->coordinator(), jobB, workflowOf({simpleStep(2)})) == CallerOutcome::Ok);
+    world->account = "lemu";
+    const JobId unlimited = "00000000000000cc";
+    CHECK(world->submit(world->coordinator(), unlimited, workflowOf({simpleStep(2)})) == CallerOutcome::Ok);
+    world->run(Milliseconds(1000));
+    CHECK(world->workers.runsOf(jobB).empty());
+    CHECK(world->workers.runsOf(unlimited).size() == 2);
+    world->run(std::chrono::seconds(10));
+    CHECK(
+        startsAboveLimit(*world, {{jobA, "kaje"}, {jobB, "kaje"}, {unlimited, "lemu"}}, {{TimePoint{}, {{"kaje", 4}}}})
+            .empty());
+    CHECK(world->workers.runsOf(jobB).size() == 2);
+}
+
 // Guards against one silent worker that holds up accounts whose limit leaves room beside it.
 TEST_CASE("after a takeover an account whose limit has room beside the silent workers gets starts at once")
 {
@@ -393,3 +432,41 @@
     // It queues behind its own work, for as long as that takes.
     CHECK(longest["account-0"] >= std::chrono::seconds(5));
 }
+
+// Guards against a node whose clock is ahead: a job that it accepted kept the rate of the account from refilling until
+// that time, and all further jobs of the account counted as excess.
+TEST_CASE("a job accepted in the future, by another node's clock, leaves the rate of its account as it is")
+{
+    const std::unique_ptr<WorkflowWorld> world = readyWorld(nodes, 2);
+    lastFor(*world, Milliseconds(60000));
+    Catalog catalog = world->catalog;
+    ++catalog.version;
+    catalog.asksForKeys = true;
+    account::AccountPolicy policy;
+    policy.name = "kaje";
+    policy.weight = 2;
+    policy.limit.milliCores = 1000; // Jobs wait, so the report names them.
+    catalog.accounts.emplace(policy.name, policy);
+    world->setCatalog(catalog);
+    world->run(Milliseconds(100));
+    JobRow ahead;
+    ahead.spec = workflowOf({simpleStep(1)});
+    ahead.policy = *catalog.queue("batch");
+    ahead.account = "kaje";
+    ahead.acceptedAt = WallTime(std::chrono::duration_cast<Milliseconds>(world->world.now().time_since_epoch()))
+        + std::chrono::hours(1);
+    Transaction transaction;
+    transaction.puts.push_back({rows::job(jobA), encodeJobRow(ahead)});
+    REQUIRE(world->rows.commit(transaction).status == CommitStatus::Committed);
+    world->account = "kaje";
+    for (int i = 0; i < 12; ++i) {
+        world->submit(0, "000000000000" + std::to_string(1000 + i), workflowOf({simpleStep(1)}));
+        world->run(Milliseconds(600));
+    }
+    world->run(std::chrono::seconds(6));
+    const std::vector<std::string> lines = world->linesOf("account_usage");
+    REQUIRE_FALSE(lines.empty());
+    for (const std::string &line : lines) {
+        CHECK(line.find("waiting_excess_tasks=0") != std::string::npos);
+    }
+}
--- a/src/libworkflow/coordinator.cpp
+++ b/src/libworkflow/coordinator.cpp
@@ -256,9 +256,8 @@
         return false;
     }
     const auto it = m_context->catalog->accounts.find(job.account);
-    // Nodes' clocks differ; a time in the future would keep the rate from refilling until then.
     return it != m_context->catalog->accounts.end()
-        && !m_rates.conforms(job.account, it->second.weight, std::min(job.acceptedAt, m_context->now()));
+        && !m_rates.conforms(job.account, it->second.weight, job.acceptedAt);
 }
 
 void Coordinator::markExcessJobs()
