Let the random test of limits name what it found

The linter refuses comparisons with an empty list. accountlimits_test: 2491 assertions in 10 test cases pass; the linter finds nothing in the file.

--- a/src/libworkflow/accountlimits_test.cpp
+++ b/src/libworkflow/accountlimits_test.cpp
@@ -92,7 +92,8 @@
             world->account = account;
             const std::string state = world->state(std::max(0, world->coordinator()), job);
             if (m_accepted->count(job) > 0 && state != "complete") {
-                out.push_back(job + " " + state);
+                out.push_back(job);
+                out.back().append(" ").append(state);
             }
         }
         return out;
@@ -224,9 +225,13 @@
         RandomAccounts accounts(seed);
         accounts.play();
         accepted += accounts.accepted();
-        CHECK(accounts.aboveLimit() == std::vector<std::string>{});
-        CHECK(accounts.notComplete() == std::vector<std::string>{});
-        CHECK(tasksRepeated(*accounts.world) == std::vector<std::string>{});
+        const std::vector<std::string> aboveLimit = accounts.aboveLimit();
+        const std::vector<std::string> notComplete = accounts.notComplete();
+        const std::vector<std::string> repeated = tasksRepeated(*accounts.world);
+        CAPTURE(aboveLimit, notComplete, repeated);
+        CHECK(aboveLimit.empty());
+        CHECK(notComplete.empty());
+        CHECK(repeated.empty());
     }
     CHECK(accepted > 10000);
 }
