Allow fewer connections to the readiness and metrics listeners

Each listener allowed max-connections, and the kernel may hold 64 KB of each connection: more than the smallest node has. Load balancers and collectors of metrics need few, so these listeners allow an eighth.

A test of evicted requests passed without its guard, because the second request was not complete when it was checked; it is now.

--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -258,8 +258,9 @@
              target.inputMemory = static_cast<std::size_t>(value.number);
          }},
         {{"max-connections", ValueType::Integer, false, "1000", 16, 1000000,
-          "Connections that clients may have to one listener. Beyond it, the connection that has been idle for longest "
-          "is closed. Leaves descriptors for workers, other nodes and the store."},
+          "Connections that clients may have to the callers' listener, and an eighth to each other one. Beyond it, the "
+          "connection that has been idle for longest is closed. Leaves descriptors for workers, other nodes and the "
+          "store."},
          [](WorkflowSettings &target, const SettingValue &value) {
              target.maxConnections = static_cast<std::size_t>(value.number);
          }},
--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -202,10 +202,11 @@
     });
     node.start();
     RawClient client(port);
-    // The chunks make the server read ahead, so that the second request is complete when it is checked.
-    REQUIRE(client.send(
-        post("/first", "Transfer-Encoding: chunked\r\nX-Fill: " + std::string(500, 'f'), "1\r\nx\r\n0\r\n\r\n")
-        + withLength("/second", 10'000, std::string(10'000, 'x'))));
+    // A chunked request that is not complete has room for 16 KB, so the second one is read with its end, and is
+    // complete when it is checked.
+    REQUIRE(client.send(post("/first", "Transfer-Encoding: chunked", "1\r\n")));
+    REQUIRE(node.holds(16'384));
+    REQUIRE(client.send("x\r\n0\r\n\r\n" + withLength("/second", 10'000, std::string(10'000, 'x'))));
     CHECK_FALSE(has(client.readAll(), "bytes:10000"));
     CHECK(node.hasRejected("evicted"));
     CHECK(node.handled == 1);
