Keep reserved workers out of searches until no other worker fits

As their tasks end, reserved workers are the least used, so each search began with them. They are withheld from the index, and looked at for backfill last.

--- a/src/libworkflow/candidateindex.cpp
+++ b/src/libworkflow/candidateindex.cpp
@@ -77,6 +77,7 @@
         m_eased.remove(it->second.eased);
         m_milliCores -= it->second.milliCores;
         m_parked.erase(std::remove(m_parked.begin(), m_parked.end(), worker), m_parked.end());
+        m_withheld.erase(std::remove(m_withheld.begin(), m_withheld.end(), worker), m_withheld.end());
         m_entries.erase(it);
     }
 }
@@ -112,13 +113,29 @@
     m_parked.erase(kept, m_parked.end());
 }
 
+void CandidateIndex::withhold(Worker *worker)
+{
+    erase(worker, &m_entries.at(worker));
+    m_parked.erase(std::remove(m_parked.begin(), m_parked.end(), worker), m_parked.end());
+    m_withheld.push_back(worker);
+}
+
+void CandidateIndex::restore(Worker *worker)
+{
+    const auto it = std::find(m_withheld.begin(), m_withheld.end(), worker);
+    if (it != m_withheld.end()) {
+        m_withheld.erase(it);
+        insert(worker, &m_entries.at(worker));
+    }
+}
+
 void CandidateIndex::update(Worker *worker)
 {
     Entry &entry = m_entries.at(worker);
     m_milliCores += worker->entry.capacity.milliCores - entry.milliCores;
     if (entry.group == nullptr) {
         entry.milliCores = worker->entry.capacity.milliCores;
-        return; // It is parked.
+        return; // It is parked or withheld.
     }
     const bool sameGroup = entry.service == worker->entry.service && entry.rack == worker->entry.rack
         && entry.labels == worker->entry.labels && entry.milliCores == worker->entry.capacity.milliCores
--- a/src/libworkflow/candidateindex_pvt.h
+++ b/src/libworkflow/candidateindex_pvt.h
@@ -55,6 +55,15 @@
     /// Restores the parked workers for which @p usable holds.
     void restoreIf(const std::function<bool(const Worker &)> &usable);
 
+    /// Leaves @p worker out of all results until restore(), because it is reserved. Reserved workers are the least used
+    /// as their tasks end, so a search would begin with all of them.
+    void withhold(Worker *worker);
+    void restore(Worker *worker);
+    const std::vector<Worker *> &withheld() const
+    {
+        return m_withheld;
+    }
+
     /// Records that room has come free on @p worker, or that it gets tasks again, so that it may take some that it did
     /// not take before.
     void markFreed(Worker *worker);
@@ -88,7 +97,7 @@
     {
         return m_imageNames;
     }
-    /// Capacity of the largest worker that is not parked.
+    /// Capacity of the largest worker that is neither parked nor withheld.
     std::int64_t maxMilliCores() const
     {
         return m_capacities.empty() ? 0 : m_capacities.rbegin()->first;
@@ -114,7 +123,7 @@
         std::int64_t milliCores = 0;
         double use = 0;
         double busy = 0;
-        Group *group = nullptr; ///< nullptr if the worker is parked.
+        Group *group = nullptr; ///< nullptr if the worker is parked or withheld.
         std::uint64_t freed = 0; ///< Number of its latest markFreed().
         std::uint64_t eased = 0; ///< Number of its latest markEased().
     };
@@ -139,8 +148,9 @@
     std::uint64_t m_groupsVersion = 0;
     std::map<std::string, Image> m_images;
     std::vector<std::string> m_imageNames;
-    std::map<std::int64_t, std::size_t> m_capacities; ///< Number of workers that are not parked, by capacity.
+    std::map<std::int64_t, std::size_t> m_capacities; ///< Number of workers in groups, by capacity.
     std::vector<Worker *> m_parked;
+    std::vector<Worker *> m_withheld;
     ChangeOrder m_freed;
     ChangeOrder m_eased;
     std::int64_t m_milliCores = 0;
--- a/src/libworkflow/dispatchcost_test.cpp
+++ b/src/libworkflow/dispatchcost_test.cpp
@@ -84,7 +84,7 @@
     std::size_t reservations = 0;
 };
 
-/// The cost of starts on @p workers workers of four cores that short tasks nearly fill, while wide tasks wait.
+/// The cost of starts on @p workers workers of four cores that short tasks fill, while wide tasks wait.
 StartCost costBesideWideTasks(int workers, bool lookAhead)
 {
     const std::unique_ptr<WorkflowWorld> world = readyWorld(1, workers);
@@ -96,8 +96,8 @@
     world->workers.workOf = [](const TaskKey &) {
         return std::make_pair(Milliseconds(shortWorkMs), false);
     };
-    // 38 of 40 cores; each job has all short tasks of 50 ms.
-    StepSpec shortStep = simpleStep(static_cast<std::uint32_t>(workers * 4 * 95 / 100 / (shortWorkMs / 50)));
+    // 42 tasks for 40 cores, so that the fleet is full in both cases; each job has the short tasks of 50 ms.
+    StepSpec shortStep = simpleStep(static_cast<std::uint32_t>(workers * 4 * 105 / 100 / (shortWorkMs / 50)));
     shortStep.estimate = Milliseconds(shortWorkMs);
     int job = 0;
     const auto keepBusy = [&world, &shortStep, &job](Duration span) {
--- a/src/libworkflow/lookaheadfaults_test.cpp
+++ b/src/libworkflow/lookaheadfaults_test.cpp
@@ -14,9 +14,11 @@
 constexpr Milliseconds submitInterval{100};
 constexpr Milliseconds shortWork{600};
 constexpr Milliseconds wideWork{400};
+constexpr Milliseconds lastingWork{600'000};
 constexpr std::int64_t workerCores = 4;
 const std::string widePrefix = "3";
 const std::string shortPrefix = "b";
+const std::string lastingPrefix = "c";
 
 JobId jobNumber(const std::string &prefix, int i)
 {
@@ -42,7 +44,8 @@
         world->run(std::chrono::seconds(8));
         REQUIRE(world->coordinator() == 0);
         world->workers.workOf = [](const TaskKey &key) {
-            return std::make_pair(isWide(key.job) ? wideWork : shortWork, false);
+            const bool lasts = key.job.compare(0, 1, lastingPrefix) == 0;
+            return std::make_pair(lasts ? lastingWork : isWide(key.job) ? wideWork : shortWork, false);
         };
     }
 
@@ -222,7 +225,7 @@
     REQUIRE_FALSE(awaitReservation(&load, std::chrono::seconds(6)).empty());
     StepSpec lasting = simpleStep(1);
     lasting.longRunning = true;
-    const JobId id = "c000000000000000";
+    const JobId id = jobNumber(lastingPrefix, 0);
     load.world->submit(0, id, workflowOf({lasting}));
     load.keepBusy(std::chrono::seconds(8), 1);
     CHECK(load.world->workers.runsOf(id).size() == 1);
--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -561,6 +561,23 @@
     }
 }
 
+void Placement::considerWithheld(const Step &step, int pace, Candidate *best) const
+{
+    constexpr int maxFitting = 8; // A better place is not worth more looks.
+    if (!m_search.hasWithheld) {
+        m_search.withheld = m_context->fleet.candidates().withheld();
+        m_search.hasWithheld = true;
+    }
+    int fitting = 0;
+    std::vector<Worker *> &workers = m_search.withheld;
+    for (auto it = workers.begin(); it != workers.end() && fitting < maxFitting;) {
+        consider(*it, step, pace, best);
+        const bool isRejected = m_search.rejected.count(*it) > 0;
+        fitting += isRejected ? 0 : 1;
+        it = isRejected ? workers.erase(it) : std::next(it);
+    }
+}
+
 bool Placement::mayHaveRoomSince(std::uint64_t freed, const Step &step) const
 {
     const ChangeOrder &order = m_context->fleet.candidates().freed();
@@ -602,6 +619,9 @@
         considerChanged(step, pace, *failed, &best);
     } else {
         considerAll(step, pace, &best);
+        if (best.worker == nullptr && !index.withheld().empty()) {
+            considerWithheld(step, pace, &best);
+        }
     }
     if (best.worker == nullptr) {
         const Duration earlierSpan = failed ? failed->span : FailedSearches::anySpan;
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -116,6 +116,8 @@
         std::uint64_t groupsVersion = 0;
         std::unordered_set<const Worker *> rejected; ///< Workers that do not fit.
         bool metReservation = false; ///< One of them is reserved, and may fit a shorter task.
+        bool hasWithheld = false;
+        std::vector<Worker *> withheld; ///< Reserved workers that may fit.
         bool hasWalks = false;
         std::vector<Walk> walks; ///< A heap.
     };
@@ -127,6 +129,8 @@
     std::vector<Walk> walksFor(const Step &step) const;
     /// Considers all workers.
     void considerAll(const Step &step, int pace, Candidate *best) const;
+    /// Considers the reserved workers.
+    void considerWithheld(const Step &step, int pace, Candidate *best) const;
     /// Considers the workers that may take a task since a search in @p state found none.
     void considerChanged(const Step &step, int pace, const FailedSearches::State &state, Candidate *best) const;
     /// Whether a worker that was freed after change @p freed may have room for a task of @p step.
--- a/src/libworkflow/reservations.cpp
+++ b/src/libworkflow/reservations.cpp
@@ -275,6 +275,7 @@
         worker->heldForStep.reset();
         worker->isHeldForLongRunning = false;
         worker->reservation.reset();
+        m_context->fleet.candidates().restore(worker);
         m_context->fleet.candidates().markFreed(worker);
     }
 }
@@ -368,6 +369,9 @@
     const Job &job = *step.occurrence->job;
     worker->heldForStep = step.creationIndex;
     worker->isHeldForLongRunning = step.spec->longRunning;
+    if (m_context->settings.lookAhead) {
+        m_context->fleet.candidates().withhold(worker);
+    }
     Reserved reserved;
     reserved.worker = worker->id;
     reserved.step = step.creationIndex;
