Look only once at freed workers that don't fit a step

On a full fleet each start looked again at all workers that had been freed since the last failed search, also at those that had just been found not to fit. They are left out for further tasks of the step; the choice is the same. Forecasts make others look at a reserved worker again only when they have moved back by 0.5 s in all.

--- a/src/libworkflow/placement.cpp
+++ b/src/libworkflow/placement.cpp
@@ -597,9 +597,21 @@
 {
     const CandidateIndex &index = m_context->fleet.candidates();
     if (mayHaveRoomSince(state.freed, step)) {
-        for (auto it = index.freed().after(state.freed); it != index.freed().end(); ++it) {
-            consider(it->second, step, pace, best);
+        if (m_search.changedSince != state.freed) {
+            m_search.changedSince = state.freed;
+            m_search.changed.clear();
+            for (auto it = index.freed().after(state.freed); it != index.freed().end(); ++it) {
+                m_search.changed.push_back(it->second);
+            }
         }
+        // Those that don't fit one task of the step don't fit the next either.
+        std::vector<Worker *> &workers = m_search.changed;
+        workers.erase(std::remove_if(workers.begin(), workers.end(),
+                                     [this, &step, pace, best](Worker *worker) {
+                                         consider(worker, step, pace, best);
+                                         return m_search.rejected.count(worker) > 0;
+                                     }),
+                      workers.end());
     }
     if (step.spec->filler) {
         for (auto it = index.eased().after(state.eased); it != index.eased().end(); ++it) {
--- a/src/libworkflow/placement_pvt.h
+++ b/src/libworkflow/placement_pvt.h
@@ -5,6 +5,7 @@
 #include "headroom_pvt.h"
 
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -116,6 +117,8 @@
         std::uint64_t groupsVersion = 0;
         std::unordered_set<const Worker *> rejected; ///< Workers that do not fit.
         bool metReservation = false; ///< One of them is reserved, and may fit a shorter task.
+        std::optional<std::uint64_t> changedSince; ///< FailedSearches::State::freed to which `changed` refers.
+        std::vector<Worker *> changed; ///< Workers that were freed since and may fit.
         bool hasWithheld = false;
         std::vector<Worker *> withheld; ///< Reserved workers that may fit.
         bool hasWalks = false;
--- a/src/libworkflow/reservations.cpp
+++ b/src/libworkflow/reservations.cpp
@@ -37,7 +37,7 @@
 /// A step waits this long for its next search after one that found no worker, or after a reservation that failed.
 constexpr Milliseconds stepPause{1000};
 /// A forecast has to move back by this much before others look at the worker again.
-constexpr Milliseconds forecastChange{200};
+constexpr Milliseconds forecastChange{500};
 
 /// What the long-running tasks on @p worker, which do not end by themselves, leave of its room.
 Resources roomBesideLasting(const Worker &worker)
@@ -339,7 +339,7 @@
         return;
     }
     m_forecastAt = now;
-    for (const Reserved &reserved : m_reserved) {
+    for (Reserved &reserved : m_reserved) {
         Worker *worker = m_context->fleet.find(reserved.worker);
         if (worker == nullptr || worker->heldForStep != reserved.step) {
             continue;
@@ -355,9 +355,14 @@
                 room += FleetTable::reservedBy(*task->step->spec);
             }
         }
-        const bool isLater = !worker->reservation || startsAt >= worker->reservation->startsAt + forecastChange;
+        // On a worker that has just been reserved, nothing fits that did not before.
+        const bool isNew = reserved.since == now;
+        const bool isLater = !worker->reservation || startsAt >= reserved.announcedStart + forecastChange;
         worker->reservation = reserve::Reservation{reserved.need, startsAt, room};
-        if (isLater) {
+        if (isNew || isLater) {
+            reserved.announcedStart = startsAt;
+        }
+        if (isLater && !isNew) {
             m_context->fleet.candidates().markFreed(worker); // It may take others that it did not take before.
         }
     }
--- a/src/libworkflow/reservations_pvt.h
+++ b/src/libworkflow/reservations_pvt.h
@@ -48,6 +48,7 @@
         Resources need;
         TimePoint since;
         TimePoint expectedStart; ///< The first forecast.
+        TimePoint announcedStart; ///< The forecast when others were last made to look at the worker again.
         Duration idle{0}; ///< For how long it has kept room idle, as time of a whole worker.
     };
 
