Don't take a reported 100 percent for the end of a task

Workers may report 100 percent from the moment at which a task is at work, as the simulated ones do.

--- a/src/libreserve/endforecast.cpp
+++ b/src/libreserve/endforecast.cpp
@@ -34,7 +34,8 @@
 Duration EndForecast::remaining(const std::string &kind, Milliseconds estimate, Duration elapsed, int percent,
                                 const EndFactor &ofStep) const
 {
-    if (percent >= minPercent && percent <= allPercent) {
+    // A task that reports all of it and goes on may do so for long: some report it as soon as they are at work.
+    if (percent >= minPercent && percent < allPercent) {
         return elapsed * (allPercent - percent) / percent;
     }
     return std::max(elapsed / overdueDivisor, expected(kind, estimate, ofStep) - elapsed);
--- a/src/libworkflow/context.cpp
+++ b/src/libworkflow/context.cpp
@@ -16,9 +16,9 @@
 {
     const Step &step = *task.step;
     const bool isTimed = task.atWorkSince != TimePoint{} && task.orderedAt != TimePoint{};
-    if (!isTimed && task.percentAtWork >= minPercent) {
+    if (!isTimed && task.percentAtWork >= minPercent && task.percentAtWork < allPercent) {
         // An earlier coordinator started it, so its progress has to be scaled by what tasks like it take.
-        return now() + expectedSpan(step) * (allPercent - std::min(task.percentAtWork, allPercent)) / allPercent;
+        return now() + expectedSpan(step) * (allPercent - task.percentAtWork) / allPercent;
     }
     const Duration elapsed = task.atWorkSince == TimePoint{} ? Duration::zero() : now() - task.atWorkSince;
     return now()
--- a/src/libworkflow/lookahead_test.cpp
+++ b/src/libworkflow/lookahead_test.cpp
@@ -94,6 +94,37 @@
     CHECK(reachesState(*world, 0, wideJob, "complete", std::chrono::seconds(8)));
 }
 
+// Guards against short tasks that wait because a search for longer ones of the same size has failed at a reservation.
+TEST_CASE("a long task that a reservation keeps out does not keep out short ones")
+{
+    const std::unique_ptr<WorkflowWorld> world = worldWith(true);
+    StepSpec lasting = simpleStep(2);
+    lasting.perTask.milliCores = 1000;
+    lasting.maxPerWorker = 1;
+    lasting.estimate = Milliseconds(7000);
+    world->workers.workOf = [](const TaskKey &key) {
+        return std::make_pair(Milliseconds(key.job[0] == 'c' ? 7000 : 100), false);
+    };
+    world->submit(0, "c000000000000000", workflowOf({lasting}));
+    world->run(Milliseconds(500));
+    StepSpec wide = wideStep();
+    wide.count = 1;
+    world->submit(0, wideJob, workflowOf({wide}));
+    world->run(Milliseconds(2500));
+    REQUIRE(world->countInLogs("worker_held") >= 1);
+    // Fills the worker that isn't reserved, and then finds only the reserved one.
+    StepSpec longStep = simpleStep(6);
+    longStep.estimate = Milliseconds(60000);
+    const JobId longJob = "c000000000000001";
+    world->submit(0, longJob, workflowOf({longStep}));
+    world->run(Milliseconds(100));
+    REQUIRE(world->workers.runsOf(longJob).size() == 3);
+    const JobId shortJob = "d000000000000000";
+    world->submit(0, shortJob, workflowOf({simpleStep(1)}));
+    world->run(Milliseconds(200));
+    CHECK(world->workers.runsOf(shortJob).size() == 1);
+}
+
 // Guards against a coordinator that takes over and reserves nothing, or reserves for what has run.
 TEST_CASE("a new coordinator reserves anew from what waits")
 {
