--- a/src/libworkflow/storemonitor_pvt.h
+++ b/src/libworkflow/storemonitor_pvt.h
@@ -20,7 +20,7 @@
 class StoreMonitor : public std::enable_shared_from_this<StoreMonitor>
 {
 public:
-    /// The table must outlive the monitor's use by close(). Unless @p isEnabled, the store never counts as silent.
+    /// @p loop, @p table and @p log must live until close(). Unless @p isEnabled, the store never counts as silent.
     StoreMonitor(Loop *loop, TableService *table, EventLog *log, bool isEnabled);
 
     /// Stops all reads.
