--- a/src/libworkflow/workflowworld.cpp
+++ b/src/libworkflow/workflowworld.cpp
@@ -409,6 +409,19 @@
     return line == head || line.compare(0, head.size() + 1, head + " ") == 0;
 }
 
+std::int64_t MemoryLog::sum(const std::string &event, const std::string &key, std::size_t skipped) const
+{
+    std::int64_t sum = 0;
+    for (std::size_t i = skipped; i < lines.size(); ++i) {
+        const std::string &line = lines[i];
+        const std::size_t at = line.find(" " + key + "=");
+        if (line.find("event=" + event + " ") != std::string::npos && at != std::string::npos) {
+            sum += std::stoll(line.substr(at + key.size() + 2));
+        }
+    }
+    return sum;
+}
+
 std::size_t MemoryLog::count(const std::string &event) const
 {
     return static_cast<std::size_t>(std::count_if(lines.begin(), lines.end(), [&event](const std::string &line) {
--- a/src/libworkflow/workflowworld_pvt.h
+++ b/src/libworkflow/workflowworld_pvt.h
@@ -28,6 +28,8 @@
     }
     /// Number of lines of event @p event.
     std::size_t count(const std::string &event) const;
+    /// The sum of @p key over all lines of event @p event after the first @p skipped lines.
+    std::int64_t sum(const std::string &event, const std::string &key, std::size_t skipped) const;
     /// Whether @p line is of event @p event.
     static bool isOf(const std::string &line, const std::string &event);
 
