Tests of changed limits and of a destroyed server that fail without their guards

Both passed with the guard taken out: one changed the limits before the server waited for the next requests, the other closed its client first.

The check in readSize stays as a precaution, and its test only tells that the listener stays in service.

--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -291,6 +291,9 @@
         REQUIRE(client->send(withLength("/", 5000, std::string(5000, 'x'))));
         REQUIRE(has(client->readUntil("bytes:5000"), "200"));
     }
+    // The answers may have come before the server waits for the next requests, with the limits of then.
+    node.onLoop([] {});
+    node.onLoop([] {});
     node.onLoop([&node] {
         AsyncHttpServer::Limits limits = node.server.limits();
         limits.bodyBytes = 4000;
@@ -311,7 +314,8 @@
     CHECK(node.hasRejected("header"));
 }
 
-// Guards against an exception that ended the process: the room in a buffer was computed as less than nothing.
+// Guards against a listener that goes out of service when limits are lowered while bytes of the next request are
+// buffered.
 TEST_CASE("limits that are lowered while pipelined requests are buffered leave the server in service")
 {
     ServerThread node;
@@ -471,15 +475,14 @@
 TEST_CASE("a server that is destroyed gives back what its unfinished requests hold")
 {
     const std::shared_ptr<InputBudget> budget = std::make_shared<InputBudget>(budgetBytes);
-    {
-        ServerThread node;
-        node.server.setInputBudget(budget);
-        node.budget = budget;
-        node.start();
-        RawClient client(port);
-        REQUIRE(client.send(withLength("/", 100'000, "x")));
-        REQUIRE(node.holds(100'000));
-    }
+    std::unique_ptr<ServerThread> node = std::make_unique<ServerThread>();
+    node->server.setInputBudget(budget);
+    node->budget = budget;
+    node->start();
+    RawClient client(port);
+    REQUIRE(client.send(withLength("/", 100'000, "x")));
+    REQUIRE(node->holds(100'000));
+    node.reset(); // While the client stays.
     CHECK(budget.use_count() == 1);
     CHECK(budget->held() == 0);
 }
