--- a/src/libpeer/websockettransport.cpp
+++ b/src/libpeer/websockettransport.cpp
@@ -32,8 +32,8 @@
 constexpr std::size_t maxMessageBytes = 32U << 20U;
 constexpr std::size_t maxQueuedFrames = 4096;
 constexpr int openTimeoutMs = 1000;
-/// Connections that have not presented the token yet. After a takeover all nodes of a deployment, some hundreds, may open
-/// theirs to the new coordinator at once, and that may be a slow node.
+/// Connections that have not presented the token yet. After a takeover all nodes of a deployment, some hundreds, may
+/// open theirs to the new coordinator at once, and that may be a slow node.
 constexpr std::size_t maxHandshakes = 400;
 /// The other end's network thread answers a ping within a few milliseconds, also while its loop is busy.
 constexpr int pongTimeoutMs = 500;
