--- a/src/fescueledge/cli_test.cpp
+++ b/src/fescueledge/cli_test.cpp
@@ -566,8 +566,8 @@
         {{ApiResponse::Delivery::Answered, 200, "# HELP metrics"}, ExitCode::Unreachable},
         {notSent(), ExitCode::Unreachable},
         {lost(), ExitCode::Unreachable}};
-    for (const auto &[response, code] : cases) {
-        REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(response);
-        CHECK(run(placeWords) == code);
+    for (const std::pair<ApiResponse, ExitCode> &it : cases) {
+        REQUIRE_CALL(transport, send(trompeloeil::_, trompeloeil::_, trompeloeil::_)).RETURN(it.first);
+        CHECK(run(placeWords) == it.second);
     }
 }
