--- a/src/libpeer/websockettransport_test.cpp
+++ b/src/libpeer/websockettransport_test.cpp
@@ -160,6 +160,7 @@
         });
     });
     std::vector<std::unique_ptr<RawClient>> clients;
+    clients.reserve(crowd);
     for (int i = 0; i < crowd; ++i) {
         clients.push_back(std::make_unique<RawClient>(22616));
     }
