--- a/src/libworkflow/lookaheadfaults_test.cpp
+++ b/src/libworkflow/lookaheadfaults_test.cpp
@@ -60,7 +60,7 @@
 
     JobId submitWide(std::uint32_t tasks)
     {
-        const JobId id = jobNumber(widePrefix, m_wideJobs++);
+        JobId id = jobNumber(widePrefix, m_wideJobs++);
         submit(id, step(tasks, workerCores, wideWork), "batch");
         return id;
     }
@@ -240,6 +240,7 @@
     constexpr std::uint32_t shortTasks = 700; // Each 100 ms: 4,200 of 4,400 cores.
     load.keepBusy(std::chrono::seconds(2), shortTasks);
     std::vector<JobId> wide;
+    wide.reserve(10);
     for (int i = 0; i < 10; ++i) {
         wide.push_back(load.submitWide(20));
     }
