--- a/src/libworkflow/storesilence_test.cpp
+++ b/src/libworkflow/storesilence_test.cpp
@@ -36,7 +36,7 @@
     JobId submitAt(int node)
     {
         const std::string digits = std::to_string(100000 + m_submitted++);
-        const JobId id = "a000000000" + digits;
+        JobId id = "a000000000" + digits;
         const TimePoint sentAt = world.world.now();
         world.submitLater(node, id, workflowOf({simpleStep(1)}), [this, id, node, sentAt](const CallerAnswer &answer) {
             answers[id] = answer;
