Keep no header fields that no listener uses

What callers saw: a node that ran out of memory and was ended, with all requests that it was handling.

Cause: Beast's parser keeps each header field, at many times its bytes on the wire, for as long as the body is incomplete, and the budget for input counts the buffer and the body only. A header of 16 KB has 4,000 of the smallest fields. Its limit on headers, moreover, holds for what it has not consumed yet: it consumes a line once it has seen the first byte of the next one, so a header that comes line by line has no limit.

RequestParser checks all fields and keeps the four that listeners use; it counts the header, and the trailers, as they are consumed; all that it keeps counts in the budget.

--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -5,6 +5,7 @@
 #include "fescueledge/inputbudget.h"
 #include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
+#include "requestparser_pvt.h"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -12,9 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <set>
 #include <sys/socket.h>
@@ -30,12 +29,10 @@
 
 namespace {
 
-constexpr Milliseconds maxCallerTimeout{86'400'000}; ///< A day.
 constexpr int statusMalformed = 400;
 constexpr int statusTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 constexpr int statusUnavailable = 503;
-constexpr const char *deadlineHeader = "X-Deadline-Ms";
 /// After an answer to an incomplete request, what still arrives is discarded for this time: closing a connection with
 /// unread bytes resets it, and the client may lose the answer.
 constexpr Milliseconds lingerTimeout{1000};
@@ -53,17 +50,6 @@
 constexpr std::size_t discardBytes = 4096; ///< Read and discarded at a time.
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
 
-/// Zero, for an unknown one, unless @p text is a positive number; at most maxCallerTimeout.
-Milliseconds parseTimeout(const std::string &text)
-{
-    std::int64_t count = 0;
-    const std::from_chars_result parsed = std::from_chars(text.data(), text.data() + text.size(), count);
-    if (parsed.ec == std::errc::result_out_of_range && text.front() != '-') {
-        return maxCallerTimeout;
-    }
-    return std::clamp(Milliseconds(count), Milliseconds(0), maxCallerTimeout);
-}
-
 /// Whether @p ec says that what came is no HTTP, rather than that the connection ended.
 bool isMalformed(const beast::error_code &ec)
 {
@@ -80,18 +66,6 @@
         == static_cast<ssize_t>(line.size());
 }
 
-/// The request in @p message without its body.
-HttpRequest requestOf(const http::request<http::string_body> &message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    request.host = std::string(message[http::field::host]);
-    request.authorization = std::string(message[http::field::authorization]);
-    request.callerTimeout = parseTimeout(std::string(message[deadlineHeader]));
-    return request;
-}
-
 } // namespace
 
 class AsyncHttpServer::Impl : public std::enable_shared_from_this<AsyncHttpServer::Impl>
@@ -150,7 +124,7 @@
 
         beast::tcp_stream stream;
         beast::flat_buffer buffer;
-        std::optional<http::request_parser<http::string_body>> parser;
+        std::optional<RequestParser> parser;
         http::response<http::string_body> response;
         Phase phase = Phase::Receiving;
         bool isClosed = false; ///< Operations that were in progress may still end with success.
@@ -285,8 +259,7 @@
 void AsyncHttpServer::Impl::applyLimits(Session *session) const
 {
     session->buffer.max_size(limits.headerBytes + maxReadBytes); // Of trailers, all have to fit into it.
-    session->parser->header_limit(static_cast<std::uint32_t>(
-        std::min<std::size_t>(limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
+    session->parser->limitHeader(limits.headerBytes);
     session->parser->body_limit(limits.bodyBytes);
 }
 
@@ -363,8 +336,7 @@
     }
     if (!session->parser->is_done()) {
         session->stream.expires_at(session->beganAt + limits.messageTimeout);
-        const http::request<http::string_body> &message = session->parser->get();
-        if (beast::iequals(message[http::field::expect], "100-continue") && !sendContinue(&session->stream.socket())) {
+        if (session->parser->expectsContinue() && !sendContinue(&session->stream.socket())) {
             reportRejection("unread");
             closeSession(session);
             return false;
@@ -387,13 +359,13 @@
             }
         });
     }
-    return budget->hold(session->message, session->buffer.capacity() + session->parser->get().body().capacity(), now);
+    return budget->hold(session->message, session->buffer.capacity() + session->parser->keptBytes(), now);
 }
 
 void AsyncHttpServer::Impl::refuse(const SessionPtr &session, int status, const char *reason)
 {
     reportRejection(reason);
-    session->parser->get().body() = std::string();
+    session->parser->request().body = std::string();
     session->buffer.clear();
     session->buffer.shrink_to_fit();
     releaseInput(session);
@@ -408,21 +380,19 @@
     if (!headerCheck) {
         return true;
     }
-    const std::optional<HttpReply> reply = headerCheck(requestOf(session->parser->get()));
+    const std::optional<HttpReply> reply = headerCheck(session->parser->request());
     if (!reply) {
         return true;
     }
-    write(session, *reply, session->parser->is_done() && session->parser->get().keep_alive());
+    write(session, *reply, session->parser->is_done() && session->parser->keep_alive());
     return false;
 }
 
 void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
 {
-    http::request<http::string_body> &message = session->parser->get();
-    HttpRequest request = requestOf(message);
-    request.body = std::move(message.body());
+    const HttpRequest request = std::move(session->parser->request());
     budget->pin(session->message);
-    const bool keepAlive = message.keep_alive();
+    const bool keepAlive = session->parser->keep_alive();
     session->stream.expires_never();
     session->phase = Phase::Handling;
     ++inFlight;
