--- a/src/include/fescueledge/workflow/workflowspec.h
+++ b/src/include/fescueledge/workflow/workflowspec.h
@@ -45,6 +45,9 @@
     Milliseconds interval{0};
 };
 
+/// Most tasks of one occurrence, and so most steps; bounds the memory that one request can claim.
+constexpr std::uint32_t maxTasks = 16384;
+
 /// Number of times that the steps of @p spec run.
 std::uint32_t occurrenceCount(const WorkflowSpec &spec);
 /// When occurrence @p occurrence may start; the epoch if the workflow runs once, immediately.
--- a/src/libworkflow/workflowspec.cpp
+++ b/src/libworkflow/workflowspec.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t maxTasks = 16384; ///< Tasks of one occurrence; bounds the memory that one request can claim.
 /// Resources of one task: small enough that a sum over the tasks on a worker fits into 64 bits.
 constexpr std::int64_t maxResource = 1'000'000'000'000;
 constexpr Milliseconds maxSpan{10'000'000'000}; ///< Four months; spans are added up, and converted to finer units.
