Read clients' input in turns of bounded work

What callers saw: while a crowd sent bodies in chunks of one byte, or large bodies that were rejected in the end, an ordinary job got no answer within 5 s on a free core; to other nodes and to the store, the node hung.

Cause: each connection with bytes to read was read and parsed in the same pass of the loop as all others, so leases, heartbeats and answers waited for all of them. Memory had a rule that shares it out, processor time had none.

InputTurns gives input a bounded amount of work in one pass of the loop, then everything else that is ready has its turn. Work beyond that, such as a large body's JSON, is followed by passes without input. Among clients, the message that has cost least so far goes first, so an ordinary one waits for one turn of each other one at most. Work is counted in bytes parsed and handled. Bytes stay in the kernel until a connection's turn comes; the time limits of a message run on meanwhile, so what a node can't take in is closed. Connections wait for input without a buffer in use, so their deadlines are kept by a timer of their own instead of Beast's.

--- a/src/include/fescueledge/asynchttpserver.h
+++ b/src/include/fescueledge/asynchttpserver.h
@@ -3,6 +3,7 @@
 #include "fescueledge/httpmessages.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 
 class AsioLoop;
 class InputBudget;
+class InputTurns;
 
 /// An HTTP/1.1 listener on a loop. Each connection carries one request at a time.
 class AsyncHttpServer
@@ -48,11 +50,15 @@
     const Limits &limits() const;
     /// Sets the budget that unfinished requests and their answers share with those of other listeners.
     void setInputBudget(std::shared_ptr<InputBudget> budget);
+    /// Sets the turns in which input is read, shared with other listeners of the same loop.
+    void setInputTurns(std::shared_ptr<InputTurns> turns);
     /// Sets a handler that is called with the reason when a connection is closed or a request refused for a limit.
     void setRejectionHandler(std::function<void(const char *reason)> handler);
     /// Sets a check of each request whose headers are complete. A reply is sent at once, and the connection closed
     /// unless the whole request has been received.
     void setHeaderCheck(HeaderCheck check);
+    /// Bytes of requests that have been parsed so far.
+    std::uint64_t parsedBytes() const;
     /// Number of requests received and not yet answered.
     std::size_t inFlight() const;
     /// Closes idle connections now and every other connection after its next answer.
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -3,13 +3,16 @@
 #include "fescueledge/asioloop.h"
 #include "fescueledge/error.h"
 #include "fescueledge/inputbudget.h"
+#include "fescueledge/inputturns.h"
 #include "fescueledge/socketaddress.h"
 #include "readmessage_pvt.h"
 #include "requestparser_pvt.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -47,7 +50,8 @@
 /// Callers retry after this time when a request was refused for lack of memory: evictions free it at once.
 constexpr std::chrono::seconds memoryRetryAfter{1};
 constexpr std::size_t defaultInputMemory = 20971520;
-constexpr std::size_t discardBytes = 4096; ///< Read and discarded at a time.
+/// Units of work that a handler spends on a byte of a body or of an answer, compared with a byte that is parsed here.
+constexpr std::size_t handlerUnitsPerByte = 8;
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
 
 /// Whether @p ec says that what came is no HTTP, rather than that the connection ended.
@@ -73,6 +77,7 @@
 public:
     Impl(AsioLoop *loop, Handler handler)
         : budget(std::make_shared<InputBudget>(defaultInputMemory))
+        , turns(std::make_shared<InputTurns>(loop))
         , m_loop(loop)
         , m_handler(std::move(handler))
         , m_acceptor(loop->context())
@@ -83,6 +88,7 @@
     {
         for (const SessionPtr &session : m_sessions) {
             budget->remove(session->message);
+            turns->cancel(session.get());
         }
     }
     Impl(const Impl &) = delete;
@@ -101,8 +107,10 @@
     Limits limits;
     HeaderCheck headerCheck;
     std::shared_ptr<InputBudget> budget;
+    std::shared_ptr<InputTurns> turns;
     std::function<void(const char *)> rejected;
     std::size_t inFlight = 0;
+    std::uint64_t parsedBytes = 0;
     bool closing = false; ///< Responses carry `Connection: close`.
 
 private:
@@ -119,17 +127,22 @@
     {
         explicit Session(tcp::socket socket)
             : stream(std::move(socket))
+            , timer(stream.get_executor())
         {
         }
 
         beast::tcp_stream stream;
+        asio::steady_timer timer; ///< Runs while input is awaited.
+        TimePoint deadline{}; ///< When that ends.
+        TimePoint timerEnd = TimePoint::max(); ///< When the timer expires, not after the deadline; max() if it is off.
         beast::flat_buffer buffer;
         std::optional<RequestParser> parser;
         http::response<http::string_body> response;
         Phase phase = Phase::Receiving;
+        bool isReadable = false; ///< Bytes have come, or the end of the connection, and have not been read.
         bool isClosed = false; ///< Operations that were in progress may still end with success.
         bool isHeaderChecked = false; ///< The header of the current request has been checked.
-        std::uint64_t bytesRead = 0; ///< Of the current request.
+        std::uint64_t bytesRead = 0; ///< Of the current request, or discarded since it was answered.
         InputBudget::MessageId message = 0; ///< The current request in the budget; 0 if nothing of it has come.
         TimePoint beganAt{}; ///< When the first bytes of the current request came.
         bool hasServed = false; ///< A request has been answered on it, and it was kept.
@@ -137,7 +150,18 @@
     };
     using SessionPtr = std::shared_ptr<Session>;
 
+    /// Waits for a request and reads it.
     void read(const SessionPtr &session);
+    /// Waits until bytes have come, or the connection has ended, then for a turn to read them.
+    void awaitInput(const SessionPtr &session);
+    void requestTurn(const SessionPtr &session);
+    void takeTurn(const SessionPtr &session);
+    /// Reads what has come into the buffer; false if nothing is to be parsed.
+    bool receive(const SessionPtr &session);
+    void parse(const SessionPtr &session);
+    void setDeadline(const SessionPtr &session, TimePoint deadline);
+    void awaitDeadline(const SessionPtr &session);
+    void onDeadline(const SessionPtr &session);
     /// Puts the limits in force on a request whose headers are not complete.
     void applyLimits(Session *session) const;
     void onReceived(const SessionPtr &session, const beast::error_code &ec);
@@ -164,13 +188,16 @@
     void dispatch(const SessionPtr &session);
     void write(const SessionPtr &session, const HttpReply &reply, bool keepAlive);
     /// Discards the rest of an incomplete request that has been answered, at most Limits::bodyBytes, then closes.
-    void linger(const SessionPtr &session, std::size_t discarded);
+    void linger(const SessionPtr &session);
+    void discard(const SessionPtr &session);
     void closeSession(const SessionPtr &session)
     {
         if (session->isClosed) {
             return;
         }
         session->isClosed = true;
+        turns->cancel(session.get());
+        session->timer.cancel();
         boost::system::error_code ec;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         session->stream.close();
@@ -182,6 +209,7 @@
     Handler m_handler;
     tcp::acceptor m_acceptor;
     std::set<SessionPtr> m_sessions;
+    std::array<char, maxReadBytes> m_discarded{}; ///< Where discarded bytes of all connections are read to.
 };
 
 void AsyncHttpServer::Impl::listen(const std::string &address)
@@ -222,6 +250,7 @@
         }
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored); // A read within a turn must not wait.
         if (self->m_sessions.size() >= self->limits.connections) {
             self->closeLongestIdle();
         }
@@ -267,19 +296,127 @@
 {
     session->phase = Phase::Receiving;
     session->parser.emplace();
+    session->parser->eager(true);
     session->isHeaderChecked = false;
     session->bytesRead = 0;
     applyLimits(session.get());
-    session->stream.expires_after(limits.idleTimeout);
+    setDeadline(session, m_loop->now() + limits.idleTimeout);
+    if (session->buffer.size() > 0) {
+        requestTurn(session);
+    } else {
+        awaitInput(session);
+    }
+}
+
+void AsyncHttpServer::Impl::awaitInput(const SessionPtr &session)
+{
     const std::shared_ptr<Impl> self = shared_from_this();
-    readMessage(
-        &session->stream, &session->buffer, &*session->parser,
-        [self, session](std::size_t n) {
-            return self->proceed(session, n);
-        },
-        [self, session](const beast::error_code &ec) {
+    session->stream.socket().async_wait(tcp::socket::wait_read, [self, session](const beast::error_code &ec) {
+        if (session->isClosed) {
+            return;
+        }
+        if (ec) {
             self->onReceived(session, ec);
-        });
+            return;
+        }
+        session->isReadable = true;
+        self->requestTurn(session);
+    });
+}
+
+void AsyncHttpServer::Impl::requestTurn(const SessionPtr &session)
+{
+    turns->request(session.get(), session->bytesRead, [weak = weak_from_this(), session] {
+        const std::shared_ptr<Impl> self = weak.lock();
+        if (self && !session->isClosed) {
+            self->takeTurn(session);
+        }
+    });
+}
+
+void AsyncHttpServer::Impl::takeTurn(const SessionPtr &session)
+{
+    if (session->phase == Phase::Discarding) {
+        discard(session);
+    } else if (!session->isReadable || receive(session)) {
+        parse(session);
+    }
+}
+
+bool AsyncHttpServer::Impl::receive(const SessionPtr &session)
+{
+    session->isReadable = false;
+    const std::size_t room = readSize(session->buffer);
+    if (room == 0) {
+        onReceived(session, http::error::buffer_overflow);
+        return false;
+    }
+    beast::error_code ec;
+    const std::size_t n = session->stream.socket().read_some(session->buffer.prepare(room), ec);
+    if (ec == asio::error::would_block) {
+        awaitInput(session);
+        return false;
+    }
+    if (ec) {
+        onReceived(session, ec == asio::error::eof ? endOfStream(&*session->parser) : ec);
+        return false;
+    }
+    session->buffer.commit(n);
+    return true;
+}
+
+void AsyncHttpServer::Impl::parse(const SessionPtr &session)
+{
+    beast::error_code ec;
+    const std::size_t n = parsePiece(&session->buffer, &*session->parser, &ec);
+    turns->charge(n);
+    parsedBytes += n;
+    if (!ec && !proceed(session, n)) {
+        return;
+    }
+    if (ec || session->parser->is_done()) {
+        trimBuffer(&session->buffer);
+        onReceived(session, ec);
+    } else {
+        awaitInput(session);
+    }
+}
+
+void AsyncHttpServer::Impl::setDeadline(const SessionPtr &session, TimePoint deadline)
+{
+    session->deadline = deadline;
+    if (deadline < session->timerEnd) { // Otherwise it expires first, and is then set to the rest.
+        awaitDeadline(session);
+    }
+}
+
+void AsyncHttpServer::Impl::awaitDeadline(const SessionPtr &session)
+{
+    session->timerEnd = session->deadline;
+    session->timer.expires_at(session->deadline);
+    const std::shared_ptr<Impl> self = shared_from_this();
+    session->timer.async_wait([self, session](const boost::system::error_code &ec) {
+        if (!ec && !session->isClosed) {
+            session->timerEnd = TimePoint::max();
+            self->onDeadline(session);
+        }
+    });
+}
+
+void AsyncHttpServer::Impl::onDeadline(const SessionPtr &session)
+{
+    const bool isAwaitingInput = session->phase == Phase::Receiving || session->phase == Phase::Discarding;
+    if (!isAwaitingInput) {
+        return; // The next request sets it again.
+    }
+    if (m_loop->now() < session->deadline) {
+        awaitDeadline(session);
+        return;
+    }
+    if (session->phase == Phase::Receiving && session->message != 0) {
+        reportRejection("timeout");
+    }
+    closeSession(session);
 }
 
 void AsyncHttpServer::Impl::onReceived(const SessionPtr &session, const beast::error_code &ec)
@@ -296,9 +433,6 @@
     } else if (isMalformed(ec)) {
         refuse(session, statusMalformed, "malformed");
     } else {
-        if (ec == beast::error::timeout && session->message != 0) {
-            reportRejection("timeout");
-        }
         closeSession(session);
     }
 }
@@ -326,7 +460,7 @@
     }
     if (!session->parser->is_header_done()) {
         if (isFirst) {
-            session->stream.expires_at(session->beganAt + std::min(limits.headerTimeout, limits.messageTimeout));
+            setDeadline(session, session->beganAt + std::min(limits.headerTimeout, limits.messageTimeout));
         }
         return true;
     }
@@ -335,7 +469,7 @@
         return false;
     }
     if (!session->parser->is_done()) {
-        session->stream.expires_at(session->beganAt + limits.messageTimeout);
+        setDeadline(session, session->beganAt + limits.messageTimeout);
         if (session->parser->expectsContinue() && !sendContinue(&session->stream.socket())) {
             reportRejection("unread");
             closeSession(session);
@@ -391,9 +525,9 @@
 void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
 {
     const HttpRequest request = std::move(session->parser->request());
+    turns->charge(handlerUnitsPerByte * request.body.size());
     budget->pin(session->message);
     const bool keepAlive = session->parser->keep_alive();
-    session->stream.expires_never();
     session->phase = Phase::Handling;
     ++inFlight;
     const std::shared_ptr<Impl> self = shared_from_this();
@@ -414,6 +548,7 @@
         return;
     }
     session->phase = Phase::Answering;
+    turns->charge(handlerUnitsPerByte * reply.body.size());
     const bool hasMemory = reply.body.size() <= InputBudget::smallMessage
         || budget->hold(session->message, reply.body.size(), m_loop->now());
     const std::chrono::seconds retryAfter = hasMemory ? reply.retryAfter : memoryRetryAfter;
@@ -446,11 +581,7 @@
             session->servedAt = self->m_loop->now();
             self->read(session);
         } else if (!ec && (!session->parser->is_done() || session->buffer.size() > 0)) {
-            boost::system::error_code ignored;
-            session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-            session->stream.expires_after(lingerTimeout);
-            session->phase = Phase::Discarding;
-            self->linger(session, 0);
+            self->linger(session);
         } else {
             if (ec == beast::error::timeout) {
                 self->reportRejection("unread");
@@ -460,20 +591,29 @@
     });
 }
 
-void AsyncHttpServer::Impl::linger(const SessionPtr &session, std::size_t discarded)
+void AsyncHttpServer::Impl::linger(const SessionPtr &session)
 {
+    session->phase = Phase::Discarding;
+    session->bytesRead = 0;
     session->parser.reset();
     session->buffer.clear();
     session->buffer.shrink_to_fit();
-    const std::shared_ptr<Impl> self = shared_from_this();
-    session->stream.async_read_some(session->buffer.prepare(discardBytes),
-                                    [self, session, discarded](const beast::error_code &ec, std::size_t n) {
-                                        if (ec || discarded + n > self->limits.bodyBytes) {
-                                            self->closeSession(session);
-                                        } else {
-                                            self->linger(session, discarded + n);
-                                        }
-                                    });
+    boost::system::error_code ignored;
+    session->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    setDeadline(session, m_loop->now() + lingerTimeout);
+    awaitInput(session);
+}
+
+void AsyncHttpServer::Impl::discard(const SessionPtr &session)
+{
+    beast::error_code ec;
+    const std::size_t n = session->stream.socket().read_some(asio::buffer(m_discarded), ec);
+    session->bytesRead += n;
+    if ((ec && ec != asio::error::would_block) || session->bytesRead > limits.bodyBytes) {
+        closeSession(session);
+    } else {
+        awaitInput(session);
+    }
 }
 
 void AsyncHttpServer::Impl::drain()
@@ -481,7 +621,9 @@
     closing = true;
     const std::set<SessionPtr> sessions = m_sessions;
     for (const SessionPtr &session : sessions) {
-        if (session->phase == Phase::Receiving && session->message == 0 && session->buffer.size() == 0) {
+        const bool isIdle = session->phase == Phase::Receiving && session->message == 0 && session->buffer.size() == 0
+            && !turns->isWaiting(session.get());
+        if (isIdle) {
             closeSession(session);
         }
     }
@@ -513,6 +655,11 @@
     m_impl->budget = std::move(budget);
 }
 
+void AsyncHttpServer::setInputTurns(std::shared_ptr<InputTurns> turns)
+{
+    m_impl->turns = std::move(turns);
+}
+
 void AsyncHttpServer::setRejectionHandler(std::function<void(const char *)> handler)
 {
     m_impl->rejected = std::move(handler);
@@ -523,6 +670,11 @@
     m_impl->headerCheck = std::move(check);
 }
 
+std::uint64_t AsyncHttpServer::parsedBytes() const
+{
+    return m_impl->parsedBytes;
+}
+
 std::size_t AsyncHttpServer::inFlight() const
 {
     return m_impl->inFlight;
--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -3,6 +3,7 @@
 #include "fescueledge/asynchttpclient.h"
 #include "fescueledge/asynchttpserver.h"
 #include "fescueledge/inputbudget.h"
+#include "fescueledge/inputturns.h"
 #include "fescueledge/testing/rawclient.h"
 
 #include <algorithm>
@@ -51,6 +52,10 @@
         , server(&loop, "127.0.0.1:" + std::to_string(port),
                  [this](const HttpRequest &request, const AsyncHttpServer::Responder &respond) {
                      ++handled;
+                     if (holdsAnswers) {
+                         m_held.emplace_back(respond, request.body);
+                         return;
+                     }
                      HttpReply reply;
                      reply.status = 200;
                      reply.body = answer.empty() ? "bytes:" + std::to_string(request.body.size()) : answer;
@@ -115,6 +120,18 @@
         return false;
     }
 
+    /// Waits until the budget holds nothing; false if that does not happen.
+    bool holdsNothing()
+    {
+        for (int i = 0; i < 1000; ++i) {
+            if (held() == 0) {
+                return true;
+            }
+            std::this_thread::sleep_for(Milliseconds(10));
+        }
+        return false;
+    }
+
     /// Waits until @p reason has been reported; false if it is not.
     bool hasRejected(const std::string &reason)
     {
@@ -133,10 +150,21 @@
     AsioLoop loop;
     std::shared_ptr<InputBudget> budget;
     AsyncHttpServer server;
+    /// Answers the requests that were held back. On the loop.
+    void answerAll()
+    {
+        for (const auto &[respond, body] : m_held) {
+            respond(HttpReply{});
+        }
+        m_held.clear();
+    }
+
     std::string answer;
     std::atomic<int> handled{0};
+    std::atomic<bool> holdsAnswers{false}; ///< Requests are answered by answerAll() only.
 
 private:
+    std::vector<std::pair<AsyncHttpServer::Responder, std::string>> m_held;
     std::mutex m_mutex;
     std::vector<std::string> m_reasons;
     std::thread m_thread;
@@ -487,6 +515,59 @@
     CHECK(budget->held() == 0);
 }
 
+// Load: bodies in chunks of one byte from many clients, all of them ready at once. Guards against other work of the
+// loop that waits for all of them.
+TEST_CASE("between two turns of other work a crowd's input costs a bounded amount of work")
+{
+    ServerThread node;
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    std::string chunks;
+    for (int i = 0; i < 2500; ++i) {
+        chunks += "1\r\nx\r\n";
+    }
+    chunks.resize(chunks.size() - 2); // The line's end is parsed with the next chunk.
+    node.server.setInputBudget(std::make_shared<InputBudget>(10 * budgetBytes)); // None is evicted.
+    node.start();
+    const std::string head = post("/", "Transfer-Encoding: chunked");
+    for (int i = 0; i < 100; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(port));
+        REQUIRE(crowd.back()->send(head));
+    }
+    const std::uint64_t headBytes = crowd.size() * head.size();
+    const auto hasParsed = [&node](std::uint64_t bytes) {
+        std::uint64_t parsed = 0;
+        for (int i = 0; i < 1000 && parsed < bytes; ++i) {
+            std::this_thread::sleep_for(Milliseconds(10));
+            node.onLoop([&node, &parsed] {
+                parsed = node.server.parsedBytes();
+            });
+        }
+        return parsed >= bytes;
+    };
+    REQUIRE(hasParsed(headBytes));
+    std::uint64_t most = 0;
+    std::uint64_t before = headBytes;
+    std::function<void()> heartbeat = [&] {
+        const std::uint64_t parsed = node.server.parsedBytes();
+        most = std::max(most, parsed - before);
+        before = parsed;
+        if (parsed < headBytes + crowd.size() * chunks.size()) {
+            node.loop.post(heartbeat);
+        }
+    };
+    // The loop is held up until all of them are ready.
+    node.onLoop([&] {
+        for (const std::unique_ptr<RawClient> &client : crowd) {
+            CHECK(client->send(chunks));
+        }
+        node.loop.post(heartbeat);
+    });
+    CHECK(hasParsed(headBytes + crowd.size() * chunks.size()));
+    node.onLoop([&] {
+        CHECK(most <= 2 * InputTurns::unitsPerPass);
+    });
+}
+
 // Guards against responses that end with the connection being taken for cut short, and the reverse.
 TEST_CASE("a response without a length ends with the connection, others are cut short by that")
 {
