Count a request until it is answered, also if its connection is closed

What callers saw: a node whose memory grew while clients sent whole bodies of legal size, left, and came back.

Cause: a connection that is closed while its request is handled, by its client's time limit or by the node at its bound on connections, gave back what the request counted for in the budget, while the handler still had it. Each new connection could so add a request, however many were handled.

What a request holds is now given back when it is answered, and no more requests are handled at a time than connections are allowed; beyond that they are refused with 503, reason `requests`, before they are handled.

--- a/src/include/fescueledge/asynchttpserver.h
+++ b/src/include/fescueledge/asynchttpserver.h
@@ -34,7 +34,8 @@
         Milliseconds idleTimeout{15000}; ///< Until the first byte of a request.
         Milliseconds headerTimeout{15000}; ///< From its first byte until its headers are complete.
         Milliseconds messageTimeout{15000}; ///< From its first byte until it is complete.
-        /// Connections at a time; beyond it, one that has not made a request for longest is closed.
+        /// Connections at a time; beyond it, one that has not made a request for longest is closed. No more requests
+        /// are handled at a time either, though clients may have left before they are answered.
         std::size_t connections = 1000;
     };
 
--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -201,7 +201,9 @@
         boost::system::error_code ec;
         session->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         session->stream.close();
-        releaseInput(session);
+        if (session->phase != Phase::Handling) { // The handler still has the request, until it answers.
+            releaseInput(session);
+        }
         m_sessions.erase(session);
     }
 
@@ -524,8 +526,13 @@
 
 void AsyncHttpServer::Impl::dispatch(const SessionPtr &session)
 {
+    if (inFlight >= limits.connections) {
+        refuse(session, statusUnavailable, "requests");
+        return;
+    }
     const HttpRequest request = std::move(session->parser->request());
     turns->charge(handlerUnitsPerByte * request.body.size());
+    budget->hold(session->message, session->buffer.capacity() + request.body.capacity(), m_loop->now());
     budget->pin(session->message);
     const bool keepAlive = session->parser->keep_alive();
     session->phase = Phase::Handling;
@@ -538,6 +545,9 @@
         }
         *answered = true;
         --self->inFlight;
+        if (session->isClosed) {
+            self->releaseInput(session);
+        }
         self->write(session, reply, keepAlive);
     });
 }
--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -515,6 +515,37 @@
     CHECK(budget->held() == 0);
 }
 
+// Load: complete bodies of legal size whose clients close, or are closed at the bound on connections, before they are
+// answered. Guards against requests that still occupy memory, and are no longer counted.
+TEST_CASE("a request that is being handled counts until it is answered, also if its client has gone")
+{
+    constexpr std::size_t bodyBytes = 100'000;
+    ServerThread node;
+    node.holdsAnswers = true;
+    AsyncHttpServer::Limits limits;
+    limits.connections = 4;
+    node.server.setLimits(limits);
+    node.start();
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int i = 0; i < 40; ++i) {
+        crowd.push_back(std::make_unique<RawClient>(port));
+        crowd.back()->send(withLength("/", bodyBytes, std::string(bodyBytes, 'x')));
+        node.onLoop([] {});
+    }
+    CHECK(node.hasRejected("requests"));
+    CHECK(node.handled <= 4);
+    CHECK(node.held() >= static_cast<std::size_t>(node.handled) * bodyBytes);
+    crowd.clear();
+    node.holdsAnswers = false; // What the kernel still holds may be handled now.
+    node.onLoop([&node] {
+        node.answerAll();
+    });
+    CHECK(node.holdsNothing());
+    RawClient next(port);
+    REQUIRE(next.send(withLength("/", 1, "x")));
+    CHECK(has(next.readUntil("bytes:1"), "HTTP/1.1 200 "));
+}
+
 // Load: bodies in chunks of one byte from many clients, all of them ready at once. Guards against other work of the
 // loop that waits for all of them.
 TEST_CASE("between two turns of other work a crowd's input costs a bounded amount of work")
