Bound the connections that wait to be accepted

What callers saw: a node beyond its memory after a pause, in which clients had opened connections and sent bodies on them.

Cause: the kernel completes as many connections as the backlog allows, 4,096 by default, and keeps what they send; no limit of the process counts them.

--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -43,6 +43,8 @@
 constexpr Milliseconds acceptRetryDelay{50};
 /// Bytes that the kernel may hold of a connection beside what has been read; it doubles the figure.
 constexpr int receiveBufferBytes = 16384;
+/// Connections that the kernel holds for this process to accept, each with received bytes that no limit counts.
+constexpr int maxUnaccepted = 128;
 /// Bytes that the kernel may hold of answers that a client does not read; without it, some megabytes per connection.
 constexpr int sendBufferBytes = 16384;
 /// A body in chunks of one byte takes six times its length on the wire; a request that takes more is mostly overhead.
@@ -228,7 +230,7 @@
         m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
         m_acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes));
         m_acceptor.bind(endpoint);
-        m_acceptor.listen();
+        m_acceptor.listen(maxUnaccepted);
     } catch (const boost::system::system_error &error) {
         throw Error(ErrorKind::InvalidSettings, "cannot listen on " + address + ": " + error.what());
     }
