Give memory back after a crowd of clients has gone

What operators saw: a node that kept the memory of a crowd for good, up to 239 MB of it, though the crowd had left; the next one came on top.

Cause: the allocator keeps freed memory for later use, and nothing told it that the use was over.

Ordinary requests never hold half of the budget.

--- a/src/fescueledged/main.cpp
+++ b/src/fescueledged/main.cpp
@@ -15,6 +15,11 @@
 #include <iostream>
 #include <sstream>
 #include <thread>
+#ifdef FESCUELEDGE_MIMALLOC
+#include <mimalloc.h>
+#else
+#include <malloc.h>
+#endif
 
 using namespace fescueledge;
 
@@ -111,6 +116,16 @@
     google::InitGoogleLogging(program);
 }
 
+/// Gives memory that the process has freed back to the system.
+void releaseMemory()
+{
+#ifdef FESCUELEDGE_MIMALLOC
+    mi_collect(true);
+#else
+    malloc_trim(0);
+#endif
+}
+
 int runDaemon(const DaemonSettings &settings)
 {
     std::signal(SIGTERM, onStopSignal);
@@ -145,7 +160,7 @@
         }
         initLogging(settings.log, argv[0]);
         if (settings.workflow.enabled) {
-            return platform::runNode(settings);
+            return platform::runNode(settings, releaseMemory);
         }
         return runDaemon(settings);
     } catch (const SettingsError &error) {
--- a/src/include/fescueledge/inputbudget.h
+++ b/src/include/fescueledge/inputbudget.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <utility>
 
 namespace fescueledge {
 
@@ -33,6 +34,11 @@
     /// The message is complete and being handled: it is not evicted any more.
     void pin(MessageId id);
     void remove(MessageId id);
+    /// Sets a handler that is called when most of the budget has been in use and nearly all of it is free again.
+    void setReliefHandler(std::function<void()> handler)
+    {
+        m_relieved = std::move(handler);
+    }
 
     std::size_t held() const
     {
@@ -49,11 +55,14 @@
     };
     using Messages = std::map<MessageId, Message>;
 
+    void noteRelief();
     /// The message that holds most for longest, other than @p asking; end() if all others are small or pinned.
     Messages::iterator worst(MessageId asking, TimePoint now);
 
     std::size_t m_limit;
     std::size_t m_held = 0;
+    std::size_t m_mostHeld = 0; ///< Since the last call of the handler.
+    std::function<void()> m_relieved;
     MessageId m_nextId = 1;
     Messages m_messages;
 };
--- a/src/libhttp/inputbudget.cpp
+++ b/src/libhttp/inputbudget.cpp
@@ -1,10 +1,19 @@
 #include "fescueledge/inputbudget.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
 namespace fescueledge {
 
+namespace {
+
+/// Shares of the budget that count as most of it, and as nearly none.
+constexpr std::size_t busyDivisor = 2;
+constexpr std::size_t idleDivisor = 16;
+
+} // namespace
+
 InputBudget::InputBudget(std::size_t bytes)
     : m_limit(bytes)
 {
@@ -44,6 +53,7 @@
     }
     m_held = m_held - own->second.bytes + bytes;
     own->second.bytes = bytes;
+    m_mostHeld = std::max(m_mostHeld, m_held);
     while (m_held > m_limit && bytes > smallMessage) {
         const auto it = worst(id, now);
         if (it == m_messages.end()) {
@@ -71,6 +81,15 @@
     if (it != m_messages.end()) {
         m_held -= it->second.bytes;
         m_messages.erase(it);
+        noteRelief();
+    }
+}
+
+void InputBudget::noteRelief()
+{
+    if (m_relieved && m_mostHeld >= m_limit / busyDivisor && m_held <= m_limit / idleDivisor) {
+        m_mostHeld = m_held;
+        m_relieved();
     }
 }
 
--- a/src/libhttp/inputbudget_test.cpp
+++ b/src/libhttp/inputbudget_test.cpp
@@ -63,3 +63,22 @@
     budget.remove(handled.front());
     CHECK(budget.hold(late, large, begin + Milliseconds(2)));
 }
+
+// Guards against memory that stays with the allocator after a crowd has gone, and against a release for each request.
+TEST_CASE("the end of a crowd's requests is noted once, that of ordinary ones is not")
+{
+    InputBudget budget(budgetBytes);
+    int relieved = 0;
+    budget.setReliefHandler([&relieved] {
+        ++relieved;
+    });
+    for (const std::size_t bytes : {large, 2 * large, large / 2, large, 2 * large}) {
+        const InputBudget::MessageId first = budget.add(begin, [] {});
+        const InputBudget::MessageId second = budget.add(begin, [] {});
+        CHECK(budget.hold(first, bytes / 2, begin));
+        CHECK(budget.hold(second, bytes / 2, begin));
+        budget.remove(first);
+        budget.remove(second);
+    }
+    CHECK(relieved == 2);
+}
