Work out what clients may use from the limits of the node

What operators saw: fixed limits that fit each alone and not together. In the worst case clients had 20 MB of large requests, 16 KB of a small one and 64 KB in the kernel for each of 1,250 connections: most of what the smallest node has, while larger nodes refused clients that they had room for.

clientShare() divides the process's memory and descriptors, which the platform names in the settings: an eighth of the memory for large requests, a quarter for connections, 84 KB each, and at most half of the descriptors. Settings `memory` and `descriptors` are new; `input-memory` and `max-connections` still go before what follows from them.

--- a/src/include/fescueledge/daemonsettings.h
+++ b/src/include/fescueledge/daemonsettings.h
@@ -78,8 +78,12 @@
     /// A revoked key is refused after this time, also by a node that doesn't learn of it; without it, a node admits the
     /// keys that it knows.
     std::optional<Milliseconds> keyRevocationTimeout;
-    std::size_t inputMemory = 20971520; ///< Bytes that unfinished requests of all clients may occupy together.
-    std::size_t maxConnections = 1000; ///< Connections that clients may have to one listener.
+    std::size_t memoryMb = 160; ///< Memory that this process may use, in units of 1,048,576 bytes.
+    std::size_t descriptors = 4100; ///< Descriptors that this process may have open.
+    /// Bytes that unfinished requests of all clients may occupy together; without it, see clientShare().
+    std::optional<std::size_t> inputMemory;
+    /// Connections that clients may have to one listener; without it, see clientShare().
+    std::optional<std::size_t> maxConnections;
     workflow::CoordinatorSettings times;
 };
 
--- a/src/libconfig/daemonkeys.cpp
+++ b/src/libconfig/daemonkeys.cpp
@@ -250,17 +250,28 @@
          [](WorkflowSettings &target, const SettingValue &value) {
              target.times.detectSilentStore = value.number != 0;
          }},
-        {{"input-memory", ValueType::Integer, false, "20971520", 1048576, 17179869184,
+        {{"memory", ValueType::Size, false, "160MB", 64, 16777216,
+          "Memory that this process may use. What clients may occupy is worked out from it."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.memoryMb = static_cast<std::size_t>(value.number);
+         }},
+        {{"descriptors", ValueType::Integer, false, "4100", 256, 16777216,
+          "Descriptors that this process may have open. Half of them are for clients, the others for workers, other "
+          "nodes and the store."},
+         [](WorkflowSettings &target, const SettingValue &value) {
+             target.descriptors = static_cast<std::size_t>(value.number);
+         }},
+        {{"input-memory", ValueType::Integer, false, "", 1048576, 17179869184,
           "Bytes that requests which are being received or answered may occupy together. Beyond it, the connections "
-          "that "
-          "hold most for longest are closed, and large requests refused with 503. An eighth of the memory of a node."},
+          "that hold most for longest are closed, and large requests refused with 503. Without it, an eighth of "
+          "`memory`."},
          [](WorkflowSettings &target, const SettingValue &value) {
              target.inputMemory = static_cast<std::size_t>(value.number);
          }},
-        {{"max-connections", ValueType::Integer, false, "1000", 16, 1000000,
+        {{"max-connections", ValueType::Integer, false, "", 16, 1000000,
           "Connections that clients may have to the callers' listener, and an eighth to each other one. Beyond it, the "
-          "connection that has been idle for longest is closed. Leaves descriptors for workers, other nodes and the "
-          "store."},
+          "connection that has been idle for longest is closed. Without it, as many as take a quarter of `memory`, at "
+          "84 KB each, and half of `descriptors`: 389 on a node of 160 MB."},
          [](WorkflowSettings &target, const SettingValue &value) {
              target.maxConnections = static_cast<std::size_t>(value.number);
          }},
