Count passes of input only while clients wait for their turns

What callers would pay: each ordinary request was followed by a pass of the loop, with a system call, only to count it, though nobody waited.

The work of requests is added up instead, and a pass is counted once a pass's share has been used or a client waits. After about twenty ordinary requests a client may so wait for one pass more.

--- a/src/include/fescueledge/inputturns.h
+++ b/src/include/fescueledge/inputturns.h
@@ -66,7 +66,8 @@
     std::map<Rank, Waiting> m_waiting;
     std::map<Owner, Rank> m_ranks;
     std::uint64_t m_requests = 0; ///< Made so far.
-    std::size_t m_spent = 0; ///< In this pass, with what earlier ones have spent beyond their share.
+    /// In this pass, with what earlier ones have spent beyond their share or while nobody waited.
+    std::size_t m_spent = 0;
     bool m_isGiving = false;
     bool m_isPassAwaited = false;
 };
--- a/src/libhttp/inputturns.cpp
+++ b/src/libhttp/inputturns.cpp
@@ -48,7 +48,8 @@
 
 void InputTurns::awaitNextPass()
 {
-    if (m_isPassAwaited || (m_waiting.empty() && m_spent == 0)) {
+    // Passes are not counted while nobody waits: ordinary requests would pay for a pass each.
+    if (m_isPassAwaited || (m_waiting.empty() && m_spent < unitsPerPass)) {
         return;
     }
     m_isPassAwaited = true;
