Read what has come of a request in one turn

What callers would wait for: a request whose headers and body come together was read in pieces of 512 bytes, and waited for the event loop's poll after each; on a busy coordinator a pass takes tens of milliseconds.

A turn reads until nothing more has come, up to 16 KB or 32 reads.

--- a/src/libhttp/asynchttpserver.cpp
+++ b/src/libhttp/asynchttpserver.cpp
@@ -52,6 +52,8 @@
 /// Callers retry after this time when a request was refused for lack of memory: evictions free it at once.
 constexpr std::chrono::seconds memoryRetryAfter{1};
 constexpr std::size_t defaultInputMemory = 20971520;
+/// Reads of a turn at most: bytes that are read and can't be parsed yet don't count as read.
+constexpr int maxReadsPerTurn = 32;
 /// Units of work that a handler spends on a byte of a body or of an answer, compared with a byte that is parsed here.
 constexpr std::size_t handlerUnitsPerByte = 8;
 constexpr Milliseconds writeTimeout{5000}; ///< A client that reads nothing for this time is disconnected.
@@ -160,7 +162,8 @@
     void takeTurn(const SessionPtr &session);
     /// Reads what has come into the buffer; false if nothing is to be parsed.
     bool receive(const SessionPtr &session);
-    void parse(const SessionPtr &session);
+    /// Parses what is in the buffer; whether more of the request is to be read.
+    bool parse(const SessionPtr &session);
     void setDeadline(const SessionPtr &session, TimePoint deadline);
     void awaitDeadline(const SessionPtr &session);
     void onDeadline(const SessionPtr &session);
@@ -342,8 +345,15 @@
 {
     if (session->phase == Phase::Discarding) {
         discard(session);
-    } else if (!session->isReadable || receive(session)) {
-        parse(session);
+        return;
+    }
+    const std::uint64_t turnEnd = session->bytesRead + chunkedReadBytes;
+    bool needsMore = session->isReadable || parse(session);
+    for (int reads = 0; needsMore && reads < maxReadsPerTurn && session->bytesRead < turnEnd; ++reads) {
+        needsMore = receive(session) && parse(session);
+    }
+    if (needsMore) {
+        awaitInput(session);
     }
 }
 
@@ -369,21 +379,21 @@
     return true;
 }
 
-void AsyncHttpServer::Impl::parse(const SessionPtr &session)
+bool AsyncHttpServer::Impl::parse(const SessionPtr &session)
 {
     beast::error_code ec;
     const std::size_t n = parsePiece(&session->buffer, &*session->parser, &ec);
     turns->charge(n);
     parsedBytes += n;
     if (!ec && !proceed(session, n)) {
-        return;
+        return false;
     }
-    if (ec || session->parser->is_done()) {
-        trimBuffer(&session->buffer);
-        onReceived(session, ec);
-    } else {
-        awaitInput(session);
+    if (!ec && !session->parser->is_done()) {
+        return true;
     }
+    trimBuffer(&session->buffer);
+    onReceived(session, ec);
+    return false;
 }
 
 void AsyncHttpServer::Impl::setDeadline(const SessionPtr &session, TimePoint deadline)
