Write the files of the command line's test into a directory of its own

What developers saw: four files of a test at the root of the repository, which a run in the root had left there and which were committed.

Cause: the test wrote to the working directory, whatever that was. It works in a temporary directory now, which is removed with each case.

Evidence: cli_test passes, run at the root, and leaves nothing there.

--- a/src/fescueledge/cli_test.cpp
+++ b/src/fescueledge/cli_test.cpp
@@ -7,8 +7,11 @@
 
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <string>
+#include <unistd.h>
 
 using namespace fescueledge;
 
@@ -105,6 +108,27 @@
     return {{"version", version}, {"in_force", inForce}, {"waiting_for", waitingFor}};
 }
 
+/// A directory of its own that is the working directory while it exists.
+struct WorkingDirectory
+{
+    WorkingDirectory()
+    {
+        std::filesystem::create_directories(path);
+        std::filesystem::current_path(path);
+    }
+    ~WorkingDirectory()
+    {
+        std::error_code ec;
+        std::filesystem::current_path(before, ec);
+        std::filesystem::remove_all(path, ec);
+    }
+    WorkingDirectory(const WorkingDirectory &) = delete;
+    WorkingDirectory &operator=(const WorkingDirectory &) = delete;
+
+    std::filesystem::path before = std::filesystem::current_path();
+    std::filesystem::path path = std::filesystem::temp_directory_path() / ("cli_test-" + std::to_string(getpid()));
+};
+
 /// Runs command lines against the mock. Files are written to the working directory.
 struct CliFixture
 {
@@ -116,6 +140,8 @@
         writeFile("cli_test_job.json", R"({"steps":[{"count":2,"cpu":500}]})");
     }
 
+    const WorkingDirectory directory;
+
     ExitCode run(const std::vector<std::string> &words)
     {
         std::vector<std::string> line{"fescueledge"};
