Let a test of requests in handling wait for each of them

What developers saw: the test "a request that is being handled counts until it is answered" failed in 2 of 4 runs under the address sanitizer, with no request refused.

Cause: in the test, not in the server. Clients came one after the other without waiting; on a slow build the next one took the place of one whose body had not arrived, as it should, so no more than four were ever handled.

--- a/src/libhttp/httplimits_test.cpp
+++ b/src/libhttp/httplimits_test.cpp
@@ -120,6 +120,15 @@
         return false;
     }
 
+    /// Waits until @p count requests have been handed to the handler; false if that does not happen.
+    bool handles(int count) const
+    {
+        for (int i = 0; i < 1000 && handled < count; ++i) {
+            std::this_thread::sleep_for(Milliseconds(10));
+        }
+        return handled >= count;
+    }
+
     /// Waits until the budget holds nothing; false if that does not happen.
     bool holdsNothing()
     {
@@ -529,11 +538,16 @@
     std::vector<std::unique_ptr<RawClient>> crowd;
     for (int i = 0; i < 40; ++i) {
         crowd.push_back(std::make_unique<RawClient>(port));
-        crowd.back()->send(withLength("/", bodyBytes, std::string(bodyBytes, 'x')));
-        node.onLoop([] {});
+        REQUIRE(crowd.back()->send(withLength("/", bodyBytes, std::string(bodyBytes, 'x'))));
+        // The next client comes when this one's request has arrived.
+        if (i < static_cast<int>(limits.connections)) {
+            REQUIRE(node.handles(i + 1));
+        } else {
+            CHECK(has(crowd.back()->readUntil("\r\n\r\n"), "HTTP/1.1 503 "));
+        }
     }
     CHECK(node.hasRejected("requests"));
-    CHECK(node.handled <= 4);
+    CHECK(node.handled == 4);
     CHECK(node.held() >= static_cast<std::size_t>(node.handled) * bodyBytes);
     crowd.clear();
     node.holdsAnswers = false; // What the kernel still holds may be handled now.
