--- a/review/rig/world.h
+++ b/review/rig/world.h
@@ -929,19 +929,12 @@
                                                         {"platform.address", m_store},
                                                         {"platform.row_bytes", "65536"},
                                                         {"limits.cpu_share", "0.1"},
-                                                        {"limits.memory_mb", "260"},
-                                                        {"limits.max_fds", "4100"},
                                                         {"bounds.drain_ms", "3000"},
                                                         {"bounds.status_s", "120"}};
         std::ifstream in("deploy/settings.ini.tmpl");
         std::stringstream text;
         text << in.rdbuf();
         std::string out = text.str();
-        const std::string sectionEnd = "{{/";
-        for (std::size_t at = out.find("{{#"); at != std::string::npos; at = out.find("{{#")) {
-            // No section's condition holds in this world.
-            out.erase(at, out.find("}}", out.find(sectionEnd, at)) + 2 - at);
-        }
         for (std::size_t at = out.find("{{"); at != std::string::npos; at = out.find("{{")) {
             const std::size_t end = out.find("}}", at);
             const std::string name = out.substr(at + 2, end - at - 2);
