--- a/review/rig-3/kindchange.cpp
+++ b/review/rig-3/kindchange.cpp
@@ -1,4 +1,4 @@
-// Stand-in platform with a store and four workers: i-1 and i-2 of kind a, i-3 and i-4 of kind b.
+// Stand-in platform with a store and eight workers: i-1 and i-2 of kind a, the others of kind b.
 //
 // At SIGHUP the store stops answering for some seconds. Meanwhile i-1 crashes and starts again at the same address, as
 // a worker of kind b; it registers when the store answers again. At SIGTERM the history of all runs is written.
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr int workerCount = 4;
+constexpr int workerCount = 8; ///< One of them is 12.5%.
 constexpr int workersOfKindA = 2;
 constexpr Milliseconds outage{4500}; ///< The longest of the site's outages.
 constexpr Milliseconds crashAfter{1000};
