--- a/review/13/run.sh
+++ b/review/rig-3/service-added-later.sh
@@ -7,7 +7,7 @@
 daemon=target/src/fescueledged/fescueledged
 platform=build-review-3/platform/fescueledge-standin-platform
 trouble=${TROUBLE:-1}
-record=$here/record.txt
+record=$(mktemp)
 dir=$(mktemp -d) || exit 2
 host=127.0.0.1
 pids=()
